Lay out the schema, the messages between processes and the shared values

Cause: every part needs the same messages and values before it can be built beside the others. Conclusion: parts can now be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Every target sets up what it needs; see README.md.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup check format test demo bench dist proto
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+# Needs requirements-proto.lock installed; its output is committed.
+proto: $(STAMP)
+	$(BIN)/pip install --quiet --requirement requirements-proto.lock
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python tools/generate.py
--- /dev/null
+++ b/src/cassiaturn/__init__.py
@@ -0,0 +1,1 @@
+"""A dispatcher for sub-second tasks."""
--- /dev/null
+++ b/src/cassiaturn/entities/__init__.py
@@ -0,0 +1,19 @@
+"""Values that every part of the dispatcher shares."""
+
+from cassiaturn.entities._answer import Answer, Outcome, Ran, Reason
+from cassiaturn.entities._method import Method, RequestClass, Resources
+from cassiaturn.entities._schema import Schema, SchemaError
+from cassiaturn.entities._task import TaskKey
+
+__all__ = [
+    "Answer",
+    "Method",
+    "Outcome",
+    "Ran",
+    "Reason",
+    "RequestClass",
+    "Resources",
+    "Schema",
+    "SchemaError",
+    "TaskKey",
+]
--- /dev/null
+++ b/src/cassiaturn/entities/_answer.py
@@ -0,0 +1,130 @@
+"""The answer of a submission, as a value."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+from cassiaturn.v1 import dispatcher_pb2 as pb
+
+
+class Outcome(IntEnum):
+    """How a submission ended, as its caller is told."""
+
+    COMPLETE = pb.OUTCOME_COMPLETE
+    FAILED = pb.OUTCOME_FAILED
+    NOT_RUN = pb.OUTCOME_NOT_RUN
+    UNKNOWN = pb.OUTCOME_UNKNOWN
+    PENDING = pb.OUTCOME_PENDING
+
+
+class Ran(IntEnum):
+    """What is known to have run of a submission that is not complete."""
+
+    UNSPECIFIED = pb.RAN_UNSPECIFIED
+    NOTHING = pb.RAN_NOTHING
+    SOME = pb.RAN_SOME
+    EVERYTHING = pb.RAN_EVERYTHING
+    MAYBE = pb.RAN_MAYBE
+
+
+class Reason(IntEnum):
+    """Why a submission is not complete."""
+
+    NONE = pb.REASON_UNSPECIFIED
+    INVALID = pb.REASON_INVALID
+    UNKNOWN_TENANT = pb.REASON_UNKNOWN_TENANT
+    QUOTA = pb.REASON_QUOTA
+    OVERLOAD = pb.REASON_OVERLOAD
+    DEADLINE = pb.REASON_DEADLINE
+    CANCELLED = pb.REASON_CANCELLED
+    TASK_FAILED = pb.REASON_TASK_FAILED
+    TARGET_LOST = pb.REASON_TARGET_LOST
+    HOME_UNREACHABLE = pb.REASON_HOME_UNREACHABLE
+    STORE_UNREACHABLE = pb.REASON_STORE_UNREACHABLE
+    EXPIRED = pb.REASON_EXPIRED
+    DRAINING = pb.REASON_DRAINING
+    NO_TARGET = pb.REASON_NO_TARGET
+    SUPERSEDED = pb.REASON_SUPERSEDED
+    MISMATCH = pb.REASON_MISMATCH
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """What a caller receives for a submission: whole, or none of it.
+
+    ``results`` is filled only with :attr:`Outcome.COMPLETE`; a part of a job's
+    results is never shown. ``NOT_RUN`` is final for its submission id.
+    """
+
+    submission_id: str
+    """The submission that this answers."""
+
+    outcome: Outcome
+    """How it ended."""
+
+    ran: Ran = Ran.UNSPECIFIED
+    """What ran, where the outcome is not complete."""
+
+    reason: Reason = Reason.NONE
+    """Why it is not complete."""
+
+    detail: str = ""
+    """One sentence for people."""
+
+    results: Sequence[bytes] = ()
+    """One serialized reply a task, in the order submitted."""
+
+    retry_after_ms: int = 0
+    """When to come back with a new id, in milliseconds; 0: no advice."""
+
+    tasks_done: int = 0
+    """Tasks whose result is known."""
+
+    tasks_total: int = 0
+    """Tasks of the submission."""
+
+    result_object: str = ""
+    """Key in the object store, in place of results too large to keep."""
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the home will never say anything else for this id."""
+        return self.outcome in _FINAL
+
+    def to_message(self) -> pb.Answer:
+        """Return the answer as the message that callers receive."""
+        return pb.Answer(
+            submission_id=self.submission_id,
+            outcome=int(self.outcome),  # type: ignore[arg-type]
+            ran=int(self.ran),  # type: ignore[arg-type]
+            reason=int(self.reason),  # type: ignore[arg-type]
+            detail=self.detail,
+            results=self.results,
+            retry_after_ms=self.retry_after_ms,
+            tasks_done=self.tasks_done,
+            tasks_total=self.tasks_total,
+            result_object=self.result_object,
+        )
+
+    @classmethod
+    def from_message(cls, message: pb.Answer) -> "Answer":
+        """Return the answer that a message carries.
+
+        :param message: an answer with every field in its range.
+        :raises ValueError: an enum field holds a value unknown here.
+        """
+        return cls(
+            submission_id=message.submission_id,
+            outcome=Outcome(message.outcome),
+            ran=Ran(message.ran),
+            reason=Reason(message.reason),
+            detail=message.detail,
+            results=tuple(message.results),
+            retry_after_ms=message.retry_after_ms,
+            tasks_done=message.tasks_done,
+            tasks_total=message.tasks_total,
+            result_object=message.result_object,
+        )
+
+
+_FINAL = frozenset({Outcome.COMPLETE, Outcome.FAILED, Outcome.NOT_RUN})
--- /dev/null
+++ b/src/cassiaturn/entities/tests/test_schema.py
@@ -0,0 +1,29 @@
+from importlib.resources import files
+from pathlib import Path
+
+from returns.result import Failure, Success
+
+from cassiaturn.entities import RequestClass, Schema
+
+KWABENA = Path(str(files("cassiaturn_examples") / "kwabena" / "props.binpb"))
+REGISTRE = Path(str(files("cassiaturn_examples") / "registre" / "register.binpb"))
+
+
+def test_declared_options_are_read() -> None:
+    schema = Schema.load([KWABENA, REGISTRE]).unwrap()
+    order = schema.methods_by_name["kwabena.v1.Props/OrderDeck"]
+    assert not order.repeatable
+    assert order.request_class is RequestClass.URGENT
+    assert order.deadline_ms == 5000
+    assert len(schema.methods_by_name) == 6
+
+
+def test_every_unusable_file_is_named(tmp_path: Path) -> None:
+    garbage = tmp_path / "garbage.binpb"
+    garbage.write_bytes(b"\xff\xff\xff")
+    missing = tmp_path / "missing.binpb"
+    match Schema.load([garbage, missing]):
+        case Failure(errors):
+            assert [error.source for error in errors] == [str(garbage), str(missing)]
+        case Success(_):
+            raise AssertionError("garbage was taken for a schema")
--- /dev/null
+++ b/src/cassiaturn/v1/__init__.py
@@ -0,0 +1,1 @@
+"""Protobuf messages and grpclib stubs generated from the ``.proto`` files."""
--- /dev/null
+++ b/src/cassiaturn_examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example schemas and callers of the first two users."""
--- /dev/null
+++ b/src/cassiaturn_examples/kwabena/__init__.py
@@ -0,0 +1,1 @@
+"""Kwabena Conjuring Supply: props, illusions and decks."""
--- /dev/null
+++ b/src/cassiaturn_examples/registre/__init__.py
@@ -0,0 +1,1 @@
+"""Registre Ancien Atelier: the registers of classic car clubs."""
