Rename the position of a task in its submission

Cause: a field called index hides a method of tuple, and the type checker refused it. Change: task_index. Before: 1 type error; after: none. Conclusion: the checker runs clean.

--- a/src/cassiaturn/entities/_task.py
+++ b/src/cassiaturn/entities/_task.py
@@ -13,5 +13,5 @@
     submission_id: str
     """Id of the submission: a ticket, or the caller's own choice."""
 
-    index: int
+    task_index: int
     """Position of the task in the submission, from 0."""
