Give callers a client that resubmits the same id elsewhere

Cause: a caller whose connection breaks does not know what ran. Change: the client takes tickets in batches and resubmits the same id until a final answer or the deadline.

--- /dev/null
+++ b/src/cassiaturn/client/_client.py
@@ -0,0 +1,267 @@
+"""Submit, collect and cancel jobs through any instance."""
+
+import asyncio
+import random
+import time
+from collections import deque
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from cassiaturn.client._metadata import CALLER_KEY, TENANT_KEY
+from cassiaturn.entities import Address, Answer, Outcome, Reason
+from cassiaturn.v1 import dispatcher_pb2 as pb
+from cassiaturn.v1.dispatcher_grpc import DispatcherStub
+
+CONNECTION_ERRORS = (OSError, StreamTerminatedError, asyncio.TimeoutError)
+"""What a call raises when its instance is lost: the answer is not known."""
+
+FATAL_STATUSES = frozenset(
+    {Status.INVALID_ARGUMENT, Status.UNAUTHENTICATED, Status.UNIMPLEMENTED}
+)
+"""Statuses that a second try cannot mend."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClientSettings:
+    """How a client fetches tickets and resubmits."""
+
+    ticket_batch: int = 32
+    """Tickets fetched at once; one fetch then costs 1/32 of a round trip a job."""
+
+    resubmit_pause_s: float = 0.05
+    """First pause before a resubmission, in seconds; doubles with jitter. Well
+    over a round trip and well under a suspicion timeout."""
+
+    longest_pause_s: float = 1.0
+    """Longest pause between resubmissions, in seconds."""
+
+    grace_s: float = 1.0
+    """Time after the deadline in which a late final answer is still taken."""
+
+
+class Client:
+    """A caller's connections to some instances.
+
+    Use one for each process of a caller and share it between its requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[Address],
+        tenant: str,
+        caller: str,
+        settings: ClientSettings | None = None,
+        seed: int | None = None,
+    ) -> None:
+        """Prepare connections, which open on first use.
+
+        :param addresses: instances, at least one; tried in a random order.
+        :param tenant: tenant named in each call.
+        :param caller: caller named in each call.
+        :param settings: ticket batches and pauses.
+        :param seed: seed of the random order, for tests that repeat.
+        """
+        self._settings = settings or ClientSettings()
+        self._random = random.Random(seed)
+        self._channels_by_address = {
+            address: Channel(address.host, address.port) for address in addresses
+        }
+        self._tickets_by_address: dict[Address, deque[str]] = {
+            address: deque() for address in addresses
+        }
+        self._metadata = {TENANT_KEY: tenant, CALLER_KEY: caller}
+        self.resubmissions = 0
+
+    def close(self) -> None:
+        """Close every connection; calls in flight end with an error."""
+        for channel in self._channels_by_address.values():
+            channel.close()
+
+    async def __aenter__(self) -> "Client":
+        """Return the client."""
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close every connection."""
+        self.close()
+
+    async def submit(
+        self,
+        method: str,
+        tasks: Sequence[bytes],
+        *,
+        deadline_s: float,
+        submission_id: str | None = None,
+        address: Address | None = None,
+    ) -> Answer:
+        """Submit a job and wait for its answer, whatever host fails meanwhile.
+
+        A lost connection or an answer ``UNKNOWN`` leads to a resubmission of
+        the same id elsewhere, until the deadline. ``NOT_RUN`` is returned as
+        it is: coming back needs a new id.
+
+        :param method: full name, ``package.Service/Method``.
+        :param tasks: one serialized request a task.
+        :param deadline_s: time until the answer is of no use, in seconds.
+        :param submission_id: an id of the caller's own; default: a ticket.
+        :param address: the instance to try first; default: any.
+        :returns: the answer; ``UNKNOWN`` if none was had in time.
+        """
+        deadline = time.monotonic() + deadline_s
+        order = self._order(address)
+        if submission_id is None:
+            submission_id, order = await self._take_ticket(order, deadline)
+        request = pb.SubmitRequest(
+            submission_id=submission_id,
+            method=method,
+            tasks=tasks,
+            deadline_ms=max(1, int(deadline_s * 1000)),
+        )
+        return await self._until_final(request, order, deadline)
+
+    async def collect(self, submission_id: str, *, timeout_s: float = 5.0) -> Answer:
+        """Return what the instances know of a submission now."""
+        answer = _unknown(submission_id, "no instance answered")
+        for address in self._order(None):
+            stub = self._stub(address)
+            try:
+                reply = await stub.Collect(
+                    pb.CollectRequest(submission_id=submission_id),
+                    timeout=timeout_s,
+                    metadata=self._metadata,
+                )
+            except (GRPCError, *CONNECTION_ERRORS):
+                continue
+            answer = Answer.from_message(reply)
+            if answer.outcome is not Outcome.UNKNOWN:
+                return answer
+        return answer
+
+    async def cancel(
+        self, submission_id: str, *, timeout_s: float = 5.0
+    ) -> tuple[bool, Answer]:
+        """Cancel a submission.
+
+        :returns: whether the cancellation settled it, and the answer that stands.
+        """
+        for address in self._order(None):
+            stub = self._stub(address)
+            try:
+                reply = await stub.Cancel(
+                    pb.CancelRequest(submission_id=submission_id),
+                    timeout=timeout_s,
+                    metadata=self._metadata,
+                )
+            except (GRPCError, *CONNECTION_ERRORS):
+                continue
+            return reply.cancelled, Answer.from_message(reply.answer)
+        return False, _unknown(submission_id, "no instance answered")
+
+    async def watch(self, submission_id: str) -> AsyncIterator[pb.JobEvent]:
+        """Yield progress until the event that carries the answer."""
+        request = pb.CollectRequest(submission_id=submission_id)
+        for address in self._order(None):
+            stub = self._stub(address)
+            try:
+                async with stub.Watch.open(metadata=self._metadata) as stream:
+                    await stream.send_message(request, end=True)
+                    async for event in stream:
+                        yield event
+                return
+            except (GRPCError, *CONNECTION_ERRORS):
+                continue
+
+    def _stub(self, address: Address) -> DispatcherStub:
+        return DispatcherStub(self._channels_by_address[address])
+
+    def _order(self, first: Address | None) -> list[Address]:
+        order = list(self._channels_by_address)
+        self._random.shuffle(order)
+        if first is not None:
+            order.remove(first)
+            order.insert(0, first)
+        return order
+
+    async def _take_ticket(
+        self, order: list[Address], deadline: float
+    ) -> tuple[str, list[Address]]:
+        while True:
+            for address in order:
+                ticket = await self._ticket_from(address, deadline)
+                if ticket is not None:
+                    rest = [other for other in order if other != address]
+                    return ticket, [address, *rest]
+            if time.monotonic() >= deadline:
+                # Nothing was submitted, so an id of our own is safe: no
+                # instance ever sees it.
+                return f"unsent-{self._random.getrandbits(64):016x}", order
+            await asyncio.sleep(self._settings.resubmit_pause_s)
+
+    async def _ticket_from(self, address: Address, deadline: float) -> str | None:
+        tickets = self._tickets_by_address[address]
+        if not tickets:
+            request = pb.IssueTicketsRequest(count=self._settings.ticket_batch)
+            timeout = max(0.001, min(1.0, deadline - time.monotonic()))
+            try:
+                reply = await self._stub(address).IssueTickets(
+                    request, timeout=timeout, metadata=self._metadata
+                )
+            except (GRPCError, *CONNECTION_ERRORS):
+                return None
+            tickets.extend(reply.tickets)
+        return tickets.popleft() if tickets else None
+
+    async def _until_final(
+        self, request: pb.SubmitRequest, order: Sequence[Address], deadline: float
+    ) -> Answer:
+        answer = _unknown(request.submission_id, "no instance answered in time")
+        pause = self._settings.resubmit_pause_s
+        attempt = 0
+        while True:
+            left = deadline + self._settings.grace_s - time.monotonic()
+            if left <= 0:
+                return answer
+            address = order[attempt % len(order)]
+            attempt += 1
+            latest = await self._submit_once(address, request, left)
+            if latest is not None:
+                answer = latest
+            if answer.is_final:
+                return answer
+            self.resubmissions += 1
+            await asyncio.sleep(min(pause * self._random.uniform(0.5, 1.0), left))
+            pause = min(pause * 2, self._settings.longest_pause_s)
+
+    async def _submit_once(
+        self, address: Address, request: pb.SubmitRequest, left: float
+    ) -> Answer | None:
+        try:
+            reply = await self._stub(address).Submit(
+                request, timeout=left, metadata=self._metadata
+            )
+        except GRPCError as error:
+            if error.status in FATAL_STATUSES:
+                return Answer(
+                    submission_id=request.submission_id,
+                    outcome=Outcome.NOT_RUN,
+                    reason=Reason.INVALID,
+                    detail=error.message or error.status.name,
+                )
+            return None
+        except CONNECTION_ERRORS:
+            return None
+        return Answer.from_message(reply)
+
+
+def _unknown(submission_id: str, detail: str) -> Answer:
+    return Answer(
+        submission_id=submission_id,
+        outcome=Outcome.UNKNOWN,
+        reason=Reason.HOME_UNREACHABLE,
+        detail=detail,
+    )
