Read the settings of an instance, every error at once

Cause: an instance needs to be told its addresses, peers, targets and limits, and a wrong file must not be found out one error a start.

--- /dev/null
+++ b/src/cassiaturn/settings/_fields.py
@@ -0,0 +1,42 @@
+"""Types of fields that several sections share."""
+
+from collections.abc import Sequence
+from typing import Annotated, Any
+
+from pydantic import AfterValidator, ConfigDict, Field
+
+STRICT_KEYS = ConfigDict(extra="forbid")
+"""Refuses unknown keys, in the data classes below as well."""
+
+Positive = Annotated[int, Field(strict=True, gt=0)]
+"""A whole number from 1; text and booleans are not converted."""
+
+NotNegative = Annotated[int, Field(strict=True, ge=0)]
+"""A whole number from 0."""
+
+Identifier = Annotated[
+    str, Field(strict=True, pattern=r"^[a-z0-9]([a-z0-9-]*[a-z0-9])?$", max_length=63)
+]
+"""A name such as ``osu-1``: lower case letters, digits and inner hyphens."""
+
+Label = Annotated[str, Field(strict=True, min_length=1, max_length=253)]
+"""A name that the platform gives, such as that of a rack."""
+
+HttpUrl = Annotated[str, Field(strict=True, pattern=r"^https?://[^\s/]+(/\S*)?$")]
+"""A base URL, ``http://`` or ``https://``."""
+
+
+def unique_by(attribute: str) -> AfterValidator:
+    """Return a validator that refuses two entries with the same identity.
+
+    :param attribute: the field of the entries that must differ.
+    """
+
+    def check(entries: Sequence[Any]) -> Sequence[Any]:
+        names = [getattr(entry, attribute) for entry in entries]
+        repeated = sorted({name for name in names if names.count(name) > 1})
+        if repeated:
+            raise ValueError(f"each {attribute} once; repeated: {', '.join(repeated)}")
+        return entries
+
+    return AfterValidator(check)
--- /dev/null
+++ b/src/cassiaturn/settings/_limits.py
@@ -0,0 +1,49 @@
+"""Sizes and rates that bound what an instance takes and keeps."""
+
+from dataclasses import dataclass
+
+from cassiaturn.settings._fields import Positive
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitSettings:
+    """Bounds of one instance; what passes one is refused with a clear error."""
+
+    max_tasks_per_job: Positive = 750
+    """Tasks of one submission: the largest job that the users plan for."""
+
+    max_payload_bytes: Positive = 64 * 1024
+    """Bytes of one task's request."""
+
+    max_job_bytes: Positive = 4 * 1024 * 1024
+    """Bytes of all requests of one submission: the usual gRPC message size."""
+
+    max_open_submissions: Positive = 50_000
+    """Submissions without an answer that one instance keeps."""
+
+    result_budget_bytes: Positive = 16 * 1024 * 1024
+    """Bytes of results kept for collection: half of a node's 32 MB."""
+
+    result_object_bytes: Positive = 256 * 1024
+    """A job's results above this many bytes go to the object store."""
+
+    result_retention_ms: Positive = 60_000
+    """How long an answer is kept for a resubmission, in milliseconds."""
+
+    ticket_valid_ms: Positive = 600_000
+    """How long a ticket may be used after its issue, in milliseconds."""
+
+    max_tickets_per_call: Positive = 1_000
+    """Tickets that one call may ask for."""
+
+    claim_retention_ms: Positive = 3_600_000
+    """How long a claim row of a bare id is kept, in milliseconds."""
+
+    store_writes_per_s: Positive = 20
+    """Table writes a second: about half of 300 shared by nine instances."""
+
+    store_reads_per_s: Positive = 100
+    """Table reads a second: about half of 2,000 shared by nine instances."""
+
+    max_frame_bytes: Positive = 8 * 1024 * 1024
+    """Bytes of one frame between instances or to a target."""
