Log one key=value line an event

Cause: operators need lines that a program can split whatever a caller sends. Change: an enum of events, each with level and meaning; values that hold spaces, quotes, equals signs or control characters stand as JSON strings.

--- /dev/null
+++ b/src/cassiaturn/observability/_event.py
@@ -0,0 +1,131 @@
+"""Every event that a process logs, with its level and meaning."""
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+import logbook
+
+
+class Level(IntEnum):
+    """How soon a person should look at an event."""
+
+    DEBUG = logbook.DEBUG
+    INFO = logbook.INFO
+    WARNING = logbook.WARNING
+    ERROR = logbook.ERROR
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EventKind:
+    """What an event is called and what it says; one a member of Event."""
+
+    name: str
+    """The value of ``event=`` in its line."""
+
+    level: Level
+    """How soon to look."""
+
+    meaning: str
+    """What happened, and what to do where something is to be done."""
+
+
+def _info(name: str, meaning: str) -> EventKind:
+    return EventKind(name=name, level=Level.INFO, meaning=meaning)
+
+
+def _warning(name: str, meaning: str) -> EventKind:
+    return EventKind(name=name, level=Level.WARNING, meaning=meaning)
+
+
+def _error(name: str, meaning: str) -> EventKind:
+    return EventKind(name=name, level=Level.ERROR, meaning=meaning)
+
+
+class Event(Enum):
+    """Events by name; the operators' page holds the same table."""
+
+    PROCESS_STARTING = _info("process_starting", "The settings are valid; starting.")
+    PROCESS_STOPPED = _info("process_stopped", "The process ends with `exit_code`.")
+    SETTINGS_INVALID = _error(
+        "settings_invalid", "A file is wrong at `key`; mend it and start again."
+    )
+    LISTENING = _info("listening", "A port takes connections.")
+    LISTEN_FAILED = _error(
+        "listen_failed", "A port is taken or not ours; see `detail`."
+    )
+    INSTANCE_READY = _info("instance_ready", "The instance takes submissions.")
+    INSTANCE_NOT_READY = _warning(
+        "instance_not_ready", "It takes none, for `reason`; others serve the callers."
+    )
+    INSTANCE_DRAINING = _info(
+        "instance_draining", "A planned stop: what is in flight finishes."
+    )
+    DRAIN_TIMED_OUT = _warning(
+        "drain_timed_out", "A planned stop gave up on `open` submissions."
+    )
+    PEER_CONNECTED = _info("peer_connected", "The stream to a peer is up.")
+    PEER_LOST = _warning("peer_lost", "The stream to a peer ended; it is tried again.")
+    PEER_STATE = _info("peer_state", "Membership now has a peer as `state`.")
+    TARGET_CONNECTED = _info("target_connected", "The stream to a target is up.")
+    TARGET_LOST = _warning(
+        "target_lost", "The stream to a target ended; it is tried again."
+    )
+    TARGET_LEAVING = _info("target_leaving", "A target gets no new start.")
+    TARGET_ACTIVATED = _info("target_activated", "A drained target gets starts again.")
+    TARGET_HEALTH = _warning(
+        "target_health", "A target is `state` by comparison with its peers."
+    )
+    FRAME_MALFORMED = _error(
+        "frame_malformed", "A peer or target sent what cannot be read; stream closed."
+    )
+    CONFIGURATION_APPLIED = _info(
+        "configuration_applied", "Shared configuration `version` is in force here."
+    )
+    CONFIGURATION_STALE = _info(
+        "configuration_stale", "An older version came late and was ignored."
+    )
+    CONFIGURATION_REJECTED = _error(
+        "configuration_rejected", "A stored version is malformed; the last one stays."
+    )
+    CONFIGURATION_UNCONFIRMED = _warning(
+        "configuration_unconfirmed", "Nobody confirmed the version for `age_ms`."
+    )
+    STORE_UNREACHABLE = _warning(
+        "store_unreachable", "The table service fails; tickets still work."
+    )
+    STORE_RECOVERED = _info("store_recovered", "The table service answers again.")
+    STORE_ANSWER_LOST = _warning(
+        "store_answer_lost", "A write may have taken effect; a re-read settles it."
+    )
+    STORE_MISUSED = _error(
+        "store_misused", "The platform's service refuses what was asked; see `detail`."
+    )
+    CLAIM_UNDETERMINED = _warning(
+        "claim_undetermined", "Whose a bare id is stays open; its caller is told so."
+    )
+    TAKEOVER_STARTED = _warning(
+        "takeover_started", "This instance succeeds the dead `incarnation`."
+    )
+    TAKEOVER_DONE = _info("takeover_done", "Its submissions are all decided.")
+    PAUSE_DETECTED = _warning(
+        "pause_detected", "The process stood still for `paused_ms`; starts are held."
+    )
+    INCARNATION_FENCED = _warning(
+        "incarnation_fenced", "A successor took over from us; a new incarnation begins."
+    )
+    OVERLOAD_STARTED = _warning(
+        "overload_started", "Submissions are refused since they would be late."
+    )
+    OVERLOAD_ENDED = _info("overload_ended", "Submissions are admitted again.")
+    SUBMISSION_UNKNOWN = _warning(
+        "submission_unknown", "A caller was told that nobody can say what ran."
+    )
+    EXPORT_FAILED = _warning("export_failed", "The metrics collector does not answer.")
+    INVARIANT_BROKEN = _error(
+        "invariant_broken", "A fault of the program; the process ends. Report it."
+    )
+
+    @property
+    def kind(self) -> EventKind:
+        """What the event is called and says."""
+        return self.value
--- /dev/null
+++ b/src/cassiaturn/observability/_log.py
@@ -0,0 +1,99 @@
+"""One line of key=value pairs for each event."""
+
+import json
+import sys
+from enum import Enum
+from typing import TextIO
+
+import logbook
+
+from cassiaturn.observability._event import Event
+
+LINE_FORMAT = "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.message}"
+
+FLOAT_DIGITS = 6
+"""Significant digits of a float in a line."""
+
+_QUOTED_CHARACTERS = frozenset(" \"'=\\")
+
+_logger = logbook.Logger("cassiaturn")  # type: ignore[no-untyped-call]
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Write one line for an event.
+
+    :param event: what happened; its level decides whether the line is shown.
+    :param fields: what identifies it, such as ``target_id``; written in order.
+    """
+    kind = event.kind
+    line = format_event(event, **fields)
+    _logger.log(kind.level, line)  # type: ignore[no-untyped-call]
+
+
+def format_event(event: Event, **fields: object) -> str:
+    """Return the line of an event, without its time.
+
+    :param event: what happened.
+    :param fields: what identifies it.
+    """
+    kind = event.kind
+    pairs = [f"level={kind.level.name.lower()}", f"event={kind.name}"]
+    pairs.extend(f"{key}={format_value(value)}" for key, value in fields.items())
+    return " ".join(pairs)
+
+
+def format_value(value: object) -> str:
+    """Return a value as it stands in a line, quoted where it must be.
+
+    A quoted value is a JSON string, so no value can end its line or look like
+    a further pair: a caller chooses some of them.
+
+    :param value: anything; enum members appear by name in lower case.
+    """
+    if value is None:
+        return "none"
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, Enum):
+        return value.name.lower()
+    if isinstance(value, float):
+        return f"{value:.{FLOAT_DIGITS}g}"
+    text = str(value)
+    if not text or not text.isprintable() or not _QUOTED_CHARACTERS.isdisjoint(text):
+        return json.dumps(text)
+    return text
+
+
+class LogOutput:
+    """Where the events of this process go, until closed."""
+
+    __slots__ = ("_handler",)
+
+    def __init__(self, *, stream: TextIO, debug: bool) -> None:
+        """Send every event from now on to a stream.
+
+        :param stream: where the lines go.
+        :param debug: whether events of level debug are shown too.
+        """
+        self._handler = logbook.StreamHandler(  # type: ignore[no-untyped-call]
+            stream,
+            level=logbook.DEBUG if debug else logbook.INFO,
+            format_string=LINE_FORMAT,
+        )
+        self._handler.push_application()  # type: ignore[no-untyped-call]
+
+    def close(self) -> None:
+        """Stop sending events there."""
+        self._handler.pop_application()  # type: ignore[no-untyped-call]
+
+
+def configure_logging(
+    *, stream: TextIO | None = None, debug: bool = False
+) -> LogOutput:
+    """Send the events of this process to a stream, with times in UTC.
+
+    :param stream: where the lines go; standard error when not given.
+    :param debug: whether events of level debug are shown too.
+    """
+    logbook.set_datetime_format("utc")  # type: ignore[no-untyped-call]
+    return LogOutput(stream=stream or sys.stderr, debug=debug)
