Keep submissions idempotent: tickets, records, claims, store budget

Cause: a caller may resubmit an id anywhere at any time, and the store takes far fewer writes than jobs arrive. Change: tickets that name their home, the home's table in which the first final answer stands, group-committed claims with a writer token, and a client-side budget for the store.

--- /dev/null
+++ b/src/cassiaturn/submission/__init__.py
@@ -0,0 +1,82 @@
+"""Tickets, records of submissions, claims, and the use of the store."""
+
+from cassiaturn.submission._budget import StoreBudget, StoreState
+from cassiaturn.submission._claim_rows import (
+    CLAIM_PREFIX,
+    ClaimBatch,
+    ClaimMine,
+    ClaimResolution,
+    ClaimRow,
+    ClaimTaken,
+    ClaimUndetermined,
+    claim_key,
+)
+from cassiaturn.submission._claims import ClaimLedger
+from cassiaturn.submission._incarnation import (
+    instance_of,
+    is_incarnation,
+    new_incarnation,
+)
+from cassiaturn.submission._invariant import InvariantError
+from cassiaturn.submission._record import (
+    Expired,
+    Joined,
+    Mismatched,
+    Offload,
+    Opened,
+    Opening,
+    Settled,
+    SubmissionRecord,
+    fingerprint_of,
+)
+from cassiaturn.submission._settings import (
+    ClaimSettings,
+    StoreSettings,
+    SubmissionSettings,
+)
+from cassiaturn.submission._table import SubmissionTable
+from cassiaturn.submission._ticket import (
+    MAX_SUBMISSION_ID_LENGTH,
+    TICKET_PREFIX,
+    MalformedTicket,
+    Ticket,
+    TicketIssuer,
+    parse_ticket,
+)
+
+__all__ = [
+    "CLAIM_PREFIX",
+    "MAX_SUBMISSION_ID_LENGTH",
+    "TICKET_PREFIX",
+    "ClaimBatch",
+    "ClaimLedger",
+    "ClaimMine",
+    "ClaimResolution",
+    "ClaimRow",
+    "ClaimSettings",
+    "ClaimTaken",
+    "ClaimUndetermined",
+    "Expired",
+    "InvariantError",
+    "Joined",
+    "MalformedTicket",
+    "Mismatched",
+    "Offload",
+    "Opened",
+    "Opening",
+    "Settled",
+    "StoreBudget",
+    "StoreSettings",
+    "StoreState",
+    "SubmissionRecord",
+    "SubmissionSettings",
+    "SubmissionTable",
+    "Ticket",
+    "TicketIssuer",
+    "claim_key",
+    "fingerprint_of",
+    "instance_of",
+    "is_incarnation",
+    "new_incarnation",
+    "parse_ticket",
+]
--- /dev/null
+++ b/src/cassiaturn/submission/_claims.py
@@ -0,0 +1,225 @@
+"""Claims of ids that callers choose, written in groups.
+
+Load pattern: many thousand small jobs a second against a store that takes several
+hundred writes a second for everybody. One write for each job would admit a few
+hundred jobs a second; here every claim that waits goes into the next write, so
+writes a job fall as the load rises, and an idle ledger writes at once.
+
+Without the token a lost answer could not be settled: the row that a re-read finds
+might be an earlier claim of this same incarnation, whose tasks already ran.
+"""
+
+import random
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import TypeVar
+
+from cassiaturn.submission._budget import StoreBudget
+from cassiaturn.submission._claim_rows import (
+    BatchPhase,
+    ClaimBatch,
+    ClaimMine,
+    ClaimResolution,
+    ClaimRow,
+    ClaimTaken,
+    ClaimUndetermined,
+    OwnersById,
+)
+from cassiaturn.submission._invariant import InvariantError
+from cassiaturn.submission._settings import ClaimSettings
+
+_TOKEN_BITS = 64
+_Value = TypeVar("_Value")
+
+
+class ClaimLedger:
+    """Batches claims and settles whose each is; no clock, no network.
+
+    Ask the submission table first: a row there needs no claim. Each resolution is
+    handed out once, by :meth:`want` or by :meth:`resolved`, whichever comes first.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        settings: ClaimSettings,
+        budget: StoreBudget,
+        rng: random.Random,
+    ) -> None:
+        self._incarnation = incarnation
+        self._settings = settings
+        self._budget = budget
+        self._rng = rng
+        self._wanted_at_by_id: dict[str, float] = {}
+        self._waiting_by_id: OrderedDict[str, None] = OrderedDict()
+        self._tokens_by_id: OrderedDict[str, str] = OrderedDict()
+        self._taken_by_id: OrderedDict[str, ClaimTaken] = OrderedDict()
+        self._resolved_by_id: dict[str, ClaimResolution] = {}
+        self._batch: ClaimBatch | None = None
+        self._phase = BatchPhase.WRITING
+        self._batch_number = 0
+
+    @property
+    def waiting(self) -> int:
+        """Claims that are not settled."""
+        return len(self._wanted_at_by_id)
+
+    def want(
+        self, submission_id: str, now: float
+    ) -> ClaimMine | ClaimTaken | ClaimUndetermined | None:
+        """Ask whose an id is, and claim it if it is nobody's.
+
+        :param submission_id: an id of the caller's own choice.
+        :param now: monotonic time, in seconds.
+        :returns: None while the store has not said.
+        """
+        resolution = self._resolved_by_id.pop(submission_id, None)
+        if resolution is not None:
+            return resolution
+        taken = self._taken_by_id.get(submission_id)
+        if taken is not None:
+            return taken
+        if submission_id not in self._wanted_at_by_id:
+            self._wanted_at_by_id[submission_id] = now
+            self._waiting_by_id[submission_id] = None
+        return None
+
+    def next_batch(self, now: float) -> ClaimBatch | None:
+        """Return the claims to insert now, if the budget allows a write.
+
+        One batch is in flight at a time, so that those which arrive meanwhile go
+        together in the next. Report its end with :meth:`committed`,
+        :meth:`conflicted` or :meth:`lost`.
+
+        :param now: monotonic time, in seconds.
+        """
+        self._give_up(now)
+        if self._batch is not None or not self._waiting_by_id:
+            return None
+        if not self._budget.may_write(now):
+            return None
+        rows: list[ClaimRow] = []
+        while self._waiting_by_id and len(rows) < self._settings.max_rows:
+            submission_id, _ = self._waiting_by_id.popitem(last=False)
+            rows.append(self._row(submission_id))
+        self._batch_number += 1
+        self._batch = ClaimBatch(number=self._batch_number, rows=rows)
+        self._phase = BatchPhase.WRITING
+        return self._batch
+
+    def committed(self, batch: ClaimBatch) -> None:
+        """Report that the store inserted every row of a batch."""
+        self._end(batch)
+        for row in batch.rows:
+            self._resolve_row(row, row)
+
+    def conflicted(self, batch: ClaimBatch, owners_by_id: OwnersById) -> None:
+        """Report that the store inserted nothing, since some rows exist.
+
+        :param owners_by_id: the rows that exist.
+        """
+        self._end(batch)
+        self._settle_rows(batch, owners_by_id)
+
+    def lost(self, batch: ClaimBatch, now: float) -> None:
+        """Report that the store gave no answer; the insert may have happened.
+
+        :param now: monotonic time, in seconds.
+        """
+        self._check_current(batch)
+        self._phase = BatchPhase.REREAD_DUE
+        self._give_up(now)
+
+    def next_reread(self, now: float) -> ClaimBatch | None:
+        """Return the batch whose rows are to be read again, if the budget allows.
+
+        Report its end with :meth:`reread`, or with :meth:`lost` if the read
+        failed too.
+
+        :param now: monotonic time, in seconds.
+        """
+        self._give_up(now)
+        if self._batch is None or self._phase is not BatchPhase.REREAD_DUE:
+            return None
+        if not self._budget.may_read(now):
+            return None
+        self._phase = BatchPhase.REREADING
+        return self._batch
+
+    def reread(self, batch: ClaimBatch, rows_by_id: OwnersById) -> None:
+        """Settle a batch whose answer was lost by the rows that now exist.
+
+        Ids without a row are written again with the same token: the first write
+        may still be on its way, and its late effect is then known as ours.
+
+        :param rows_by_id: the rows that exist.
+        """
+        self._end(batch)
+        self._settle_rows(batch, rows_by_id)
+
+    def resolved(self) -> Sequence[ClaimResolution]:
+        """Return, once, every resolution not yet handed out."""
+        resolutions = list(self._resolved_by_id.values())
+        self._resolved_by_id.clear()
+        return resolutions
+
+    def _row(self, submission_id: str) -> ClaimRow:
+        token = self._tokens_by_id.get(submission_id)
+        if token is None:
+            token = f"{self._rng.getrandbits(_TOKEN_BITS):016x}"
+            self._tokens_by_id[submission_id] = token
+        return ClaimRow(
+            submission_id=submission_id, home=self._incarnation, token=token
+        )
+
+    def _end(self, batch: ClaimBatch) -> None:
+        self._check_current(batch)
+        self._batch = None
+
+    def _check_current(self, batch: ClaimBatch) -> None:
+        if self._batch is None or self._batch.number != batch.number:
+            raise InvariantError(f"claim batch {batch.number} is not in flight")
+
+    def _settle_rows(self, batch: ClaimBatch, rows_by_id: OwnersById) -> None:
+        for written in reversed(batch.rows):
+            found = rows_by_id.get(written.submission_id)
+            if found is not None:
+                self._resolve_row(written, found)
+            elif written.submission_id in self._wanted_at_by_id:
+                self._waiting_by_id[written.submission_id] = None
+                self._waiting_by_id.move_to_end(written.submission_id, last=False)
+
+    def _resolve_row(self, written: ClaimRow, found: ClaimRow) -> None:
+        submission_id = written.submission_id
+        if submission_id not in self._wanted_at_by_id:
+            return
+        # The row may be an earlier claim of this incarnation whose record is
+        # forgotten; only the token of this attempt proves that nothing was opened.
+        if found.token == written.token:
+            del self._tokens_by_id[submission_id]
+            self._resolve(ClaimMine(submission_id=submission_id))
+            return
+        self._tokens_by_id.pop(submission_id, None)
+        taken = ClaimTaken(submission_id=submission_id, home=found.home)
+        self._taken_by_id[submission_id] = taken
+        self._trim(self._taken_by_id)
+        self._resolve(taken)
+
+    def _resolve(self, resolution: ClaimResolution) -> None:
+        del self._wanted_at_by_id[resolution.submission_id]
+        self._resolved_by_id[resolution.submission_id] = resolution
+
+    def _give_up(self, now: float) -> None:
+        oldest = now - self._settings.give_up_s
+        while self._wanted_at_by_id:
+            submission_id, wanted_at = next(iter(self._wanted_at_by_id.items()))
+            if wanted_at > oldest:
+                return
+            self._waiting_by_id.pop(submission_id, None)
+            self._resolve(ClaimUndetermined(submission_id=submission_id))
+            self._trim(self._tokens_by_id)
+
+    def _trim(self, remembered_by_id: "OrderedDict[str, _Value]") -> None:
+        while len(remembered_by_id) > self._settings.max_remembered:
+            remembered_by_id.popitem(last=False)
--- /dev/null
+++ b/src/cassiaturn/submission/_incarnation.py
@@ -0,0 +1,49 @@
+"""Names of one life of an instance process."""
+
+import random
+import re
+
+INCARNATION_MARK = "~"
+"""Stands between the instance id and the part drawn at the start."""
+
+MAX_INSTANCE_ID_LENGTH = 48
+"""Longest instance id, in characters."""
+
+_RANDOM_BITS = 32
+_INCARNATION = re.compile(
+    rf"([A-Za-z0-9_-]{{1,{MAX_INSTANCE_ID_LENGTH}}})"
+    rf"{INCARNATION_MARK}[0-9a-f]{{1,24}}"
+)
+
+
+def new_incarnation(*, instance_id: str, boot_ms: int, rng: random.Random) -> str:
+    """Return a name that no other life of any instance has.
+
+    :param instance_id: letters, digits, ``-`` and ``_``.
+    :param boot_ms: wall clock at the start, in milliseconds; it only makes equal
+        draws of two lives harmless and is never compared.
+    :param rng: source of the random part.
+    :returns: the instance id, a mark, the start time and 32 random bits in hex.
+    :raises ValueError: the instance id holds other characters or is too long.
+    """
+    drawn = f"{boot_ms:x}{rng.getrandbits(_RANDOM_BITS):08x}"
+    incarnation = f"{instance_id}{INCARNATION_MARK}{drawn}"
+    if _INCARNATION.fullmatch(incarnation) is None:
+        raise ValueError(
+            f"instance_id {instance_id!r}: 1 to {MAX_INSTANCE_ID_LENGTH} letters,"
+            " digits, '-' or '_' are allowed"
+        )
+    return incarnation
+
+
+def is_incarnation(text: str) -> bool:
+    """Whether a text has the form that :func:`new_incarnation` gives."""
+    return _INCARNATION.fullmatch(text) is not None
+
+
+def instance_of(incarnation: str) -> str:
+    """Return the instance id of an incarnation.
+
+    :param incarnation: a text of :func:`new_incarnation`.
+    """
+    return incarnation.partition(INCARNATION_MARK)[0]
--- /dev/null
+++ b/src/cassiaturn/submission/_ticket.py
@@ -0,0 +1,110 @@
+"""Submission ids that name their home."""
+
+import re
+from dataclasses import dataclass
+
+from cassiaturn.submission._incarnation import is_incarnation
+
+TICKET_PREFIX = "t1."
+"""Every ticket starts so; ids that callers choose must not."""
+
+MAX_SUBMISSION_ID_LENGTH = 160
+"""Longest submission id, in characters."""
+
+_MS_PER_S = 1000
+_NUMBER = re.compile(r"0|[1-9][0-9]{0,17}")
+_FIELD_COUNT = 4
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """What a ticket says; use it to find the home of a submission."""
+
+    submission_id: str
+    """The ticket's text, which is the submission id."""
+
+    home: str
+    """Incarnation that issued it, the only one that may start its tasks."""
+
+    sequence: int
+    """Position among the tickets of its home, from 0."""
+
+    issued_ms: int
+    """Time of issue on the home's own monotonic clock, in milliseconds."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MalformedTicket:
+    """A text that starts like a ticket and is none; the submission is invalid."""
+
+    submission_id: str
+    """The text."""
+
+    problem: str
+    """What is wrong, for the caller."""
+
+
+class TicketIssuer:
+    """Issues tickets of one incarnation, without any write to the store.
+
+    Validity is judged by the issuer alone, on its own monotonic clock, so the
+    clocks of hosts are never compared.
+    """
+
+    def __init__(self, *, incarnation: str, valid_for_s: float) -> None:
+        self._prefix = f"{TICKET_PREFIX}{incarnation}."
+        self._incarnation = incarnation
+        self._valid_for_s = valid_for_s
+        self._next_sequence = 0
+
+    def issue(self, now: float) -> str:
+        """Return a new ticket.
+
+        :param now: the issuer's monotonic time, in seconds.
+        """
+        sequence = self._next_sequence
+        self._next_sequence += 1
+        return f"{self._prefix}{sequence}.{int(now * _MS_PER_S)}"
+
+    def valid(self, ticket: Ticket, now: float) -> bool:
+        """Whether this incarnation issued a ticket and may still open it.
+
+        :param now: the issuer's monotonic time, in seconds.
+        """
+        if ticket.home != self._incarnation:
+            return False
+        if ticket.sequence >= self._next_sequence:
+            return False
+        age_s = now - ticket.issued_ms / _MS_PER_S
+        return 0 <= age_s <= self._valid_for_s
+
+
+def parse_ticket(submission_id: str) -> Ticket | MalformedTicket | None:
+    """Read the ticket in a submission id.
+
+    :param submission_id: any text that a caller sent.
+    :returns: the ticket; the problem of a text that only starts like one; None
+        for an id of the caller's own choice.
+    """
+    if not submission_id.startswith(TICKET_PREFIX):
+        return None
+    if len(submission_id) > MAX_SUBMISSION_ID_LENGTH:
+        return _malformed(submission_id, f"over {MAX_SUBMISSION_ID_LENGTH} characters")
+    fields = submission_id.split(".")
+    if len(fields) != _FIELD_COUNT:
+        return _malformed(submission_id, "not t1.<incarnation>.<sequence>.<issued_ms>")
+    _, home, sequence, issued_ms = fields
+    if not is_incarnation(home):
+        return _malformed(submission_id, "its incarnation is malformed")
+    if not (_NUMBER.fullmatch(sequence) and _NUMBER.fullmatch(issued_ms)):
+        return _malformed(submission_id, "its numbers are malformed")
+    return Ticket(
+        submission_id=submission_id,
+        home=home,
+        sequence=int(sequence),
+        issued_ms=int(issued_ms),
+    )
+
+
+def _malformed(submission_id: str, problem: str) -> MalformedTicket:
+    return MalformedTicket(submission_id=submission_id, problem=problem)
