--- /dev/null
+++ b/src/cassiaturn/policy/__init__.py
@@ -0,0 +1,53 @@
+"""Decisions under load, as pure modules: no network, no clock, no process."""
+
+from cassiaturn.policy._admission import (
+    Admission,
+    AdmissionRequest,
+    Admit,
+    LoadView,
+    Refuse,
+)
+from cassiaturn.policy._fair_queue import FairQueue
+from cassiaturn.policy._health import HealthChange, HealthState, TargetHealth
+from cassiaturn.policy._placement import PeerRow, Placement
+from cassiaturn.policy._queued_task import QueuedTask
+from cassiaturn.policy._quota import next_quota_part, split_quota
+from cassiaturn.policy._retries import FirstRun, GiveUp, Retry, RetryBudget
+from cassiaturn.policy._settings import (
+    AdmissionSettings,
+    HealthSettings,
+    OrderSettings,
+    PlacementSettings,
+    PolicySettings,
+    RetrySettings,
+)
+from cassiaturn.policy._targets import TargetRow, choose_target
+
+__all__ = [
+    "Admission",
+    "AdmissionRequest",
+    "AdmissionSettings",
+    "Admit",
+    "FairQueue",
+    "FirstRun",
+    "GiveUp",
+    "HealthChange",
+    "HealthSettings",
+    "HealthState",
+    "LoadView",
+    "OrderSettings",
+    "PeerRow",
+    "Placement",
+    "PlacementSettings",
+    "PolicySettings",
+    "QueuedTask",
+    "Refuse",
+    "Retry",
+    "RetryBudget",
+    "RetrySettings",
+    "TargetHealth",
+    "TargetRow",
+    "choose_target",
+    "next_quota_part",
+    "split_quota",
+]
--- /dev/null
+++ b/src/cassiaturn/policy/_targets.py
@@ -0,0 +1,124 @@
+"""Choice of one of the instance's own targets.
+
+Load pattern: a few free slots among many targets, on workers of limited
+processors, memory and accelerators. Without exact counts a start finds its slot
+taken and its answer is a wasted message; without spreading, a worker that is
+lost or slow takes more of a job with it than its share.
+
+Grounds: the holder sees every start and end of its targets, so its counts are
+exact and no probe is needed; least share in use first is join the shortest
+queue, which late binding makes exact.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cassiaturn.entities import Resources
+from cassiaturn.policy._queued_task import QueuedTask
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class TargetRow:
+    """A target that this instance holds, with what is in use of it."""
+
+    target_id: str
+    """Its name."""
+
+    failure_domain: str
+    """Where it runs."""
+
+    worker: str
+    """The worker it runs on; rows of one worker share its resources."""
+
+    slots: int
+    """Tasks it may run at a time."""
+
+    in_use: int = 0
+    """Tasks started and not ended, as counted here."""
+
+    connections: int
+    """Connections it accepts."""
+
+    connections_in_use: int = 0
+    """Connections open, as counted here."""
+
+    capacity: Resources
+    """What the worker has."""
+
+    used_cpu_millis: int = 0
+    """Processor time taken by tasks, in thousandths of a core."""
+
+    used_memory_mib: int = 0
+    """Memory taken by tasks, in MiB."""
+
+    used_accelerators: int = 0
+    """Accelerators taken by tasks."""
+
+    methods: frozenset[str] | None = None
+    """Methods that it serves; None: all."""
+
+    leaving: bool = False
+    """It is to get no new work."""
+
+    connected: bool = True
+    """Its session is open."""
+
+    allowance: int = field(default=1 << 30)
+    """Slots that its health permits."""
+
+    def fits(self, task: QueuedTask) -> bool:
+        """Return whether the task may start here now."""
+        if self.in_use >= self.slots or self.in_use >= self.allowance:
+            return False
+        if self.leaving or not self.connected:
+            return False
+        if self.connections_in_use >= self.connections:
+            return False
+        if self.methods is not None and task.method not in self.methods:
+            return False
+        return self._has(task.resources)
+
+    def take(self, resources: Resources) -> None:
+        """Count a task as started."""
+        self.in_use += 1
+        self.used_cpu_millis += resources.cpu_millis
+        self.used_memory_mib += resources.memory_mib
+        self.used_accelerators += resources.accelerators
+
+    def give_back(self, resources: Resources) -> None:
+        """Count a task as over.
+
+        :raises AssertionError: nothing was in use; the table is broken.
+        """
+        assert self.in_use > 0, f"{self.target_id} gave back a slot it never took"
+        self.in_use -= 1
+        self.used_cpu_millis -= resources.cpu_millis
+        self.used_memory_mib -= resources.memory_mib
+        self.used_accelerators -= resources.accelerators
+
+    def _has(self, wanted: Resources) -> bool:
+        capacity = self.capacity
+        return (
+            self.used_cpu_millis + wanted.cpu_millis <= capacity.cpu_millis
+            and self.used_memory_mib + wanted.memory_mib <= capacity.memory_mib
+            and self.used_accelerators + wanted.accelerators <= capacity.accelerators
+        )
+
+
+def choose_target(task: QueuedTask, targets: Iterable[TargetRow]) -> TargetRow | None:
+    """Return the least loaded target that the task fits, or None.
+
+    :param task: the task to start.
+    :param targets: the instance's own targets, at most a few dozen.
+    """
+    best: TargetRow | None = None
+    best_share = 1.0
+    for row in targets:
+        in_use = row.in_use
+        share = in_use / row.slots if row.slots else 1.0
+        if share < best_share and row.fits(task):
+            best = row
+            best_share = share
+            if not in_use:
+                break
+    return best
