--- /dev/null
+++ b/src/cassiaturn/targets/__init__.py
@@ -0,0 +1,14 @@
+"""Sessions with runners, the targets that run tasks."""
+
+from cassiaturn.targets._backoff import Backoff
+from cassiaturn.targets._errors import TargetError, TargetProblem
+from cassiaturn.targets._fence import fence
+from cassiaturn.targets._session import RunnerSession
+
+__all__ = [
+    "Backoff",
+    "RunnerSession",
+    "TargetError",
+    "TargetProblem",
+    "fence",
+]
--- /dev/null
+++ b/src/cassiaturn/targets/_session.py
@@ -0,0 +1,207 @@
+"""The long-lived stream from the holder of a target to its runner."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from grpclib.client import Channel, Stream
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from cassiaturn.entities import Address
+from cassiaturn.observability import Event, log_event
+from cassiaturn.targets._backoff import Backoff
+from cassiaturn.transport import Outbox
+from cassiaturn.v1.runner_grpc import RunnerStub
+from cassiaturn.v1.runner_pb2 import FromRunner, ToRunner, Welcome
+
+CONNECT_TIMEOUT_S = 2.0
+"""Longest wait for a connection and its welcome frame."""
+
+CLOSE_TIMEOUT_S = 1.0
+"""Longest wait for the last frame to leave when a session is closed."""
+
+SILENCE_TIMEOUT_S = 5.0
+"""A runner sends a frame at least every second; five missed ones are a loss."""
+
+_LOST = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
+
+_RunnerStream = Stream[ToRunner, FromRunner]
+
+
+class RunnerSession:
+    """One holder's stream to one runner, opened again until closed.
+
+    Fill ``outbox.pending`` and call ``outbox.notify()``. Each stream has an
+    outbox of its own: what a lost stream had not sent is dropped, for the
+    welcome of the next one tells what arrived. The callbacks are plain
+    functions that must not block.
+    """
+
+    def __init__(
+        self,
+        *,
+        target_id: str,
+        address: Address,
+        holder: str,
+        on_welcome: Callable[[str, Welcome], None],
+        on_frame: Callable[[str, FromRunner], None],
+        on_lost: Callable[[str], None],
+        silence_timeout_s: float = SILENCE_TIMEOUT_S,
+        backoff: Backoff | None = None,
+    ) -> None:
+        """Prepare a session; :meth:`start` opens it.
+
+        :param target_id: the target that is expected at the address.
+        :param address: where the runner listens.
+        :param holder: incarnation of this instance.
+        :param on_welcome: told that a stream stands. The frame that follows
+            lists every task of this holder that the runner runs or whose
+            result it keeps. What is not listed was not begun, and never will
+            be from the earlier stream.
+        :param on_frame: told of each frame, the one with the welcome included.
+        :param on_lost: told that the stream is gone; what was sent on it may
+            or may not have arrived.
+        :param silence_timeout_s: time without a frame that counts as a loss.
+        :param backoff: pauses between attempts; None: the usual ones.
+        """
+        self.target_id = target_id
+        self.address = address
+        self.outbox: Outbox[ToRunner] = Outbox(make=ToRunner)
+        self.connected = False
+        self.frames_received = 0
+        self._holder = holder
+        self._on_welcome = on_welcome
+        self._on_frame = on_frame
+        self._on_lost = on_lost
+        self._silence_timeout_s = silence_timeout_s
+        self._backoff = backoff or Backoff()
+        self._task: asyncio.Task[None] | None = None
+        self._closing = False
+        self._clock_ms = 0
+        self._clock_seen_at = 0.0
+
+    def start(self) -> None:
+        """Open the stream in the background, and again whenever it is lost."""
+        self._task = asyncio.create_task(self._run(), name=f"runner-{self.target_id}")
+
+    async def close(self) -> None:
+        """Send what is pending, end the stream; no callback comes after this."""
+        if self._task is None:
+            return
+        self._closing = True
+        self.outbox.close()
+        if self.connected:
+            await asyncio.wait([self._task], timeout=CLOSE_TIMEOUT_S)
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._task = None
+
+    def runner_clock(self, now: float) -> int:
+        """Return a lower bound of the runner's own clock.
+
+        The runner stamped the latest frame before this process read it, so
+        the stamp plus the time since the reading never passes the true clock,
+        however long the frame was under way. A start-by time built on it can
+        be too early and cause a refusal, never too late.
+
+        :param now: ``time.monotonic()`` of this process, in seconds.
+        :returns: milliseconds on the runner's clock; 0 before the first frame.
+        """
+        if not self._clock_ms:
+            return 0
+        return self._clock_ms + int((now - self._clock_seen_at) * 1000)
+
+    async def _run(self) -> None:
+        while not self._closing:
+            try:
+                await self._serve_one_stream()
+            except _LOST as error:
+                self._log_loss(str(error) or type(error).__name__)
+            if not self._closing:
+                await asyncio.sleep(self._backoff.next_pause_s())
+
+    async def _serve_one_stream(self) -> None:
+        channel = Channel(self.address.host, self.address.port)
+        try:
+            async with RunnerStub(channel).Session.open() as stream:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await stream.send_message(ToRunner(holder=self._holder))
+                    first = await stream.recv_message()
+                if first is None or not self._is_expected(first):
+                    await stream.cancel()
+                    return
+                await self._exchange(stream, first)
+                await stream.end()
+        finally:
+            channel.close()
+
+    def _is_expected(self, first: FromRunner) -> bool:
+        found = first.welcome.target_id
+        if found == self.target_id:
+            return True
+        # A stale address can lead to another runner. Its slots would be
+        # counted under the wrong name and overrun; so the stream is dropped.
+        self._log_loss(f"another target answers: {found!r}")
+        return False
+
+    def _log_loss(self, detail: str) -> None:
+        log_event(
+            Event.TARGET_LOST,
+            target_id=self.target_id,
+            address=self.address,
+            detail=detail,
+        )
+
+    async def _exchange(self, stream: _RunnerStream, first: FromRunner) -> None:
+        self.outbox = Outbox(make=ToRunner)
+        self.connected = True
+        self._backoff.reset()
+        log_event(
+            Event.TARGET_CONNECTED, target_id=self.target_id, address=self.address
+        )
+        try:
+            self._note_clock(first)
+            self._on_welcome(self.target_id, first.welcome)
+            self._on_frame(self.target_id, first)
+            await _first_to_end(
+                self._receive(stream),
+                self.outbox.pump(stream.send_message),
+                self._watch_silence(),
+            )
+        finally:
+            self.connected = False
+            self._on_lost(self.target_id)
+
+    async def _receive(self, stream: _RunnerStream) -> None:
+        async for frame in stream:
+            self._note_clock(frame)
+            self._on_frame(self.target_id, frame)
+
+    async def _watch_silence(self) -> None:
+        # A paused runner keeps its connection open and would hold slots that
+        # nobody can use; silence is the only sign of it.
+        while True:
+            silent_s = time.monotonic() - self._clock_seen_at
+            if silent_s > self._silence_timeout_s:
+                raise TimeoutError(f"silent for {silent_s:.1f} s")
+            await asyncio.sleep(self._silence_timeout_s / 4)
+
+    def _note_clock(self, frame: FromRunner) -> None:
+        self.frames_received += 1
+        self._clock_ms = frame.clock_ms
+        self._clock_seen_at = time.monotonic()
+
+
+async def _first_to_end(*jobs: Coroutine[Any, Any, None]) -> None:
+    tasks = [asyncio.create_task(job) for job in jobs]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
