Read the policy's tunables and check bounds against each other

Cause: the policy's data classes hold mappings by request class, which a YAML file cannot name, and bounds that are each valid could contradict each other (a ticket that outlives its record would start a job again). Change: classes by name with defaults for those left out; ranges; orders between bounds; addresses are the entities' own class. The test of an IPv6 address now compares the value, since the text of that class has no brackets.

--- a/src/cassiaturn/settings/__init__.py
+++ b/src/cassiaturn/settings/__init__.py
@@ -1,12 +1,22 @@
 """Settings of a process: YAML files, validated as a whole, as data classes."""
 
-from cassiaturn.settings._address import Address
+from cassiaturn.entities import Address
+from cassiaturn.settings._address import AddressField, parse_address
+from cassiaturn.settings._classes import ClassName
 from cassiaturn.settings._document import (
     SettingsError,
     SettingsErrors,
     load_document,
     validate_document,
 )
+from cassiaturn.settings._fields import (
+    STRICT_KEYS,
+    HttpUrl,
+    Identifier,
+    Label,
+    NotNegative,
+    Positive,
+)
 from cassiaturn.settings._instance import (
     InstanceSettings,
     PeerSettings,
@@ -19,15 +29,24 @@
 
 __all__ = [
     "Address",
+    "AddressField",
+    "ClassName",
+    "HttpUrl",
+    "Identifier",
     "InstanceSettings",
+    "Label",
     "LimitSettings",
+    "NotNegative",
     "PeerSettings",
     "PlatformSettings",
+    "Positive",
+    "STRICT_KEYS",
     "SettingsError",
     "SettingsErrors",
     "TargetSettings",
     "TimingSettings",
     "load_document",
     "load_instance_settings",
+    "parse_address",
     "validate_document",
 ]
--- a/src/cassiaturn/settings/_fields.py
+++ b/src/cassiaturn/settings/_fields.py
@@ -14,6 +14,9 @@
 NotNegative = Annotated[int, Field(strict=True, ge=0)]
 """A whole number from 0."""
 
+Rate = Annotated[float, Field(strict=True, gt=0, allow_inf_nan=False)]
+"""A number above 0 a second; fractions are allowed."""
+
 Identifier = Annotated[
     str, Field(strict=True, pattern=r"^[a-z0-9]([a-z0-9-]*[a-z0-9])?$", max_length=63)
 ]
--- a/src/cassiaturn/settings/_instance.py
+++ b/src/cassiaturn/settings/_instance.py
@@ -7,6 +7,7 @@
 from pydantic import AfterValidator, Field, with_config
 
 from cassiaturn.entities import Resources
+from cassiaturn.policy import PolicySettings
 from cassiaturn.settings._address import AddressField
 from cassiaturn.settings._fields import (
     STRICT_KEYS,
@@ -16,7 +17,8 @@
     Positive,
     unique_by,
 )
-from cassiaturn.settings._limits import LimitSettings
+from cassiaturn.settings._limits import LimitSettings, check_retention
+from cassiaturn.settings._policy import PolicyField
 from cassiaturn.settings._timings import TimingSettings, check_order
 
 MethodName = Annotated[
@@ -25,6 +27,17 @@
 """Full name of a method, ``package.Service/Method``."""
 
 
+def check_resources(resources: Resources) -> Resources:
+    """Refuse a worker with less than nothing.
+
+    :param resources: whole numbers of any sign.
+    :raises ValueError: one of them is negative.
+    """
+    if min(resources.cpu_millis, resources.memory_mib, resources.accelerators) < 0:
+        raise ValueError("cpu_millis, memory_mib and accelerators: 0 or more each")
+    return resources
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerSettings:
     """Another instance, wherever it runs."""
@@ -64,7 +77,9 @@
     connections: Positive = 64
     """Connections that it takes."""
 
-    resources: Resources = field(default_factory=Resources)
+    resources: Annotated[Resources, AfterValidator(check_resources)] = field(
+        default_factory=Resources
+    )
     """What its worker has for tasks; 0 means: not counted."""
 
     methods: tuple[MethodName, ...] | None = None
@@ -118,7 +133,9 @@
     platform: PlatformSettings = field(default_factory=PlatformSettings)
     """Where the platform's services are."""
 
-    limits: LimitSettings = field(default_factory=LimitSettings)
+    limits: Annotated[LimitSettings, AfterValidator(check_retention)] = field(
+        default_factory=LimitSettings
+    )
     """Sizes and rates."""
 
     timings: Annotated[TimingSettings, AfterValidator(check_order)] = field(
@@ -126,6 +143,9 @@
     )
     """Periods and timeouts."""
 
+    policy: PolicyField = field(default_factory=PolicySettings)
+    """Tunables of the decisions under load."""
+
     configuration_file: Path | None = None
     """Shared configuration until the table service gives one."""
 
--- a/src/cassiaturn/settings/_limits.py
+++ b/src/cassiaturn/settings/_limits.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from cassiaturn.settings._fields import Positive
+from cassiaturn.settings._fields import Positive, Rate
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,11 +27,11 @@
     result_object_bytes: Positive = 256 * 1024
     """A job's results above this many bytes go to the object store."""
 
-    result_retention_ms: Positive = 60_000
+    result_retention_ms: Positive = 120_000
     """How long an answer is kept for a resubmission, in milliseconds."""
 
-    ticket_valid_ms: Positive = 600_000
-    """How long a ticket may be used after its issue, in milliseconds."""
+    ticket_valid_ms: Positive = 30_000
+    """How long a ticket may open a submission, in milliseconds."""
 
     max_tickets_per_call: Positive = 1_000
     """Tickets that one call may ask for."""
@@ -39,11 +39,28 @@
     claim_retention_ms: Positive = 3_600_000
     """How long a claim row of a bare id is kept, in milliseconds."""
 
-    store_writes_per_s: Positive = 20
+    store_writes_per_s: Rate = 20.0
     """Table writes a second: about half of 300 shared by nine instances."""
 
-    store_reads_per_s: Positive = 100
+    store_reads_per_s: Rate = 100.0
     """Table reads a second: about half of 2,000 shared by nine instances."""
 
     max_frame_bytes: Positive = 8 * 1024 * 1024
     """Bytes of one frame between instances or to a target."""
+
+
+def check_retention(limits: LimitSettings) -> LimitSettings:
+    """Refuse bounds that contradict each other.
+
+    :param limits: values that are each valid alone.
+    :raises ValueError: naming the two settings and the order they need.
+    """
+    if limits.result_retention_ms <= limits.ticket_valid_ms:
+        # A forgotten record whose ticket still opens would start a job again.
+        raise ValueError("result_retention_ms must be above ticket_valid_ms")
+    if limits.max_job_bytes < limits.max_payload_bytes:
+        raise ValueError("max_job_bytes must not be below max_payload_bytes")
+    if limits.max_frame_bytes < limits.max_job_bytes:
+        # A job that was accepted could never be forwarded to its home.
+        raise ValueError("max_frame_bytes must not be below max_job_bytes")
+    return limits
--- a/src/cassiaturn/settings/tests/test_load.py
+++ b/src/cassiaturn/settings/tests/test_load.py
@@ -5,7 +5,8 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
-from cassiaturn.settings import SettingsErrors, load_instance_settings
+from cassiaturn.entities import RequestClass
+from cassiaturn.settings import Address, SettingsErrors, load_instance_settings
 
 VALID = """\
 instance_id: osu-1
@@ -34,7 +35,7 @@
     path.write_text(VALID)
     loaded = load_instance_settings(path).unwrap()
     assert str(loaded.listen) == "10.0.1.4:7400"
-    assert str(loaded.http) == "[fd00::4]:7401"
+    assert loaded.http == Address(host="fd00::4", port=7401)
     assert loaded.schemas == (tmp_path / "props.binpb",)
     assert loaded.configuration_file == tmp_path / "shared.yaml"
     assert loaded.targets[0].slots == 8
@@ -42,6 +43,17 @@
     assert loaded.limits.max_tasks_per_job == 750
 
 
+def test_a_class_that_is_not_given_keeps_its_default(tmp_path: Path) -> None:
+    path = tmp_path / "osu-1.yaml"
+    path.write_text(VALID + "policy: {admission: {max_wait_s_by_class: {urgent: 1.5}}}")
+    loaded = load_instance_settings(path).unwrap()
+    assert loaded.policy.admission.max_wait_s_by_class == {
+        RequestClass.URGENT: 1.5,
+        RequestClass.NORMAL: 10.0,
+        RequestClass.BATCH: 60.0,
+    }
+
+
 @pytest.mark.parametrize(
     ("changed", "key", "value", "allowed"),
     [
@@ -59,6 +71,26 @@
         ("timings: {gone_after_ms: 3000}", "timings", "3000", "above suspect_after_ms"),
         ("timings: {tick_ms: 1001}", "timings", "1001", "not be above heartbeat_ms"),
         ("timings: {lease_ms: 900}", "timings", "900", "lease_ms must be above"),
+        ("limits: {store_writes_per_s: .inf}", "limits.store_writes_per_s", "inf", ""),
+        ("limits: {ticket_valid_ms: 120000}", "limits", "120000", "above ticket_valid"),
+        ("limits: {max_payload_bytes: 9000000}", "limits", "90", "below max_payload"),
+        ("limits: {max_job_bytes: 9000000}", "limits", "90", "below max_job_bytes"),
+        ("policy: {order: {wait: 1}}", "policy.order.wait", "1", "default_weight"),
+        ("policy: {order: 1}", "policy.order", "1", "default_weight"),
+        ("policy: {retries: {share: 2}}", "policy", "2", "share: 2.0 must be from 0"),
+        ("policy: {health: {tick_s: .nan}}", "policy", "nan", "tick_s: nan must be"),
+        (
+            "policy: {order: {floor_by_class: {rushed: 1}}}",
+            "policy",
+            "rushed",
+            "order.floor_by_class: 'rushed' is not one of: urgent, normal, batch",
+        ),
+        (
+            "policy: {order: {floor_by_class: {urgent: 1}}}",
+            "policy",
+            "urgent",
+            "urgent cannot be set here",
+        ),
         ("platform: {table_url: ftp://a}", "platform.table_url", "ftp", "pattern"),
         ("otlp_endpoint: collector", "otlp_endpoint", "collector", "pattern"),
         ("peer: []", "peer", "[]", "unknown key; allowed here: instance_id"),
@@ -117,10 +149,16 @@
             "peers",
             "repeated: p",
         ),
+        (
+            "targets: [{target_id: a, address: '1.2.3.4:5', failure_domain: b, "
+            "worker: c, resources: {memory_mib: -1}}]",
+            "targets.0.resources",
+            "0 or more each",
+        ),
         ("listen: 1.2.3.4:5", "(whole document)", "each key once"),
     ],
 )
-def test_repeated_identities_are_refused(
+def test_entries_that_contradict_are_refused(
     tmp_path: Path, added: str, key: str, allowed: str
 ) -> None:
     path = tmp_path / "wrong.yaml"
