Measure response time, wait and slowdown per tenant and class

Change: tallies on the hot path become OpenTelemetry histogram points when somebody collects, for scrapes and for pushes alike; counters are observed. A library's warnings become events, too.

--- a/src/cassiaturn/observability/__init__.py
+++ b/src/cassiaturn/observability/__init__.py
@@ -8,12 +8,24 @@
     format_value,
     log_event,
 )
+from cassiaturn.observability._metrics import (
+    Direction,
+    Metrics,
+    RequestMetrics,
+    StoreOperation,
+    WastedMessage,
+)
 
 __all__ = [
+    "Direction",
     "Event",
     "EventKind",
     "Level",
     "LogOutput",
+    "Metrics",
+    "RequestMetrics",
+    "StoreOperation",
+    "WastedMessage",
     "configure_logging",
     "format_event",
     "format_value",
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -120,7 +120,9 @@
     SUBMISSION_UNKNOWN = _warning(
         "submission_unknown", "A caller was told that nobody can say what ran."
     )
-    EXPORT_FAILED = _warning("export_failed", "The metrics collector does not answer.")
+    LIBRARY_MESSAGE = _warning(
+        "library_message", "A library, `logger`, warns; `detail` is its own text."
+    )
     INVARIANT_BROKEN = _error(
         "invariant_broken", "A fault of the program; the process ends. Report it."
     )
--- a/src/cassiaturn/observability/_log.py
+++ b/src/cassiaturn/observability/_log.py
@@ -1,6 +1,7 @@
 """One line of key=value pairs for each event."""
 
 import json
+import logging
 import sys
 from enum import Enum
 from typing import TextIO
@@ -64,10 +65,17 @@
     return text
 
 
+class _LibraryHandler(logging.Handler):
+    """Makes an event of what a library logs with the standard library."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        log_event(Event.LIBRARY_MESSAGE, logger=record.name, detail=record.getMessage())
+
+
 class LogOutput:
     """Where the events of this process go, until closed."""
 
-    __slots__ = ("_handler",)
+    __slots__ = ("_handler", "_library_handler")
 
     def __init__(self, *, stream: TextIO, debug: bool) -> None:
         """Send every event from now on to a stream.
@@ -80,10 +88,13 @@
             level=logbook.DEBUG if debug else logbook.INFO,
             format_string=LINE_FORMAT,
         )
+        self._library_handler = _LibraryHandler(logging.WARNING)
+        logging.getLogger().addHandler(self._library_handler)
         self._handler.push_application()  # type: ignore[no-untyped-call]
 
     def close(self) -> None:
         """Stop sending events there."""
+        logging.getLogger().removeHandler(self._library_handler)
         self._handler.pop_application()  # type: ignore[no-untyped-call]
 
 
--- a/src/cassiaturn/observability/tests/test_log.py
+++ b/src/cassiaturn/observability/tests/test_log.py
@@ -1,5 +1,6 @@
 import io
 import json
+import logging
 import re
 
 import pytest
@@ -78,6 +79,21 @@
     assert second.endswith("level=info event=instance_ready")
 
 
+def test_a_library_that_warns_gets_a_line_of_its_own() -> None:
+    stream = io.StringIO()
+    output = configure_logging(stream=stream)
+    try:
+        logging.getLogger("some.library").warning("no answer from %s", "a\nb")
+    finally:
+        output.close()
+    logging.getLogger("some.library").warning("not shown any more")
+    (line,) = stream.getvalue().splitlines()
+    pairs = parse(line)
+    assert pairs["event"] == "library_message"
+    assert pairs["logger"] == "some.library"
+    assert pairs["detail"] == "no answer from a\nb"
+
+
 def test_names_are_unique_and_follow_the_members() -> None:
     for event in Event:
         assert event.kind.name == event.name.lower()
