Add the platform's services and their stand-in

Cause: claims, takeovers and configuration need the table service, and nothing spoke to it. Change: typed clients for the table service, the object store and the list of hosts over HTTP, each outcome a value that says whether the call had an effect; one stand-in with limits, outage, slowness, hanging and answers lost after the effect. Before: nothing to run.

--- a/src/cassiaturn/standins/__init__.py
+++ b/src/cassiaturn/standins/__init__.py
@@ -7,6 +7,8 @@
     JournalEvent,
     read_journal,
 )
+from cassiaturn.standins._platform import PlatformStandIn
+from cassiaturn.standins._platform_settings import PlatformFault, PlatformSettings
 from cassiaturn.standins._replies import reply_to
 from cassiaturn.standins._run_time import RunTime, Shape
 from cassiaturn.standins._runner import RunnerStandIn
@@ -21,6 +23,9 @@
     "Journal",
     "JournalEntry",
     "JournalEvent",
+    "PlatformFault",
+    "PlatformSettings",
+    "PlatformStandIn",
     "Refusal",
     "RunStatus",
     "RunTime",
--- a/src/cassiaturn/standins/_commands.py
+++ b/src/cassiaturn/standins/_commands.py
@@ -8,6 +8,8 @@
 import typer
 import yaml
 
+from cassiaturn.standins._platform import PlatformStandIn
+from cassiaturn.standins._platform_settings import PlatformSettings
 from cassiaturn.standins._runner_host import RunnerHost
 from cassiaturn.standins._runner_settings import RunnerHostSettings
 
@@ -43,14 +45,17 @@
     await stand_in.close()
 
 
-@app.callback()
-def _group() -> None:
-    pass
-
-
 @app.command()
 def runners(settings: SettingsOption) -> None:
     """Run the runners of one process."""
     document = yaml.safe_load(settings.read_text())
     host = RunnerHost(settings=RunnerHostSettings.model_validate(document))
     asyncio.run(run_until_signal(host))
+
+
+@app.command()
+def platform(settings: SettingsOption) -> None:
+    """Run the table service, object store and list of hosts."""
+    document = yaml.safe_load(settings.read_text()) or {}
+    stand_in = PlatformStandIn(settings=PlatformSettings.model_validate(document))
+    asyncio.run(run_until_signal(stand_in))
