Group the callbacks of a runner session in one value

Cause: the instance passes them as one value; three parameters did not fit. Change: SessionCallbacks. Before and after: 6 session tests pass.

--- a/src/cassiaturn/targets/_session.py
+++ b/src/cassiaturn/targets/_session.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 from grpclib.client import Channel, Stream
@@ -30,13 +31,28 @@
 _RunnerStream = Stream[ToRunner, FromRunner]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SessionCallbacks:
+    """What a session tells its owner; plain functions that must not block."""
+
+    on_welcome: Callable[[str, Welcome], None]
+    """A stream stands. The frame that follows lists every task of this holder
+    that the runner runs or whose result it keeps. What is not listed was not
+    begun, and never will be from the earlier stream."""
+
+    on_frame: Callable[[str, FromRunner], None]
+    """Each frame, the one with the welcome included."""
+
+    on_lost: Callable[[str], None]
+    """The stream is gone; what was sent on it may or may not have arrived."""
+
+
 class RunnerSession:
     """One holder's stream to one runner, opened again until closed.
 
     Fill ``outbox.pending`` and call ``outbox.notify()``. Each stream has an
     outbox of its own: what a lost stream had not sent is dropped, for the
-    welcome of the next one tells what arrived. The callbacks are plain
-    functions that must not block.
+    welcome of the next one tells what arrived.
     """
 
     def __init__(
@@ -45,9 +61,7 @@
         target_id: str,
         address: Address,
         holder: str,
-        on_welcome: Callable[[str, Welcome], None],
-        on_frame: Callable[[str, FromRunner], None],
-        on_lost: Callable[[str], None],
+        callbacks: SessionCallbacks,
         silence_timeout_s: float = SILENCE_TIMEOUT_S,
         backoff: Backoff | None = None,
     ) -> None:
@@ -56,13 +70,7 @@
         :param target_id: the target that is expected at the address.
         :param address: where the runner listens.
         :param holder: incarnation of this instance.
-        :param on_welcome: told that a stream stands. The frame that follows
-            lists every task of this holder that the runner runs or whose
-            result it keeps. What is not listed was not begun, and never will
-            be from the earlier stream.
-        :param on_frame: told of each frame, the one with the welcome included.
-        :param on_lost: told that the stream is gone; what was sent on it may
-            or may not have arrived.
+        :param callbacks: who is told of frames and losses.
         :param silence_timeout_s: time without a frame that counts as a loss.
         :param backoff: pauses between attempts; None: the usual ones.
         """
@@ -72,9 +80,7 @@
         self.connected = False
         self.frames_received = 0
         self._holder = holder
-        self._on_welcome = on_welcome
-        self._on_frame = on_frame
-        self._on_lost = on_lost
+        self._callbacks = callbacks
         self._silence_timeout_s = silence_timeout_s
         self._backoff = backoff or Backoff()
         self._task: asyncio.Task[None] | None = None
@@ -164,8 +170,8 @@
         )
         try:
             self._note_clock(first)
-            self._on_welcome(self.target_id, first.welcome)
-            self._on_frame(self.target_id, first)
+            self._callbacks.on_welcome(self.target_id, first.welcome)
+            self._callbacks.on_frame(self.target_id, first)
             await _first_to_end(
                 self._receive(stream),
                 self.outbox.pump(stream.send_message),
@@ -173,12 +179,12 @@
             )
         finally:
             self.connected = False
-            self._on_lost(self.target_id)
+            self._callbacks.on_lost(self.target_id)
 
     async def _receive(self, stream: _RunnerStream) -> None:
         async for frame in stream:
             self._note_clock(frame)
-            self._on_frame(self.target_id, frame)
+            self._callbacks.on_frame(self.target_id, frame)
 
     async def _watch_silence(self) -> None:
         # A paused runner keeps its connection open and would hold slots that
--- a/src/cassiaturn/targets/tests/test_session.py
+++ b/src/cassiaturn/targets/tests/test_session.py
@@ -17,7 +17,7 @@
     read_journal,
     reply_to,
 )
-from cassiaturn.targets import RunnerSession, fence
+from cassiaturn.targets import RunnerSession, SessionCallbacks, fence
 from cassiaturn.v1 import runner_pb2 as pb
 
 METHOD = "test.v1.Test/Echo"
@@ -96,9 +96,11 @@
         target_id="t1",
         address=Address(host="127.0.0.1", port=host.runners_by_id["t1"].port),
         holder="holder-1",
-        on_welcome=seen.on_welcome,
-        on_frame=seen.on_frame,
-        on_lost=seen.on_lost,
+        callbacks=SessionCallbacks(
+            on_welcome=seen.on_welcome,
+            on_frame=seen.on_frame,
+            on_lost=seen.on_lost,
+        ),
     )
     session.start()
     await seen.until(lambda seen: seen.welcomes == 1)
