Serve readiness, liveness, metrics and status over HTTP

Cause: a balancer, a scraper and a person on a phone each need to see whether an instance takes work and why not.

--- a/src/cassiaturn/observability/__init__.py
+++ b/src/cassiaturn/observability/__init__.py
@@ -1,6 +1,7 @@
 """What a process shows of itself: log lines, metrics and HTTP pages."""
 
 from cassiaturn.observability._event import Event, EventKind, Level
+from cassiaturn.observability._http import HttpServer
 from cassiaturn.observability._log import (
     LogOutput,
     configure_logging,
@@ -15,16 +16,39 @@
     StoreOperation,
     WastedMessage,
 )
+from cassiaturn.observability._status import (
+    BreakerState,
+    ConfigurationStatus,
+    InstanceState,
+    PeerStatus,
+    QueueStatus,
+    Ready,
+    StatusDocument,
+    StatusSource,
+    TargetStatus,
+    TenantStatus,
+)
 
 __all__ = [
+    "BreakerState",
+    "ConfigurationStatus",
     "Direction",
     "Event",
     "EventKind",
+    "HttpServer",
+    "InstanceState",
     "Level",
     "LogOutput",
     "Metrics",
+    "PeerStatus",
+    "QueueStatus",
+    "Ready",
     "RequestMetrics",
+    "StatusDocument",
+    "StatusSource",
     "StoreOperation",
+    "TargetStatus",
+    "TenantStatus",
     "WastedMessage",
     "configure_logging",
     "format_event",
