--- /dev/null
+++ b/src/cassiaturn/engine/_dispatch.py
@@ -0,0 +1,178 @@
+"""Sends queued tasks: to free slots here first, then to peers.
+
+A task is bound to a slot only when it is sent, so nothing queues behind a long
+task at a target, and no probe is needed: the holder counts its slots exactly.
+"""
+
+from collections.abc import Iterable
+
+from cassiaturn.engine._returns import return_refusal
+from cassiaturn.engine._state import State
+from cassiaturn.engine._tables import TaskRecord, TaskState
+from cassiaturn.policy import PeerRow, QueuedTask, TargetRow, choose_target
+from cassiaturn.v1 import runner_pb2
+
+MILLISECONDS = 1000
+
+
+def dispatch(state: State, now: float) -> None:
+    """Send whatever can be sent now."""
+    if state.starts_held or not len(state.queue):
+        return
+    blocked_tenants = tenants_at_quota(state)
+    free = state.free_slots()
+    if free > 0:
+        _start_own(state, now, free, blocked_tenants)
+    if len(state.queue):
+        _spill(state, now, blocked_tenants)
+
+
+def tenants_at_quota(state: State) -> set[str]:
+    """Return the tenants that use all of their share of slots."""
+    return {
+        tenant
+        for tenant, share in state.quota_share_by_tenant.items()
+        if state.running_by_tenant[tenant] >= share
+    }
+
+
+def _start_own(state: State, now: float, free: int, blocked_tenants: set[str]) -> None:
+    def fits(task: QueuedTask) -> bool:
+        return choose_target(task, open_targets(state, now)) is not None
+
+    while free > 0:
+        task = state.queue.pop(now=now, fits=fits, blocked_tenants=blocked_tenants)
+        if task is None:
+            return
+        record = state.records_by_key.get(task.key)
+        if record is None or record.state is not TaskState.QUEUED:
+            continue
+        if record.task.start_by <= now:
+            # After a pause an event may come before the tick that expires the
+            # queue; a start sent now could begin after its home gave it up.
+            expire_record(state, record, now)
+            continue
+        target = choose_target(task, open_targets(state, now))
+        if target is None:
+            raise AssertionError(f"{task.key}: it fitted a target and no more")
+        start_here(state, record, target, now)
+        if state.quota_share_by_tenant:
+            blocked_tenants = tenants_at_quota(state)
+        free -= 1
+
+
+def open_targets(state: State, now: float) -> Iterable[TargetRow]:
+    """Return the targets that are not paused after a refusal."""
+    blocked = state.blocked_until_by_target
+    rows = state.targets_by_id.values()
+    if not blocked:
+        return rows
+    return [row for row in rows if blocked.get(row.target_id, 0.0) <= now]
+
+
+def start_here(state: State, record: TaskRecord, target: TargetRow, now: float) -> None:
+    """Send one start to a target that has a slot for it."""
+    target.take(record.task.resources)
+    target.connections_in_use += 1
+    record.state = TaskState.RUNNING
+    record.target_id = target.target_id
+    within_s = min(state.settings.start_within_s, record.task.start_by - now)
+    _note_sent(state, record, now, within_s)
+    record.renewed_at = now
+    state.counters.starts += 1
+    state.running_by_tenant[record.task.tenant] += 1
+    state.running_by_class[record.task.request_class] += 1
+    state.health.started(target.target_id, record.key, record.method.name, now)
+    state.ports.send_start(
+        record,
+        within_s=within_s,
+        lease_ms=round(state.settings.lease_s * MILLISECONDS),
+    )
+
+
+def expire_record(state: State, record: TaskRecord, now: float) -> None:
+    """Give a queued task up that found no slot here in time.
+
+    A task of our own stays with its job, whose deadline settles it.
+    """
+    if record.origin is None:
+        record.state = TaskState.CANCELLED
+        return
+    return_refusal(state, record, runner_pb2.REFUSAL_REASON_LATE, now)
+
+
+def release(state: State, record: TaskRecord) -> None:
+    """Give back the slot of a task that its target no longer runs."""
+    state.in_flight_by_key.pop(record.key, None)
+    state.running_by_tenant[record.task.tenant] -= 1
+    state.running_by_class[record.task.request_class] -= 1
+    target = state.targets_by_id.get(record.target_id)
+    if target is not None:
+        target.give_back(record.task.resources)
+        target.connections_in_use -= 1
+
+
+def _note_sent(state: State, record: TaskRecord, now: float, within_s: float) -> None:
+    state.in_flight_by_key[record.key] = record
+    record.sent_at = now
+    record.over_by = now + within_s + state.settings.lease_s
+    if record.origin is not None:
+        return
+    job = state.jobs_by_id[record.key.submission_id]
+    if not state.submissions.begin(job.submission_id):
+        raise AssertionError(f"{record.key}: a start after the final answer")
+
+
+def _spill(state: State, now: float, blocked_tenants: set[str]) -> None:
+    """Give queued tasks to peers that are believed to have free slots."""
+    peers = [row for row in state.peers_by_incarnation.values() if row.ready]
+    if not peers:
+        return
+
+    def fits(task: QueuedTask) -> bool:
+        return _may_spill(state, task)
+
+    while True:
+        own_wait_s = expected_wait_s(state)
+        task = state.queue.peek(now=now, fits=fits, blocked_tenants=blocked_tenants)
+        if task is None:
+            return
+        peer = state.placement.choose_peer(task, own_wait_s, peers, now)
+        if peer is None:
+            return
+        state.queue.pop(now=now, fits=fits, blocked_tenants=blocked_tenants)
+        record = state.records_by_key.get(task.key)
+        if record is not None and record.state is TaskState.QUEUED:
+            _give(state, record, peer, now)
+
+
+def _give(state: State, record: TaskRecord, peer: PeerRow, now: float) -> None:
+    within_s = min(state.settings.spill_within_s, record.task.start_by - now)
+    if within_s <= 0:
+        return
+    record.state = TaskState.SPILLED
+    record.peer = peer.incarnation
+    _note_sent(state, record, now, within_s)
+    peer.send()
+    state.counters.spills += 1
+    job = state.jobs_by_id[record.key.submission_id]
+    state.ports.spill(record, within_s=within_s, job_remaining=job.remaining)
+
+
+def _may_spill(state: State, task: QueuedTask) -> bool:
+    # A task that was spilled once is not passed on: two hosts with stale
+    # reports would hand it back and forth until its deadline.
+    record = state.records_by_key.get(task.key)
+    return record is None or record.origin is None
+
+
+def expected_wait_s(state: State) -> float:
+    """Return how long a task queued now waits for a slot here, in seconds."""
+    slots = state.usable_slots()
+    if slots == 0:
+        return float("inf")
+    queued_s = sum(
+        count * state.mean_run_s_by_class[request_class]
+        for request_class, count in state.queue.queued_by_class().items()
+    )
+    return queued_s / slots
--- /dev/null
+++ b/src/cassiaturn/engine/_results.py
@@ -0,0 +1,278 @@
+"""What targets and peers say of the tasks that were sent to them."""
+
+from collections.abc import Sequence
+
+from cassiaturn.engine._dispatch import release
+from cassiaturn.engine._returns import return_lost, return_refusal, return_result
+from cassiaturn.engine._settle import settle_complete, settle_incomplete
+from cassiaturn.engine._state import State
+from cassiaturn.engine._tables import Job, TaskRecord, TaskState
+from cassiaturn.entities import Reason, TaskKey
+from cassiaturn.policy import FirstRun, Retry
+from cassiaturn.v1 import peer_pb2
+from cassiaturn.v1 import runner_pb2 as pb
+
+BUSY_PAUSE_S = 0.05
+"""How long a target that refused as busy gets no start: another holder uses its
+slots, and the shortest tasks last 50 ms."""
+
+
+MEAN_RATE = 0.05
+"""Weight of one run in the mean run time of its class: about the last 20."""
+
+
+def on_result(
+    state: State, target_id: str, result: pb.TaskResult, now: float
+) -> TaskRecord | None:
+    """Take the end of a task from the target that ran it."""
+    record = _record_of(state, result.ref)
+    if record is None or record.target_id != target_id:
+        # Its job was settled, or an earlier attempt ended twice.
+        state.ports.acknowledge(target_id, _key(result.ref), result.ref.attempt)
+        return None
+    if record.state not in (TaskState.RUNNING, TaskState.CANCELLED):
+        return None
+    if result.status == pb.TASK_STATUS_RUNNING:
+        return None
+    run_s = result.run_ms / 1000
+    ok = result.status == pb.TASK_STATUS_DONE
+    release(state, record)
+    if record.state is TaskState.CANCELLED:
+        state.records_by_key.pop(record.key, None)
+        state.ports.acknowledge(target_id, record.key, record.task.attempt)
+        return record
+    state.health.finished(target_id, record.key, record.method.name, run_s, ok, now)
+    _charge(state, record, run_s)
+    if record.origin is not None:
+        return_result(state, record, result, now)
+        return record
+    _take_result(state, record, result, now)
+    return record
+
+
+def on_refusal(
+    state: State, target_id: str, refusal: pb.StartRefusal, now: float
+) -> None:
+    """Take a start back that a target refused."""
+    record = _record_of(state, refusal.ref)
+    if record is None or record.target_id != target_id:
+        return
+    if record.state not in (TaskState.RUNNING, TaskState.CANCELLED):
+        return
+    release(state, record)
+    state.counters.refused_starts += 1
+    state.health.refused(target_id, refusal.reason, now)
+    _mark_target(state, target_id, refusal.reason, now)
+    if record.state is TaskState.CANCELLED:
+        state.records_by_key.pop(record.key, None)
+        return
+    if record.origin is not None:
+        return_refusal(state, record, refusal.reason, now)
+        return
+    take_refusal(state, record, refusal.reason, now)
+
+
+def take_refusal(state: State, record: TaskRecord, reason: int, now: float) -> None:
+    """Decide, at its home, what becomes of a task whose start was refused."""
+    job = state.jobs_by_id[record.key.submission_id]
+    # A popped task was charged its expected run; it took none.
+    _uncharge(state, record)
+    if reason == pb.REFUSAL_REASON_FENCED:
+        # A successor holds this incarnation's submissions. Whatever it decided
+        # stands, so nothing more may be said here than that we do not know.
+        state.ports.superseded()
+        return
+    if reason == pb.REFUSAL_REASON_DUPLICATE:
+        detail = f"a target began task {record.key.task_index} before"
+        settle_incomplete(state, job, Reason.TARGET_LOST, detail, now, maybe=(record,))
+        return
+    state.submissions.refused(job.submission_id)
+    _try_again(state, record, FirstRun.NEVER_BEGUN, Reason.NO_TARGET, now)
+
+
+def on_spill_outcome(
+    state: State, peer: str, outcome: peer_pb2.SpillOutcome, now: float
+) -> None:
+    """Take what became of a task that was given to a peer."""
+    record = _spilled(state, peer, outcome.ref)
+    if record is None:
+        return
+    if outcome.HasField("result"):
+        _charge(state, record, outcome.result.run_ms / 1000)
+        _take_result(state, record, outcome.result, now)
+    elif outcome.target_lost:
+        take_lost(state, record, now)
+    else:
+        state.counters.refused_spills += 1
+        take_refusal(state, record, outcome.refusal.reason, now)
+
+
+def on_welcome(
+    state: State,
+    target_id: str,
+    listed: Sequence[pb.TaskResult],
+    same_process: bool,
+    now: float,
+) -> None:
+    """Settle what an earlier stream to a target left open.
+
+    :param listed: every task of ours that the target runs or keeps a result of.
+    :param same_process: whether the target's incarnation is the one that we
+        knew; a new one forgot what the old one began.
+    """
+    if not same_process:
+        on_target_lost(state, target_id, now)
+        return
+    known = {_key(result.ref) for result in listed}
+    for record in list(state.in_flight_by_key.values()):
+        if record.target_id != target_id or record.key in known:
+            continue
+        ref = pb.TaskRef(
+            submission_id=record.key.submission_id,
+            index=record.key.task_index,
+            attempt=record.task.attempt,
+        )
+        on_refusal(state, target_id, pb.StartRefusal(ref=ref), now)
+
+
+def on_target_lost(state: State, target_id: str, now: float) -> None:
+    """Take back every task of a target whose process is gone.
+
+    The caller has proof that its runs are over: a new incarnation answered, or
+    the last lease ran out.
+    """
+    lost = [
+        record
+        for record in state.in_flight_by_key.values()
+        if record.target_id == target_id
+    ]
+    state.health.lost(target_id, now)
+    for record in lost:
+        release(state, record)
+        if record.state is TaskState.CANCELLED:
+            state.records_by_key.pop(record.key, None)
+        elif record.origin is not None:
+            return_lost(state, record, now)
+        else:
+            take_lost(state, record, now)
+
+
+def take_lost(state: State, record: TaskRecord, now: float) -> None:
+    """Decide, at its home, on a task whose run is over with no result known."""
+    if record.state in (TaskState.DONE, TaskState.CANCELLED):
+        return
+    job = state.jobs_by_id.get(record.key.submission_id)
+    if job is None:
+        return
+    if record.method.repeatable:
+        _try_again(state, record, FirstRun.OVER, Reason.TARGET_LOST, now)
+        return
+    detail = f"the target of task {record.key.task_index} was lost"
+    settle_incomplete(state, job, Reason.TARGET_LOST, detail, now, maybe=(record,))
+
+
+def _take_result(
+    state: State, record: TaskRecord, result: pb.TaskResult, now: float
+) -> None:
+    job = state.jobs_by_id[record.key.submission_id]
+    job.ran = True
+    job.longest_run_s = max(job.longest_run_s, result.run_ms / 1000)
+    if result.status == pb.TASK_STATUS_DONE:
+        _complete_task(state, job, record, result.result, now)
+        return
+    if record.method.repeatable:
+        _try_again(state, record, FirstRun.OVER, Reason.TASK_FAILED, now)
+        return
+    detail = f"task {record.key.task_index} failed: {result.detail}"
+    settle_incomplete(state, job, Reason.TASK_FAILED, detail, now)
+
+
+def _complete_task(
+    state: State, job: Job, record: TaskRecord, result: bytes, now: float
+) -> None:
+    record.state = TaskState.DONE
+    job.results[record.key.task_index] = result
+    job.remaining -= 1
+    state.retries.succeeded(now)
+    if job.remaining == 0:
+        settle_complete(state, job, now)
+
+
+def _try_again(
+    state: State, record: TaskRecord, first_run: FirstRun, reason: Reason, now: float
+) -> None:
+    record.target_id = ""
+    record.peer = ""
+    decision = state.retries.decide(
+        attempt=record.task.attempt,
+        repeatable=record.method.repeatable,
+        first_run=first_run,
+        now=now,
+    )
+    job = state.jobs_by_id[record.key.submission_id]
+    if not isinstance(decision, Retry):
+        record.state = TaskState.DELAYED
+        detail = f"task {record.key.task_index}: {decision.reason}"
+        settle_incomplete(state, job, reason, detail, now)
+        return
+    # Every start has its own attempt number, so that a late refusal or result
+    # of an earlier one is not taken for this one's.
+    record.task.attempt += 1
+    state.counters.retries += 1
+    state.delay(record, now + decision.delay_s)
+
+
+def _mark_target(state: State, target_id: str, reason: int, now: float) -> None:
+    target = state.targets_by_id.get(target_id)
+    if target is None:
+        return
+    if reason == pb.REFUSAL_REASON_LEAVING:
+        target.leaving = True
+    elif reason == pb.REFUSAL_REASON_BUSY:
+        state.blocked_until_by_target[target_id] = now + BUSY_PAUSE_S
+
+
+def _charge(state: State, record: TaskRecord, run_s: float) -> None:
+    state.queue.charge(
+        tenant=record.task.tenant,
+        caller=record.task.caller,
+        submission_id=record.key.submission_id,
+        run_s=run_s,
+    )
+    request_class = record.method.request_class
+    state.admission.observe_run(record.method.name, request_class, run_s)
+    mean_s = state.mean_run_s_by_class[request_class]
+    state.mean_run_s_by_class[request_class] = mean_s + MEAN_RATE * (run_s - mean_s)
+
+
+def _uncharge(state: State, record: TaskRecord) -> None:
+    state.queue.charge(
+        tenant=record.task.tenant,
+        caller=record.task.caller,
+        submission_id=record.key.submission_id,
+        run_s=0.0,
+    )
+
+
+def _record_of(state: State, ref: pb.TaskRef) -> TaskRecord | None:
+    record = state.records_by_key.get(_key(ref))
+    if record is None or record.task.attempt != ref.attempt:
+        return None
+    return record
+
+
+def _spilled(state: State, peer: str, ref: pb.TaskRef) -> TaskRecord | None:
+    record = _record_of(state, ref)
+    if record is None or record.state is not TaskState.SPILLED:
+        return None
+    if record.peer != peer:
+        return None
+    state.in_flight_by_key.pop(record.key, None)
+    row = state.peers_by_incarnation.get(peer)
+    if row is not None:
+        row.outstanding -= 1
+    return record
+
+
+def _key(ref: pb.TaskRef) -> TaskKey:
+    return TaskKey(ref.submission_id, ref.index)
--- /dev/null
+++ b/src/cassiaturn/engine/_state.py
@@ -0,0 +1,131 @@
+"""All tables of an instance in one place, for the systems that run over them."""
+
+import heapq
+from collections import Counter, OrderedDict
+from collections.abc import Mapping
+
+from cassiaturn.engine._ports import Ports
+from cassiaturn.engine._tables import (
+    Counters,
+    EngineSettings,
+    Job,
+    Returned,
+    TaskRecord,
+    TaskState,
+    Tenant,
+)
+from cassiaturn.entities import RequestClass, Schema, TaskKey
+from cassiaturn.policy import (
+    Admission,
+    FairQueue,
+    PeerRow,
+    Placement,
+    PolicySettings,
+    RetryBudget,
+    TargetHealth,
+    TargetRow,
+)
+from cassiaturn.submission import SubmissionTable
+
+FIRST_MEAN_RUN_S = 0.3
+"""Mean run time assumed before anything ran: the middle of 50 ms to 1 s."""
+
+
+class State:
+    """The tables; systems read and change them, nothing else does."""
+
+    def __init__(
+        self,
+        *,
+        settings: EngineSettings,
+        policy: PolicySettings,
+        schema: Schema,
+        submissions: SubmissionTable,
+        ports: Ports,
+    ) -> None:
+        """Start with empty tables."""
+        self.settings = settings
+        self.schema = schema
+        self.submissions = submissions
+        self.ports = ports
+        self.counters = Counters()
+        self.tenants_by_name: Mapping[str, Tenant] = {}
+        self.jobs_by_id: dict[str, Job] = {}
+        self.records_by_key: dict[TaskKey, TaskRecord] = {}
+        self.in_flight_by_key: dict[TaskKey, TaskRecord] = {}
+        """Records with a start in force, so that the sweep's cost grows with
+        the slots and not with the queue."""
+        self.targets_by_id: dict[str, TargetRow] = {}
+        self.peers_by_incarnation: dict[str, PeerRow] = {}
+        self.queue = FairQueue(settings=policy.order, weights_by_tenant={})
+        self.admission = Admission(settings=policy.admission)
+        self.placement = Placement(
+            settings=policy.placement, failure_domain=settings.failure_domain
+        )
+        self.health = TargetHealth(settings=policy.health)
+        self.retries = RetryBudget(settings=policy.retries)
+        self.running_by_tenant: Counter[str] = Counter()
+        self.running_by_class: Counter[RequestClass] = Counter()
+        self.returned_by_peer: dict[str, OrderedDict[TaskKey, Returned]] = {}
+        self.tenant_loads_by_peer: dict[str, Mapping[str, int]] = {}
+        """Running and queued tasks of each tenant, by reporting incarnation."""
+        self.draining = False
+        """True during a planned stop: nothing new is taken."""
+        self.blocked_until_by_target: dict[str, float] = {}
+        self.quota_share_by_tenant: dict[str, float] = {}
+        self.mean_run_s_by_class: dict[RequestClass, float] = dict.fromkeys(
+            RequestClass, FIRST_MEAN_RUN_S
+        )
+        self.starts_held = False
+        """True after a pause: nothing starts until our claim to be home holds."""
+        self._due: list[tuple[float, int, TaskRecord]] = []
+        self._deadlines: list[tuple[float, str]] = []
+        self._sequence = 0
+
+    def delay(self, record: TaskRecord, until: float) -> None:
+        """Keep a task out of the queue until a time, in seconds."""
+        record.state = TaskState.DELAYED
+        self._sequence += 1
+        heapq.heappush(self._due, (until, self._sequence, record))
+
+    def pop_due(self, now: float) -> TaskRecord | None:
+        """Return a delayed task whose time has come, if there is one."""
+        while self._due and self._due[0][0] <= now:
+            record = heapq.heappop(self._due)[2]
+            if record.state is TaskState.DELAYED:
+                return record
+        return None
+
+    def add_deadline(self, job: Job) -> None:
+        """Watch a job's deadline."""
+        heapq.heappush(self._deadlines, (job.deadline_at, job.submission_id))
+
+    def pop_deadline(self, now: float) -> Job | None:
+        """Return an unsettled job whose deadline has passed, if there is one."""
+        while self._deadlines and self._deadlines[0][0] <= now:
+            submission_id = heapq.heappop(self._deadlines)[1]
+            job = self.jobs_by_id.get(submission_id)
+            if job is not None:
+                return job
+        return None
+
+    def enqueue(self, record: TaskRecord) -> None:
+        """Put a task into the fair queue."""
+        record.state = TaskState.QUEUED
+        self.queue.push(record.task)
+
+    def free_slots(self) -> int:
+        """Return the slots that this instance may start tasks in now."""
+        return sum(
+            max(0, min(row.slots, row.allowance) - row.in_use)
+            for row in self.targets_by_id.values()
+            if row.connected and not row.leaving
+        )
+
+    def usable_slots(self) -> int:
+        """Return the slots of the targets that may receive work."""
+        return sum(
+            min(row.slots, row.allowance)
+            for row in self.targets_by_id.values()
+            if row.connected and not row.leaving
+        )
--- a/src/cassiaturn/settings/_limits.py
+++ b/src/cassiaturn/settings/_limits.py
@@ -45,6 +45,10 @@
     store_reads_per_s: Rate = 100.0
     """Table reads a second: about half of 2,000 shared by nine instances."""
 
+    max_clock_skew_ms: Positive = 500
+    """By how much the wall clocks of two hosts differ at most, in milliseconds.
+    Used only to tell whether a runner's process is older than a dead home."""
+
     max_frame_bytes: Positive = 8 * 1024 * 1024
     """Bytes of one frame between instances or to a target."""
 
--- a/src/cassiaturn/submission/__init__.py
+++ b/src/cassiaturn/submission/__init__.py
@@ -13,6 +13,7 @@
 )
 from cassiaturn.submission._claims import ClaimLedger
 from cassiaturn.submission._incarnation import (
+    booted_ms,
     boot_ms_of,
     instance_of,
     is_incarnation,
@@ -75,6 +76,7 @@
     "Ticket",
     "TicketIssuer",
     "boot_ms_of",
+    "booted_ms",
     "claim_key",
     "fingerprint_of",
     "instance_of",
--- a/src/cassiaturn/submission/_table.py
+++ b/src/cassiaturn/submission/_table.py
@@ -72,7 +72,13 @@
         return self._records_by_id.get(submission_id)
 
     def open(
-        self, *, submission_id: str, fingerprint: bytes, tasks_total: int, now: float
+        self,
+        *,
+        submission_id: str,
+        fingerprint: bytes,
+        tasks_total: int,
+        now: float,
+        succeeded: bool = False,
     ) -> Opening:
         """Accept a submission, or say what stands in its place.
 
@@ -80,12 +86,14 @@
         :param fingerprint: see :func:`fingerprint_of`.
         :param tasks_total: tasks of the submission.
         :param now: monotonic time, in seconds.
+        :param succeeded: whether its home ended and this incarnation is the
+            successor; the ticket's age is on the dead home's clock then.
         :raises InvariantError: the ticket is another incarnation's.
         """
         record = self._records_by_id.get(submission_id)
         if record is not None:
             return _reopen(record, fingerprint)
-        ticket = self._own_ticket(submission_id)
+        ticket = None if succeeded else self._own_ticket(submission_id)
         if ticket is not None:
             expired = self._expired(ticket, now)
             if expired is not None:
