Keep shared configuration in versions that never revert

Cause: tenants, quotas, classes and guards have to agree on every instance, while operators race, answers get lost and hosts restart with the store down. Change: proposals are one conditional transaction on the version row and the next document, with a token that tells a lost answer from a lost race; a view that takes only higher versions; a keeper that polls the version row with jitter and reads a document only when it changed. Conclusion: an instance cut off from the table needs a message that carries a document between peers; the keeper has a place for it.

--- /dev/null
+++ b/src/cassiaturn/configuration/__init__.py
@@ -0,0 +1,83 @@
+"""Configuration that every instance shares, in versions that never revert."""
+
+from cassiaturn.configuration._documents import (
+    KEY_PREFIX,
+    VERSION_KEY,
+    MalformedRow,
+    VersionRow,
+    document_key,
+    from_json,
+    from_version_json,
+    load_content,
+    load_initial,
+    to_json,
+    to_version_json,
+    to_yaml,
+)
+from cassiaturn.configuration._keeper import Budget, ConfigurationKeeper, FetchFromPeer
+from cassiaturn.configuration._poll import PollSchedule
+from cassiaturn.configuration._proposal import (
+    Current,
+    ProposalError,
+    StoredError,
+    Superseded,
+    Undetermined,
+    list_versions,
+    propose,
+    read_current,
+    read_version,
+)
+from cassiaturn.configuration._shared import (
+    FILE_VERSION,
+    ClassSettings,
+    ConfigurationContent,
+    Guards,
+    SharedConfiguration,
+    TenantSettings,
+)
+from cassiaturn.configuration._view import (
+    Applied,
+    ConfigurationView,
+    OfferOutcome,
+    Rejected,
+    Stale,
+)
+
+__all__ = [
+    "Applied",
+    "Budget",
+    "ClassSettings",
+    "ConfigurationContent",
+    "ConfigurationKeeper",
+    "ConfigurationView",
+    "Current",
+    "FILE_VERSION",
+    "FetchFromPeer",
+    "Guards",
+    "KEY_PREFIX",
+    "MalformedRow",
+    "OfferOutcome",
+    "PollSchedule",
+    "ProposalError",
+    "Rejected",
+    "SharedConfiguration",
+    "Stale",
+    "StoredError",
+    "Superseded",
+    "TenantSettings",
+    "Undetermined",
+    "VERSION_KEY",
+    "VersionRow",
+    "document_key",
+    "from_json",
+    "from_version_json",
+    "list_versions",
+    "load_content",
+    "load_initial",
+    "propose",
+    "read_current",
+    "read_version",
+    "to_json",
+    "to_version_json",
+    "to_yaml",
+]
--- a/src/cassiaturn/settings/__init__.py
+++ b/src/cassiaturn/settings/__init__.py
@@ -16,6 +16,8 @@
     Label,
     NotNegative,
     Positive,
+    Rate,
+    unique_by,
 )
 from cassiaturn.settings._instance import (
     InstanceSettings,
@@ -40,6 +42,7 @@
     "PeerSettings",
     "PlatformSettings",
     "Positive",
+    "Rate",
     "STRICT_KEYS",
     "SettingsError",
     "SettingsErrors",
@@ -48,5 +51,6 @@
     "load_document",
     "load_instance_settings",
     "parse_address",
+    "unique_by",
     "validate_document",
 ]
