--- /dev/null
+++ b/src/cassiaturn/server/_caller_service.py
@@ -0,0 +1,185 @@
+"""The callers' interface on an instance."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TypeVar
+
+import grpclib.const
+import grpclib.server
+from grpclib.const import Cardinality, Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Stream
+
+from cassiaturn.client import CALLER_KEY, OUTCOME_KEY, SUBMISSION_KEY, TENANT_KEY
+from cassiaturn.engine import Submission
+from cassiaturn.entities import Answer, Outcome
+from cassiaturn.server._homes import Homes, Identity
+from cassiaturn.server._raw import RawMessage
+from cassiaturn.v1 import dispatcher_pb2 as pb
+from cassiaturn.v1.dispatcher_grpc import DispatcherBase
+
+MessageT = TypeVar("MessageT")
+ReplyT = TypeVar("ReplyT")
+
+MAX_TICKETS = 1000
+"""Tickets of one call."""
+
+STATUS_BY_OUTCOME = {
+    Outcome.FAILED: Status.ABORTED,
+    Outcome.NOT_RUN: Status.UNAVAILABLE,
+    Outcome.UNKNOWN: Status.UNKNOWN,
+}
+"""Status of a call through an operator's own stub."""
+
+
+class CallerService(DispatcherBase):
+    """Submissions, collection, cancellation and tickets."""
+
+    def __init__(self, *, homes: Homes) -> None:
+        """Serve from one instance."""
+        self._homes = homes
+
+    async def IssueTickets(  # noqa: N802 - the name is the schema's
+        self, stream: "Stream[pb.IssueTicketsRequest, pb.IssueTicketsReply]"
+    ) -> None:
+        """Issue ids that name this instance as home, without a store write."""
+        request = await _receive(stream)
+        count = min(max(1, request.count), MAX_TICKETS)
+        tickets = [self._homes.issue_ticket() for _ in range(count)]
+        valid_for_ms = self._homes.ticket_valid_ms
+        await stream.send_message(
+            pb.IssueTicketsReply(tickets=tickets, valid_for_ms=valid_for_ms)
+        )
+
+    async def Submit(  # noqa: N802
+        self, stream: "Stream[pb.SubmitRequest, pb.Answer]"
+    ) -> None:
+        """Accept a submission, wait for its answer and return it."""
+        request = await _receive(stream)
+        identity = identity_of(stream)
+        answer = await self._homes.submit(to_submission(request, identity))
+        await stream.send_message(answer.to_message())
+
+    async def Watch(  # noqa: N802
+        self, stream: "Stream[pb.CollectRequest, pb.JobEvent]"
+    ) -> None:
+        """Stream progress, then the answer."""
+        request = await _receive(stream)
+        async for event in self._homes.watch(
+            request.submission_id, identity_of(stream)
+        ):
+            await stream.send_message(event)
+
+    async def Collect(  # noqa: N802
+        self, stream: "Stream[pb.CollectRequest, pb.Answer]"
+    ) -> None:
+        """Return what is known of a submission now."""
+        request = await _receive(stream)
+        answer = await self._homes.collect(request.submission_id, identity_of(stream))
+        await stream.send_message(answer.to_message())
+
+    async def Cancel(  # noqa: N802
+        self, stream: "Stream[pb.CancelRequest, pb.CancelReply]"
+    ) -> None:
+        """Cancel a submission that is not settled."""
+        request = await _receive(stream)
+        cancelled, answer = await self._homes.cancel(
+            request.submission_id, identity_of(stream)
+        )
+        await stream.send_message(
+            pb.CancelReply(cancelled=cancelled, answer=answer.to_message())
+        )
+
+
+class SchemaService:
+    """Every method of the operators' schemas, as an ordinary gRPC service.
+
+    A call becomes a submission of one task, so a caller uses the stub that was
+    generated from its own schema.
+    """
+
+    def __init__(self, *, homes: Homes, methods: Mapping[str, object]) -> None:
+        """Serve the methods of a schema.
+
+        :param methods: declared methods by full name.
+        """
+        self._homes = homes
+        self._methods = methods
+
+    def __mapping__(self) -> Mapping[str, grpclib.const.Handler]:
+        """Return one handler a method, as grpclib expects."""
+        return {
+            f"/{name}": grpclib.const.Handler(
+                self._handler(name),
+                Cardinality.UNARY_UNARY,
+                RawMessage,
+                RawMessage,
+            )
+            for name in self._methods
+        }
+
+    def _handler(
+        self, name: str
+    ) -> "Callable[[Stream[RawMessage, RawMessage]], Awaitable[None]]":
+        async def handle(stream: "Stream[RawMessage, RawMessage]") -> None:
+            message = await _receive(stream)
+            identity = identity_of(stream)
+            metadata: Mapping[str, object] = stream.metadata or {}
+            submission_id = metadata.get(SUBMISSION_KEY)
+            deadline = stream.deadline
+            submission = Submission(
+                submission_id=str(submission_id or self._homes.issue_ticket()),
+                tenant=identity.tenant,
+                caller=identity.caller,
+                method=name,
+                payloads=(message.content,),
+                deadline_s=deadline.time_remaining() if deadline else 0.0,
+            )
+            answer = await self._homes.submit(submission)
+            await _reply(stream, answer)
+
+        return handle
+
+
+async def _reply(stream: "Stream[RawMessage, RawMessage]", answer: Answer) -> None:
+    if answer.outcome is Outcome.COMPLETE:
+        await stream.send_message(RawMessage(answer.results[0]))
+        return
+    outcome = answer.outcome.name.lower()
+    await stream.send_trailing_metadata(
+        status=STATUS_BY_OUTCOME.get(answer.outcome, Status.UNKNOWN),
+        status_message=f"{outcome}: {answer.reason.name.lower()}: {answer.detail}",
+        metadata={OUTCOME_KEY: outcome, SUBMISSION_KEY: answer.submission_id},
+    )
+
+
+def identity_of(stream: "Stream[MessageT, ReplyT]") -> Identity:
+    """Return who calls, from the call metadata.
+
+    :raises GRPCError: the call names no tenant.
+    """
+    metadata: Mapping[str, object] = stream.metadata or {}
+    tenant = str(metadata.get(TENANT_KEY, ""))
+    if not tenant:
+        raise GRPCError(
+            Status.UNAUTHENTICATED, f"the call metadata lacks '{TENANT_KEY}'"
+        )
+    return Identity(tenant=tenant, caller=str(metadata.get(CALLER_KEY, "")))
+
+
+def to_submission(request: pb.SubmitRequest, identity: Identity) -> Submission:
+    """Return the submission that a message asks for."""
+    return Submission(
+        submission_id=request.submission_id,
+        tenant=identity.tenant,
+        caller=identity.caller,
+        method=request.method,
+        payloads=tuple(request.tasks),
+        deadline_s=request.deadline_ms / 1000,
+    )
+
+
+async def _receive(stream: "Stream[MessageT, ReplyT]") -> MessageT:
+    request = await stream.recv_message()
+    if request is None:
+        raise GRPCError(Status.INVALID_ARGUMENT, "the call has no request message")
+    return request
--- /dev/null
+++ b/src/cassiaturn/server/_claims.py
@@ -0,0 +1,154 @@
+"""Writes the claims of callers' own ids to the table service, in groups."""
+
+import asyncio
+import time
+from collections.abc import Iterable
+
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Success
+
+from cassiaturn.platform import Conflict, Put, Row, TableService
+from cassiaturn.submission import (
+    ClaimBatch,
+    ClaimLedger,
+    ClaimResolution,
+    ClaimRow,
+    ClaimUndetermined,
+    StoreBudget,
+    claim_key,
+)
+
+WAIT_S = 0.01
+"""Pause while the budget or a backoff allows no operation, in seconds."""
+
+ABSENT = 0
+"""Expected version of a row that must not exist."""
+
+_ROWS = TypeAdapter(ClaimRow)
+
+
+class ClaimWriter:
+    """Runs the ledger of claims against the table service."""
+
+    def __init__(
+        self, *, ledger: ClaimLedger, budget: StoreBudget, table: TableService | None
+    ) -> None:
+        """Write for one instance.
+
+        :param table: None where the settings name no table service; no id of a
+            caller's own can be claimed then.
+        """
+        self._ledger = ledger
+        self._budget = budget
+        self._table = table
+        self._futures_by_id: dict[str, asyncio.Future[ClaimResolution]] = {}
+        self._wake = asyncio.Event()
+        self.writes = 0
+        self.reads = 0
+
+    async def claim(self, submission_id: str) -> ClaimResolution:
+        """Return whose an id is, claiming it if it is nobody's."""
+        if self._table is None:
+            return ClaimUndetermined(submission_id=submission_id)
+        future = self._futures_by_id.get(submission_id)
+        if future is None:
+            resolution = self._ledger.want(submission_id, time.monotonic())
+            if resolution is not None:
+                return resolution
+            future = asyncio.get_running_loop().create_future()
+            self._futures_by_id[submission_id] = future
+            self._wake.set()
+        # A caller that hangs up must not cancel the claim for those who wait too.
+        return await asyncio.shield(future)
+
+    async def look_up(self, submission_id: str) -> str | None:
+        """Return the home in the claim row of an id; None if not known."""
+        if self._table is None or not self._budget.may_read(time.monotonic()):
+            return None
+        self.reads += 1
+        key = claim_key(submission_id)
+        match await self._table.read([key]):
+            case Success(rows):
+                self._budget.succeeded(time.monotonic())
+                claims = claims_of(rows.values())
+                found = claims.get(submission_id)
+                return found.home if found else None
+            case _:
+                self._budget.failed(time.monotonic())
+                return None
+
+    async def run(self) -> None:
+        """Write batches until cancelled."""
+        while True:
+            if not self._ledger.waiting:
+                self._wake.clear()
+                await self._wake.wait()
+            now = time.monotonic()
+            batch = self._ledger.next_batch(now)
+            if batch is not None:
+                await self._write(batch)
+            elif (lost := self._ledger.next_reread(now)) is not None:
+                await self._reread(lost)
+            else:
+                await asyncio.sleep(WAIT_S)
+            self._hand_out()
+
+    def _hand_out(self) -> None:
+        for resolution in self._ledger.resolved():
+            future = self._futures_by_id.pop(resolution.submission_id, None)
+            if future is not None and not future.done():
+                future.set_result(resolution)
+
+    async def _write(self, batch: ClaimBatch) -> None:
+        assert self._table is not None
+        self.writes += 1
+        puts = [
+            Put(
+                key=row.key,
+                value=_ROWS.dump_json(row).decode(),
+                expected_version=ABSENT,
+            )
+            for row in batch.rows
+        ]
+        result = await self._table.transact(puts)
+        now = time.monotonic()
+        match result:
+            case Success(_):
+                self._budget.succeeded(now)
+                self._ledger.committed(batch)
+            case Failure(Conflict(rows_by_key=rows_by_key)):
+                self._budget.succeeded(now)
+                self._ledger.conflicted(batch, claims_of(rows_by_key.values()))
+            case Failure(_):
+                # Whatever the error says, the rows may have been written: a
+                # refusal taken at its word could leave a claim that nobody owns.
+                self._budget.failed(now)
+                self._ledger.lost(batch, now)
+
+    async def _reread(self, batch: ClaimBatch) -> None:
+        assert self._table is not None
+        self.reads += 1
+        result = await self._table.read([row.key for row in batch.rows])
+        now = time.monotonic()
+        match result:
+            case Success(rows_by_key):
+                self._budget.succeeded(now)
+                self._ledger.reread(batch, claims_of(rows_by_key.values()))
+            case _:
+                self._budget.failed(now)
+                self._ledger.lost(batch, now)
+
+
+def claims_of(rows: Iterable[Row]) -> dict[str, ClaimRow]:
+    """Return the claims in rows of the table, by submission id.
+
+    A row that cannot be read is left out: its id stays undetermined.
+    """
+    claims: dict[str, ClaimRow] = {}
+    for row in rows:
+        try:
+            claim = _ROWS.validate_json(row.value)
+        except ValidationError:
+            continue
+        claims[claim.submission_id] = claim
+    return claims
--- /dev/null
+++ b/src/cassiaturn/server/_holders.py
@@ -0,0 +1,33 @@
+"""Which targets this instance holds, from the members that it knows."""
+
+from collections.abc import Collection, Iterable
+
+from cassiaturn.membership import MembershipTable, holders_by_target
+from cassiaturn.settings import TargetSettings
+
+
+def targets_to_hold(
+    *, instance_id: str, membership: MembershipTable, targets: Iterable[TargetSettings]
+) -> Collection[str]:
+    """Return the targets that this instance holds now.
+
+    Targets of a failure domain are shared by its live instances. A domain that
+    has lost all of them is served by the live instances of the other domains,
+    which costs a longer way and keeps its targets at work.
+    """
+    targets_by_domain: dict[str, list[str]] = {}
+    for target in targets:
+        targets_by_domain.setdefault(target.failure_domain, []).append(target.target_id)
+    domains = {*targets_by_domain, *_domains(membership)}
+    everyone = sorted({one for domain in domains for one in membership.live(domain)})
+    held: set[str] = set()
+    for domain, target_ids in targets_by_domain.items():
+        instances = membership.live(domain) or everyone
+        holders = holders_by_target(target_ids, instances)
+        held.update(target for target, who in holders.items() if who == instance_id)
+    return held
+
+
+def _domains(membership: MembershipTable) -> Collection[str]:
+    rows = [*membership.members_by_id.values(), membership.me]
+    return {row.facts.failure_domain for row in rows}
--- /dev/null
+++ b/src/cassiaturn/server/_homes.py
@@ -0,0 +1,291 @@
+"""Finds the home of each submission and gets its answer from there."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from cassiaturn.engine import State, Submission, cancel, dispatch, pending, submit
+from cassiaturn.entities import Answer, Outcome, Ran, Reason
+from cassiaturn.server._claims import ClaimWriter
+from cassiaturn.server._peers import PeerBook
+from cassiaturn.server._ports import ServerPorts
+from cassiaturn.server._successor import Successor
+from cassiaturn.submission import (
+    MAX_SUBMISSION_ID_LENGTH,
+    ClaimMine,
+    ClaimTaken,
+    ClaimUndetermined,
+    MalformedTicket,
+    Ticket,
+    TicketIssuer,
+    parse_ticket,
+)
+from cassiaturn.v1 import dispatcher_pb2, peer_pb2
+
+MAX_HOPS = 2
+"""Forwards of one call: to the home, and once more to a home's successor."""
+
+WATCH_PERIOD_S = 0.2
+"""Time between two progress events of a watched job, in seconds."""
+
+LONGEST_WAIT_S = 3600.0
+"""Wait for a submission whose caller set no deadline, in seconds."""
+
+UNKNOWN_RETRY_MS = 200
+"""Advice with ``UNKNOWN``: a fence of every target takes about as long."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Who calls, from the call metadata."""
+
+    tenant: str
+    """Tenant of the call."""
+
+    caller: str
+    """Caller within the tenant."""
+
+
+class Homes:
+    """Routes by submission id: served here, forwarded, or taken over."""
+
+    def __init__(
+        self,
+        *,
+        state: State,
+        ports: ServerPorts,
+        issuer: TicketIssuer,
+        ticket_valid_ms: int,
+        peers: PeerBook,
+        claims: ClaimWriter,
+        successor: Successor,
+    ) -> None:
+        """Route for one instance."""
+        self._state = state
+        self._ports = ports
+        self._issuer = issuer
+        self._peers = peers
+        self._claims = claims
+        self._successor = successor
+        self._me = state.settings.incarnation
+        self.ticket_valid_ms = ticket_valid_ms
+
+    def issue_ticket(self) -> str:
+        """Return a submission id that names this instance."""
+        return self._issuer.issue(time.monotonic())
+
+    async def submit(self, submission: Submission, *, hops: int = 0) -> Answer:
+        """Return the answer of a submission, from its home."""
+        home = await self._home_of(submission.submission_id)
+        if isinstance(home, Answer):
+            return home
+        if home == self._me:
+            return await self._submit_here(submission)
+        owner = await self._successor.owner_of(home)
+        if owner == self._me:
+            return await self._resume(home, submission)
+        if owner is None or hops >= MAX_HOPS:
+            return unreachable(submission.submission_id, home)
+        request = peer_pb2.ForwardRequest(
+            tenant=submission.tenant,
+            caller=submission.caller,
+            submit=_to_message(submission),
+            hops=hops + 1,
+        )
+        wait_s = submission.deadline_s or LONGEST_WAIT_S
+        reply = await self._peers.forward(owner, request, timeout_s=wait_s)
+        if reply is None:
+            return unreachable(submission.submission_id, owner)
+        return Answer.from_message(reply.answer)
+
+    async def collect(
+        self, submission_id: str, identity: Identity, *, hops: int = 0
+    ) -> Answer:
+        """Return what is known of a submission now."""
+        home = await self._known_home(submission_id)
+        if isinstance(home, Answer):
+            return home
+        if home == self._me:
+            return self._collect_here(submission_id)
+        owner = await self._successor.owner_of(home)
+        if owner == self._me:
+            return await self._successor.collect(home, submission_id)
+        request = peer_pb2.ForwardRequest(
+            tenant=identity.tenant,
+            caller=identity.caller,
+            collect=dispatcher_pb2.CollectRequest(submission_id=submission_id),
+            hops=hops + 1,
+        )
+        reply = None
+        if owner is not None and hops < MAX_HOPS:
+            reply = await self._peers.forward(owner, request, timeout_s=2.0)
+        if reply is None:
+            return unreachable(submission_id, home)
+        return Answer.from_message(reply.answer)
+
+    async def cancel(
+        self, submission_id: str, identity: Identity, *, hops: int = 0
+    ) -> tuple[bool, Answer]:
+        """Cancel a submission at its home.
+
+        :returns: whether this settled it, and the answer that stands.
+        """
+        home = await self._known_home(submission_id)
+        if isinstance(home, Answer):
+            return False, home
+        if home == self._me:
+            cancelled = cancel(self._state, submission_id, time.monotonic())
+            dispatch(self._state, time.monotonic())
+            return cancelled, self._collect_here(submission_id)
+        owner = await self._successor.owner_of(home)
+        request = peer_pb2.ForwardRequest(
+            tenant=identity.tenant,
+            caller=identity.caller,
+            cancel=dispatcher_pb2.CancelRequest(submission_id=submission_id),
+            hops=hops + 1,
+        )
+        reply = None
+        if owner not in (None, self._me) and hops < MAX_HOPS:
+            reply = await self._peers.forward(str(owner), request, timeout_s=2.0)
+        if reply is None:
+            return False, unreachable(submission_id, home)
+        return reply.cancelled, Answer.from_message(reply.answer)
+
+    async def watch(
+        self, submission_id: str, identity: Identity
+    ) -> AsyncIterator[dispatcher_pb2.JobEvent]:
+        """Yield progress of a submission until its answer is final."""
+        done = -1
+        while True:
+            answer = await self.collect(submission_id, identity)
+            if answer.outcome is not Outcome.PENDING:
+                yield dispatcher_pb2.JobEvent(
+                    tasks_done=answer.tasks_done,
+                    tasks_total=answer.tasks_total,
+                    answer=answer.to_message(),
+                )
+                return
+            if answer.tasks_done != done:
+                done = answer.tasks_done
+                yield dispatcher_pb2.JobEvent(
+                    tasks_done=done, tasks_total=answer.tasks_total
+                )
+            await asyncio.sleep(WATCH_PERIOD_S)
+
+    async def _home_of(self, submission_id: str) -> str | Answer:
+        """Return the home of a submission, claiming a caller's own id."""
+        match parse_ticket(submission_id):
+            case Ticket(home=home):
+                return home
+            case MalformedTicket(problem=problem):
+                return _invalid(submission_id, problem)
+            case _:
+                pass
+        if not 1 <= len(submission_id) <= MAX_SUBMISSION_ID_LENGTH:
+            allowed = f"1 to {MAX_SUBMISSION_ID_LENGTH} characters are allowed"
+            return _invalid(submission_id, f"its length is wrong; {allowed}")
+        if self._state.submissions.get(submission_id) is not None:
+            return self._me
+        match await self._claims.claim(submission_id):
+            case ClaimMine():
+                return self._me
+            case ClaimTaken(home=home):
+                if home == self._me:
+                    return self._own_row(submission_id)
+                return home
+            case ClaimUndetermined():
+                return _store_unreachable(submission_id)
+
+    async def _known_home(self, submission_id: str) -> str | Answer:
+        """Return the home of a submission without claiming it."""
+        match parse_ticket(submission_id):
+            case Ticket(home=home):
+                return home
+            case MalformedTicket(problem=problem):
+                return _invalid(submission_id, problem)
+            case _:
+                pass
+        if self._state.submissions.get(submission_id) is not None:
+            return self._me
+        found = await self._claims.look_up(submission_id)
+        return found if found is not None else _store_unreachable(submission_id)
+
+    def _own_row(self, submission_id: str) -> str | Answer:
+        # The claim is this process's own but the record was dropped: starting
+        # the tasks again could run them twice.
+        if self._state.submissions.get(submission_id) is not None:
+            return self._me
+        return self._state.submissions.forgotten_answer(submission_id)
+
+    async def _submit_here(self, submission: Submission) -> Answer:
+        now = time.monotonic()
+        answer = submit(self._state, submission, now)
+        dispatch(self._state, now)
+        if answer.outcome is not Outcome.PENDING:
+            return answer
+        return await self._ports.wait(submission.submission_id)
+
+    def _collect_here(self, submission_id: str) -> Answer:
+        record = self._state.submissions.get(submission_id)
+        if record is None:
+            return self._state.submissions.forgotten_answer(submission_id)
+        if record.answer is not None:
+            return record.answer
+        return pending(self._state, submission_id, record.tasks_total)
+
+    async def _resume(self, home: str, submission: Submission) -> Answer:
+        if self._state.submissions.get(submission.submission_id) is not None:
+            return await self._submit_here(submission)
+        method = self._state.schema.methods_by_name.get(submission.method)
+        if method is None:
+            return unreachable(submission.submission_id, home)
+        found = await self._successor.resume(
+            home, submission, repeatable=method.repeatable
+        )
+        if isinstance(found, Answer):
+            return found
+        return await self._submit_here(found)
+
+
+def unreachable(submission_id: str, home: str) -> Answer:
+    """Return what an instance says that cannot reach the home."""
+    return Answer(
+        submission_id=submission_id,
+        outcome=Outcome.UNKNOWN,
+        ran=Ran.MAYBE,
+        reason=Reason.HOME_UNREACHABLE,
+        detail=f"its home {home} cannot be reached from here; submit it again",
+        retry_after_ms=UNKNOWN_RETRY_MS,
+    )
+
+
+def _store_unreachable(submission_id: str) -> Answer:
+    return Answer(
+        submission_id=submission_id,
+        outcome=Outcome.UNKNOWN,
+        ran=Ran.MAYBE,
+        reason=Reason.STORE_UNREACHABLE,
+        detail="the table service did not say whose this id is; submit it again",
+        retry_after_ms=UNKNOWN_RETRY_MS,
+    )
+
+
+def _invalid(submission_id: str, problem: str) -> Answer:
+    # No instance opens such an id, so nothing ever runs under it.
+    return Answer(
+        submission_id=submission_id,
+        outcome=Outcome.NOT_RUN,
+        ran=Ran.NOTHING,
+        reason=Reason.INVALID,
+        detail=f"submission id: {problem}",
+    )
+
+
+def _to_message(submission: Submission) -> dispatcher_pb2.SubmitRequest:
+    return dispatcher_pb2.SubmitRequest(
+        submission_id=submission.submission_id,
+        method=submission.method,
+        tasks=submission.payloads,
+        deadline_ms=int(submission.deadline_s * 1000),
+    )
--- /dev/null
+++ b/src/cassiaturn/server/_peers.py
@@ -0,0 +1,353 @@
+"""The other instances: links, heartbeats, forwards, and who is gone."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable, Collection, Mapping, Sequence
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from cassiaturn.engine import (
+    State,
+    dispatch,
+    expected_wait_s,
+    on_cancel,
+    on_peer_gone,
+    on_spill_outcome,
+    on_spilled,
+    resend,
+)
+from cassiaturn.entities import Address, TaskKey
+from cassiaturn.membership import (
+    MemberChange,
+    MemberFacts,
+    MembershipTable,
+    MemberState,
+)
+from cassiaturn.observability import Event, log_event
+from cassiaturn.policy import PeerRow
+from cassiaturn.server._link import FrameStream, Link, LinkDialer
+from cassiaturn.submission import instance_of
+from cassiaturn.v1 import peer_pb2
+from cassiaturn.v1.peer_grpc import PeerStub
+
+FORWARD_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
+"""What a forwarded call raises when the other instance is lost."""
+
+FORWARD_GRACE_S = 0.5
+"""Time beyond a caller's deadline in which the home's answer is awaited."""
+
+FETCH_TIMEOUT_S = 1.0
+"""Longest wait for a peer's shared configuration, in seconds."""
+
+MILLISECONDS = 1000
+
+
+class PeerBook:
+    """Keeps a link to each neighbour and tells the engine what it hears."""
+
+    def __init__(
+        self,
+        *,
+        state: State,
+        membership: MembershipTable,
+        addresses_by_instance: Mapping[str, Address],
+        links_by_incarnation: dict[str, Link],
+        describe: Callable[[], MemberFacts],
+        on_change: Callable[[Sequence[MemberChange]], None],
+        connect_timeout_s: float,
+    ) -> None:
+        """Start without links.
+
+        :param describe: makes what this instance tells about itself now.
+        :param on_change: takes the changes of every tick that had some.
+        """
+        self._state = state
+        self._membership = membership
+        self._addresses_by_instance = dict(addresses_by_instance)
+        self.links_by_incarnation = links_by_incarnation
+        self._describe = describe
+        self._on_change = on_change
+        self._connect_timeout_s = connect_timeout_s
+        self._dialers_by_instance: dict[str, asyncio.Task[None]] = {}
+        self._channels_by_instance: dict[str, Channel] = {}
+        self._ended: set[str] = set()
+
+    def know(self, instance_id: str, address: Address) -> None:
+        """Take an instance's present address."""
+        known = self._addresses_by_instance.get(instance_id)
+        if known == address:
+            return
+        self._addresses_by_instance[instance_id] = address
+        dialer = self._dialers_by_instance.pop(instance_id, None)
+        if dialer is not None:
+            dialer.cancel()
+        channel = self._channels_by_instance.pop(instance_id, None)
+        if channel is not None:
+            channel.close()
+
+    def is_gone(self, incarnation: str) -> bool:
+        """Whether an incarnation has ended or was silent for too long."""
+        if incarnation in self._ended:
+            return True
+        row = self._membership.members_by_id.get(instance_of(incarnation) or "")
+        if row is None or row.facts.incarnation != incarnation:
+            return False
+        return row.state is MemberState.GONE
+
+    def note_unknown(self, incarnation: str) -> None:
+        """Take an incarnation that a newer one replaced for ended."""
+        row = self._membership.members_by_id.get(instance_of(incarnation) or "")
+        known = row.facts.incarnation if row is not None else ""
+        if row is not None and known and known != incarnation and row.heard_at:
+            # A process that we hear has this instance id now, and an instance
+            # id names one process at a time.
+            self._ended.add(incarnation)
+
+    async def forward(
+        self, incarnation: str, request: peer_pb2.ForwardRequest, *, timeout_s: float
+    ) -> peer_pb2.ForwardReply | None:
+        """Return the reply of another instance; None if it was not had."""
+        instance_id = instance_of(incarnation) or ""
+        channel = self._channel_to(instance_id)
+        if channel is None:
+            return None
+        try:
+            return await PeerStub(channel).Forward(
+                request, timeout=timeout_s + FORWARD_GRACE_S
+            )
+        except FORWARD_ERRORS:
+            self._membership.disconnected(incarnation, time.monotonic())
+            return None
+
+    async def fetch_configuration(self, version: int) -> str | None:
+        """Return the shared configuration of a member that told a version."""
+        for row in self._membership.members_by_id.values():
+            if row.facts.configuration_version < version:
+                continue
+            request = peer_pb2.ForwardRequest(wants_configuration=True)
+            incarnation = row.facts.incarnation
+            reply = await self.forward(incarnation, request, timeout_s=FETCH_TIMEOUT_S)
+            if reply is not None and reply.configuration_json:
+                return reply.configuration_json
+        return None
+
+    async def serve(self, stream: FrameStream, first: peer_pb2.PeerFrame) -> None:
+        """Run a link, from either side, until it ends."""
+        if not first.HasField("heartbeat"):
+            return
+        incarnation = first.heartbeat.incarnation
+        link = Link(incarnation=incarnation)
+        older = self.links_by_incarnation.get(incarnation)
+        if older is not None:
+            older.closed.set()
+        self.links_by_incarnation[incarnation] = link
+        self._send_heartbeat(link)
+        try:
+            await link.run(
+                stream, first=first, stamp=self._stamp, on_frame=self._on_frame
+            )
+        finally:
+            if self.links_by_incarnation.get(incarnation) is link:
+                del self.links_by_incarnation[incarnation]
+                self._membership.disconnected(incarnation, time.monotonic())
+                self._set_ready(incarnation, False)
+            log_event(Event.PEER_LOST, incarnation=incarnation)
+
+    def hello(self) -> peer_pb2.PeerFrame:
+        """Return the first frame of a link."""
+        return peer_pb2.PeerFrame(heartbeat=self._heartbeat(full=True))
+
+    def tick(self, now: float) -> None:
+        """Judge silences, open links, send heartbeats that are due."""
+        self._membership.describe(self._describe())
+        changes = self._membership.tick(now)
+        for change in changes:
+            self._take_change(change, now)
+        if changes:
+            self._on_change(changes)
+        self._dial(now)
+        for link in self.links_by_incarnation.values():
+            instance_id = instance_of(link.incarnation) or ""
+            if self._membership.heartbeat_due(instance_id, now):
+                self._send_heartbeat(link)
+        self._membership.refuted()
+
+    def announce(self) -> None:
+        """Tell every linked peer at once what this instance is now."""
+        self._membership.describe(self._describe())
+        for link in self.links_by_incarnation.values():
+            self._send_heartbeat(link)
+
+    async def close(self) -> None:
+        """End every link and connection."""
+        for dialer in self._dialers_by_instance.values():
+            dialer.cancel()
+        for link in list(self.links_by_incarnation.values()):
+            link.closed.set()
+        for channel in self._channels_by_instance.values():
+            channel.close()
+        for dialer in self._dialers_by_instance.values():
+            with contextlib.suppress(asyncio.CancelledError):
+                await dialer
+
+    def _channel_to(self, instance_id: str) -> Channel | None:
+        channel = self._channels_by_instance.get(instance_id)
+        if channel is None:
+            address = self._addresses_by_instance.get(instance_id)
+            if address is None:
+                return None
+            channel = Channel(address.host, address.port)
+            self._channels_by_instance[instance_id] = channel
+        return channel
+
+    def _dial(self, now: float) -> None:
+        me = self._membership.me.facts.instance_id
+        wanted = self._wanted()
+        for instance_id in wanted:
+            # One side opens the link: the lower id, unless it is not heard.
+            if me < instance_id and instance_id not in self._dialers_by_instance:
+                address = self._addresses_by_instance[instance_id]
+                dialer = LinkDialer(
+                    address=address,
+                    hello=self.hello,
+                    serve=self.serve,
+                    connect_timeout_s=self._connect_timeout_s,
+                )
+                self._dialers_by_instance[instance_id] = asyncio.create_task(
+                    dialer.run(), name=f"link-{instance_id}"
+                )
+
+    def _wanted(self) -> Collection[str]:
+        # The links of the settings are the seeds, from which the rest is heard.
+        # With the few hosts of today all of them are neighbours.
+        return self._addresses_by_instance.keys()
+
+    def _take_change(self, change: MemberChange, now: float) -> None:
+        log_event(
+            Event.PEER_STATE,
+            peer=change.instance_id,
+            incarnation=change.incarnation,
+            before=change.before,
+            after=change.after,
+        )
+        if change.superseded_by:
+            self._ended.add(change.incarnation)
+        if change.after is MemberState.GONE or change.superseded_by:
+            on_peer_gone(self._state, change.incarnation, now)
+        else:
+            ready = change.after is MemberState.READY
+            self._set_ready(change.incarnation, ready)
+
+    def _set_ready(self, incarnation: str, ready: bool) -> None:
+        row = self._state.peers_by_incarnation.get(incarnation)
+        if row is not None:
+            row.ready = ready and incarnation in self.links_by_incarnation
+
+    def _on_frame(self, link: Link, frame: peer_pb2.PeerFrame) -> None:
+        now = time.monotonic()
+        state = self._state
+        peer = link.incarnation
+        if frame.HasField("heartbeat"):
+            self._observe(link, frame.heartbeat, now)
+        else:
+            self._membership.heard(peer, now)
+        for outcome in frame.outcomes:
+            on_spill_outcome(state, peer, outcome, now)
+        for spilled in frame.spills:
+            on_spilled(state, peer, spilled, now)
+        for ref in frame.cancels:
+            key = TaskKey(ref.submission_id, ref.index)
+            on_cancel(state, key, ref.attempt)
+        dispatch(state, now)
+
+    def _observe(self, link: Link, beat: peer_pb2.Heartbeat, now: float) -> None:
+        try:
+            facts = MemberFacts.from_message(beat)
+        except ValueError:
+            return
+        self._membership.observe(facts, now)
+        peers = self._state.peers_by_incarnation
+        row = peers.get(facts.incarnation)
+        if row is None:
+            if self.is_gone(facts.incarnation):
+                return
+            row = PeerRow(
+                instance_id=facts.instance_id,
+                incarnation=facts.incarnation,
+                failure_domain=facts.failure_domain,
+                free_slots=0,
+                queued=0,
+                expected_wait_s=0.0,
+                reported_at=now,
+                ready=False,
+                slots=facts.slots,
+            )
+            peers[facts.incarnation] = row
+        if link.frames_received == 0:
+            resend(self._state, facts.incarnation)
+        row.slots = facts.slots
+        row.ready = facts.state is MemberState.READY
+        row.report(
+            free_slots=facts.free_slots,
+            queued=facts.queued,
+            expected_wait_s=facts.expected_wait_ms / MILLISECONDS,
+            now=now,
+        )
+        if beat.tenants:
+            self._state.tenant_loads_by_peer[facts.incarnation] = {
+                load.tenant: load.running + load.queued for load in beat.tenants
+            }
+
+    def _send_heartbeat(self, link: Link) -> None:
+        link.outbox.pending.heartbeat.CopyFrom(self._heartbeat(full=True))
+        link.outbox.notify()
+
+    def _stamp(self, link: Link, frame: peer_pb2.PeerFrame) -> None:
+        now = time.monotonic()
+        if not frame.HasField("heartbeat"):
+            frame.heartbeat.CopyFrom(self._heartbeat(full=False))
+        self._membership.sent(instance_of(link.incarnation) or "", now)
+
+    def _heartbeat(self, *, full: bool) -> peer_pb2.Heartbeat:
+        facts = self._describe()
+        beat = peer_pb2.Heartbeat(
+            instance_id=facts.instance_id,
+            incarnation=facts.incarnation,
+            failure_domain=facts.failure_domain,
+            state=_NUMBERS_BY_STATE[facts.state],
+            configuration_version=facts.configuration_version,
+            free_slots=facts.free_slots,
+            queued=facts.queued,
+            expected_wait_ms=facts.expected_wait_ms,
+            slots=facts.slots,
+        )
+        if full:
+            beat.suspected.extend(self._membership.rumours())
+            self._add_tenants(beat)
+        return beat
+
+    def _add_tenants(self, beat: peer_pb2.Heartbeat) -> None:
+        state = self._state
+        queued_by_tenant = state.queue.queued_by_tenant()
+        for tenant in set(queued_by_tenant) | set(+state.running_by_tenant):
+            beat.tenants.add(
+                tenant=tenant,
+                running=state.running_by_tenant[tenant],
+                queued=queued_by_tenant.get(tenant, 0),
+            )
+
+
+_NUMBERS_BY_STATE = {
+    MemberState.STARTING: peer_pb2.INSTANCE_STATE_STARTING,
+    MemberState.READY: peer_pb2.INSTANCE_STATE_READY,
+    MemberState.LEAVING: peer_pb2.INSTANCE_STATE_LEAVING,
+}
+
+
+def load_of(state: State) -> tuple[int, int, int, int]:
+    """Return slots, free slots, queued tasks and expected wait in ms."""
+    slots = state.usable_slots()
+    wait_s = expected_wait_s(state) if slots else 0.0
+    return slots, state.free_slots(), len(state.queue), int(wait_s * MILLISECONDS)
--- /dev/null
+++ b/src/cassiaturn/server/_platform.py
@@ -0,0 +1,42 @@
+"""Connections to the platform's services, as far as the settings name them."""
+
+from cassiaturn.platform import (
+    HostList,
+    HttpCaller,
+    HttpHostList,
+    HttpObjectStore,
+    HttpTableService,
+    ObjectStore,
+    TableService,
+)
+from cassiaturn.settings import PlatformSettings, TimingSettings
+
+MILLISECONDS = 1000
+
+
+class Platform:
+    """The three services; one that is not named is None."""
+
+    def __init__(self, *, settings: PlatformSettings, timings: TimingSettings) -> None:
+        """Prepare the connections, which open on first use."""
+        self._timeout_s = timings.store_timeout_ms / MILLISECONDS
+        self._callers: list[HttpCaller] = []
+        self.table: TableService | None = None
+        self.objects: ObjectStore | None = None
+        self.hosts: HostList | None = None
+        if settings.table_url:
+            self.table = HttpTableService(caller=self._caller(settings.table_url))
+        if settings.objects_url:
+            self.objects = HttpObjectStore(caller=self._caller(settings.objects_url))
+        if settings.hosts_url:
+            self.hosts = HttpHostList(caller=self._caller(settings.hosts_url))
+
+    def close(self) -> None:
+        """Close every connection."""
+        for caller in self._callers:
+            caller.close()
+
+    def _caller(self, url: str) -> HttpCaller:
+        caller = HttpCaller(base_url=url, timeout_s=self._timeout_s)
+        self._callers.append(caller)
+        return caller
--- /dev/null
+++ b/src/cassiaturn/server/_ports.py
@@ -0,0 +1,153 @@
+"""Turns what the engine asks for into frames and answers."""
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+
+from cassiaturn.engine import Job, TaskRecord
+from cassiaturn.entities import Answer, Resources, TaskKey
+from cassiaturn.observability import Metrics
+from cassiaturn.server._link import Link
+from cassiaturn.targets import RunnerSession
+from cassiaturn.v1 import options_pb2, peer_pb2, runner_pb2
+
+MILLISECONDS = 1000
+
+
+class ServerPorts:
+    """Fills outboxes and wakes the calls that wait for an answer.
+
+    Frames for a stream that is gone are dropped: what was sent on it is settled
+    when the target welcomes a new stream, or when its lease has lapsed.
+    """
+
+    def __init__(
+        self,
+        *,
+        links_by_incarnation: Mapping[str, Link],
+        metrics: Metrics,
+        on_settled: Callable[[Answer, Job | None], None],
+        on_superseded: Callable[[], None],
+    ) -> None:
+        """Use tables that the instance keeps up to date."""
+        self.sessions_by_target: Mapping[str, RunnerSession] = {}
+        """Set once the targets' book stands, which needs these ports."""
+        self._links_by_incarnation = links_by_incarnation
+        self._metrics = metrics
+        self._on_settled = on_settled
+        self._on_superseded = on_superseded
+        self.waiters_by_id: dict[str, list[asyncio.Future[Answer]]] = {}
+
+    def send_start(self, record: TaskRecord, *, within_s: float, lease_ms: int) -> None:
+        """Send a start whose latest time is on the runner's own clock."""
+        session = self.sessions_by_target[record.target_id]
+        clock_ms = session.runner_clock(time.monotonic())
+        resources = record.task.resources
+        session.outbox.pending.starts.add(
+            ref=_ref(record.key, record.task.attempt),
+            method=record.method.name,
+            payload=record.payload,
+            home=record.home,
+            start_by_ms=clock_ms + int(within_s * MILLISECONDS),
+            lease_ms=lease_ms,
+            resources=_resources(resources),
+        )
+        session.outbox.notify()
+        task = record.task
+        recorder = self._metrics.for_requests(task.tenant, task.request_class)
+        recorder.started(record.sent_at - task.enqueued_at)
+
+    def send_cancel(self, target_id: str, key: TaskKey, attempt: int) -> None:
+        """Ask a target to stop a task."""
+        session = self.sessions_by_target.get(target_id)
+        if session is not None:
+            session.outbox.pending.cancels.append(_ref(key, attempt))
+            session.outbox.notify()
+
+    def send_renewal(self, target_id: str, key: TaskKey, attempt: int) -> None:
+        """Extend a lease."""
+        session = self.sessions_by_target.get(target_id)
+        if session is not None:
+            session.outbox.pending.renewals.append(_ref(key, attempt))
+            session.outbox.notify()
+
+    def acknowledge(self, target_id: str, key: TaskKey, attempt: int) -> None:
+        """Let a target forget a result, with the next frame that leaves anyway."""
+        session = self.sessions_by_target.get(target_id)
+        if session is not None:
+            session.outbox.pending.acknowledged.append(_ref(key, attempt))
+
+    def spill(self, record: TaskRecord, *, within_s: float, job_remaining: int) -> None:
+        """Give a task to a peer."""
+        link = self._links_by_incarnation.get(record.peer)
+        if link is None:
+            return
+        task = record.task
+        link.outbox.pending.spills.add(
+            start=runner_pb2.StartTask(
+                ref=_ref(record.key, task.attempt),
+                method=record.method.name,
+                payload=record.payload,
+                home=record.home,
+                resources=_resources(task.resources),
+            ),
+            tenant=task.tenant,
+            caller=task.caller,
+            request_class=int(task.request_class),
+            repeatable=record.method.repeatable,
+            start_within_ms=int(within_s * MILLISECONDS),
+            expected_run_ms=int(task.expected_run_s * MILLISECONDS),
+            job_remaining=job_remaining,
+        )
+        link.outbox.notify()
+
+    def cancel_spill(self, peer: str, key: TaskKey, attempt: int) -> None:
+        """Ask a peer to drop or stop a task."""
+        link = self._links_by_incarnation.get(peer)
+        if link is not None:
+            link.outbox.pending.cancels.append(_ref(key, attempt))
+            link.outbox.notify()
+
+    def return_outcome(self, peer: str, outcome: peer_pb2.SpillOutcome) -> None:
+        """Send the outcome of a spilled task to its home."""
+        link = self._links_by_incarnation.get(peer)
+        if link is not None:
+            link.outbox.pending.outcomes.append(outcome)
+            link.outbox.notify()
+
+    def deliver(self, answer: Answer, job: Job | None) -> None:
+        """Wake every call that waits for this submission."""
+        for waiter in self.waiters_by_id.pop(answer.submission_id, ()):
+            if not waiter.done():
+                waiter.set_result(answer)
+        self._on_settled(answer, job)
+
+    def superseded(self) -> None:
+        """Pass on that a successor took over."""
+        self._on_superseded()
+
+    async def wait(self, submission_id: str) -> Answer:
+        """Return the answer of a submission once it is settled."""
+        waiter: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        waiters = self.waiters_by_id.setdefault(submission_id, [])
+        waiters.append(waiter)
+        try:
+            return await waiter
+        finally:
+            # A caller that hung up must not leave its future behind.
+            if waiter in waiters:
+                waiters.remove(waiter)
+
+
+def _ref(key: TaskKey, attempt: int) -> runner_pb2.TaskRef:
+    return runner_pb2.TaskRef(
+        submission_id=key.submission_id, index=key.task_index, attempt=attempt
+    )
+
+
+def _resources(resources: Resources) -> options_pb2.Resources:
+    return options_pb2.Resources(
+        cpu_millis=resources.cpu_millis,
+        memory_mib=resources.memory_mib,
+        accelerators=resources.accelerators,
+    )
--- /dev/null
+++ b/src/cassiaturn/server/_successor.py
@@ -0,0 +1,243 @@
+"""Takes over the submissions of incarnations that are gone."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import replace
+
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Success
+
+from cassiaturn.engine import Submission
+from cassiaturn.entities import Address, Answer, Outcome, Ran, Reason
+from cassiaturn.observability import Event, log_event
+from cassiaturn.platform import Conflict, Put, Row, TableService
+from cassiaturn.recovery import (
+    Adopt,
+    AwaitRunning,
+    FenceDue,
+    FenceReport,
+    RunAfter,
+    TakeoverPhase,
+    TakeoverRow,
+    TakeoverTable,
+    TellCaller,
+    takeover_key,
+)
+from cassiaturn.server._peers import PeerBook
+from cassiaturn.submission import StoreBudget, booted_ms
+from cassiaturn.targets import fence
+
+MILLISECONDS = 1000
+
+ABSENT = 0
+"""Expected version of a row that must not exist."""
+
+STEP_S = 0.02
+"""Pause between two looks at what a takeover waits for, in seconds."""
+
+TAKEOVER_TIMEOUT_S = 2.0
+"""Longest wait of a caller for the takeover row, in seconds."""
+
+FENCE_TIMEOUT_S = 1.0
+"""Longest wait for a target's answer to a fence, in seconds."""
+
+UNKNOWN_WAIT_S = 1.5
+"""How long a caller waits for fences that may still settle its answer."""
+
+_ROWS = TypeAdapter(TakeoverRow)
+
+
+class Successor:
+    """Runs the takeover table against the table service and the targets."""
+
+    def __init__(
+        self,
+        *,
+        table: TakeoverTable,
+        store: TableService | None,
+        budget: StoreBudget,
+        peers: PeerBook,
+        addresses_by_target: Callable[[], Mapping[str, Address]],
+        incarnation: str,
+        max_clock_skew_ms: int,
+    ) -> None:
+        """Succeed for one instance.
+
+        :param addresses_by_target: every target that any home may have reached.
+        :param max_clock_skew_ms: by how much the wall clocks of two hosts differ
+            at most.
+        """
+        self._table = table
+        self._store = store
+        self._budget = budget
+        self._peers = peers
+        self._addresses_by_target = addresses_by_target
+        self._me = incarnation
+        self._max_clock_skew_ms = max_clock_skew_ms
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.writes = 0
+        self.reads = 0
+
+    async def owner_of(self, home: str) -> str | None:
+        """Return who decides for a home's submissions now.
+
+        :returns: the home itself while it may live, its successor, this
+            instance, or None while nobody can be said to.
+        """
+        give_up = time.monotonic() + TAKEOVER_TIMEOUT_S
+        while True:
+            last = self._table.lineage_of(home)[-1]
+            if last == self._me:
+                return self._me
+            self._peers.note_unknown(last)
+            if not self._peers.is_gone(last):
+                return last
+            takeover = self._table.want(last)
+            if takeover.phase is TakeoverPhase.FENCING:
+                self._table.adopt_line(home)
+                return self._me
+            if time.monotonic() >= give_up:
+                return None
+            self._start(self._step())
+            await asyncio.sleep(STEP_S)
+
+    async def resume(
+        self, home: str, submission: Submission, *, repeatable: bool
+    ) -> Answer | Submission:
+        """Decide a dead home's submission by what the targets prove.
+
+        :returns: the answer, or the submission with what is to be adopted.
+        """
+        self._table.adopt_line(home)
+        give_up = time.monotonic() + UNKNOWN_WAIT_S
+        deadline = time.monotonic() + (submission.deadline_s or UNKNOWN_WAIT_S)
+        while True:
+            now = time.monotonic()
+            decision = self._table.decide_submission(
+                submission_id=submission.submission_id,
+                home=home,
+                tasks_total=len(submission.payloads),
+                repeatable=repeatable,
+                now=now,
+            )
+            if isinstance(decision, TellCaller):
+                if decision.answer.outcome is not Outcome.UNKNOWN or now >= give_up:
+                    return decision.answer
+            else:
+                decisions = decision.decisions_by_index
+                waiting = any(isinstance(d, AwaitRunning) for d in decisions.values())
+                if not waiting or now >= deadline:
+                    return _resumed(submission, decisions)
+            self._start(self._step())
+            await asyncio.sleep(STEP_S)
+
+    async def collect(self, home: str, submission_id: str) -> Answer:
+        """Return what is known of a dead home's submission without its tasks."""
+        return Answer(
+            submission_id=submission_id,
+            outcome=Outcome.UNKNOWN,
+            ran=Ran.MAYBE,
+            reason=Reason.HOME_UNREACHABLE,
+            detail=f"its home {home} ended; submit it again with its tasks",
+        )
+
+    async def was_taken_over(self, incarnation: str) -> bool | None:
+        """Whether a takeover row names an incarnation; None: not known."""
+        if self._store is None or not self._budget.may_read(time.monotonic()):
+            return None
+        self.reads += 1
+        key = takeover_key(incarnation)
+        match await self._store.read([key]):
+            case Success(rows):
+                self._budget.succeeded(time.monotonic())
+                return key in rows
+            case _:
+                self._budget.failed(time.monotonic())
+                return None
+
+    def proved_dead(self, dead: str, now: float) -> None:
+        """Note that the process of an incarnation has certainly ended."""
+        self._table.proved_dead(dead, now)
+
+    def tick(self) -> None:
+        """Send the rows and fences that are due."""
+        self._start(self._step())
+
+    async def _step(self) -> None:
+        self._table.observe_targets(tuple(self._addresses_by_target()))
+        now = time.monotonic()
+        if self._store is not None and self._budget.may_write(now):
+            for row in self._table.rows_due():
+                self._start(self._insert(row))
+        for due in self._table.fences_due(now):
+            self._start(self._fence(due))
+
+    async def _insert(self, row: TakeoverRow) -> None:
+        assert self._store is not None
+        self.writes += 1
+        put = Put(
+            key=row.key, value=_ROWS.dump_json(row).decode(), expected_version=ABSENT
+        )
+        result = await self._store.transact([put])
+        now = time.monotonic()
+        match result:
+            case Success(_):
+                self._budget.succeeded(now)
+                self._table.row_stands(row)
+                log_event(Event.TAKEOVER_STARTED, incarnation=row.dead)
+            case Failure(Conflict(rows_by_key=rows_by_key)):
+                self._budget.succeeded(now)
+                self._found(row, rows_by_key.get(row.key))
+            case Failure(_):
+                self._budget.failed(now)
+                self._table.row_lost(row.dead)
+
+    def _found(self, wanted: TakeoverRow, row: Row | None) -> None:
+        if row is None:
+            self._table.row_lost(wanted.dead)
+            return
+        try:
+            found = _ROWS.validate_json(row.value)
+        except ValidationError:
+            self._table.row_lost(wanted.dead)
+            return
+        self._table.row_stands(found)
+
+    async def _fence(self, due: FenceDue) -> None:
+        address = self._addresses_by_target()[due.target_id]
+        result = await fence(address=address, home=due.dead, timeout_s=FENCE_TIMEOUT_S)
+        now = time.monotonic()
+        match result:
+            case Success(reply):
+                report = FenceReport.from_message(reply)
+                if not self._vouches(reply.uptime_ms, due.dead):
+                    report = replace(report, exhaustive=False)
+                self._table.fenced(due.dead, report, now)
+            case _:
+                self._table.fence_failed(due.dead, due.target_id, now)
+
+    def _vouches(self, uptime_ms: int, dead: str) -> bool:
+        # A runner that was restarted knows nothing of what its earlier process
+        # began. Taken at its word, a task that ran there would be called "not
+        # run". So it must be older than the home, by more than clocks differ.
+        began_ms = time.time() * MILLISECONDS - uptime_ms
+        return began_ms + self._max_clock_skew_ms < booted_ms(dead)
+
+    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _resumed(
+    submission: Submission, decisions_by_index: Mapping[int, object]
+) -> Submission:
+    adopted = {}
+    awaited = {}
+    for index, decision in decisions_by_index.items():
+        if isinstance(decision, Adopt):
+            adopted[index] = decision.begun.result
+        elif isinstance(decision, RunAfter):
+            awaited[index] = decision.at
+    return replace(submission, adopted=adopted, awaited=awaited, resumed=True)
--- /dev/null
+++ b/src/cassiaturn/server/_targets.py
@@ -0,0 +1,195 @@
+"""The targets that this instance holds, and its streams to them."""
+
+import asyncio
+import time
+from collections.abc import Collection, Iterable
+
+from cassiaturn.engine import State, dispatch, on_refusal, on_result, on_welcome
+from cassiaturn.entities import Resources
+from cassiaturn.observability import Event, log_event
+from cassiaturn.policy import TargetRow
+from cassiaturn.settings import TargetSettings
+from cassiaturn.targets import RunnerSession, SessionCallbacks
+from cassiaturn.v1 import runner_pb2
+
+NOT_COUNTED = 1 << 40
+"""Capacity of a worker whose settings give none."""
+
+
+class TargetBook:
+    """Opens a stream to each held target and closes those given up.
+
+    A target that is given up keeps its stream until its last task has ended, so
+    that a change of holder cuts nothing.
+    """
+
+    def __init__(self, *, state: State, holder: str) -> None:
+        """Start with no target held.
+
+        :param state: the tables of the instance.
+        :param holder: incarnation of the instance.
+        """
+        self._state = state
+        self._holder = holder
+        self._settings_by_target: dict[str, TargetSettings] = {}
+        self._incarnations_by_target: dict[str, str] = {}
+        self._released: set[str] = set()
+        self._drained: set[str] = set()
+        self._drained_by_all: frozenset[str] = frozenset()
+        self._told_leaving: set[str] = set()
+        self._closing: set[asyncio.Task[None]] = set()
+        self.sessions_by_target: dict[str, RunnerSession] = {}
+
+    def know(self, targets: Iterable[TargetSettings]) -> None:
+        """Add targets, or take their present addresses."""
+        for target in targets:
+            self._settings_by_target[target.target_id] = target
+
+    @property
+    def settings_by_target(self) -> dict[str, TargetSettings]:
+        """Every known target of every failure domain."""
+        return self._settings_by_target
+
+    def hold(self, target_ids: Collection[str]) -> None:
+        """Hold exactly these targets from now on."""
+        for target_id in list(self.sessions_by_target):
+            if target_id not in target_ids:
+                self._release(target_id)
+        for target_id in target_ids:
+            if target_id in self._released:
+                self._released.discard(target_id)
+                self._set_leaving(target_id)
+            if target_id not in self.sessions_by_target:
+                self._open(self._settings_by_target[target_id])
+
+    def drain(self, target_id: str, *, activate: bool) -> None:
+        """Stop, or allow again, new starts at a target for an operator."""
+        if activate:
+            self._drained.discard(target_id)
+        else:
+            self._drained.add(target_id)
+        self._set_leaving(target_id)
+
+    def drain_shared(self, target_ids: Collection[str]) -> None:
+        """Take the targets that the shared configuration drains."""
+        self._drained_by_all = frozenset(target_ids)
+        for target_id in self._state.targets_by_id:
+            self._set_leaving(target_id)
+
+    def close_idle(self) -> None:
+        """Close the streams of released targets that run nothing of ours."""
+        for target_id in list(self._released):
+            row = self._state.targets_by_id.get(target_id)
+            if row is None or row.in_use == 0:
+                self._released.discard(target_id)
+                self._close(target_id)
+
+    async def close(self) -> None:
+        """Close every stream."""
+        for target_id in list(self.sessions_by_target):
+            self._close(target_id)
+        if self._closing:
+            await asyncio.wait(self._closing)
+
+    def _open(self, settings: TargetSettings) -> None:
+        target_id = settings.target_id
+        self._state.targets_by_id[target_id] = to_row(settings)
+        self._state.health.add(target_id, settings.slots)
+        self._set_leaving(target_id)
+        session = RunnerSession(
+            target_id=target_id,
+            address=settings.address,
+            holder=self._holder,
+            callbacks=SessionCallbacks(
+                on_welcome=self._on_welcome,
+                on_frame=self._on_frame,
+                on_lost=self._on_lost,
+            ),
+        )
+        self.sessions_by_target[target_id] = session
+        session.start()
+
+    def _release(self, target_id: str) -> None:
+        self._released.add(target_id)
+        self._set_leaving(target_id)
+
+    def _close(self, target_id: str) -> None:
+        session = self.sessions_by_target.pop(target_id)
+        self._state.targets_by_id.pop(target_id, None)
+        self._state.health.remove(target_id)
+        self._incarnations_by_target.pop(target_id, None)
+        task = asyncio.create_task(session.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _set_leaving(self, target_id: str) -> None:
+        row = self._state.targets_by_id.get(target_id)
+        if row is not None:
+            row.leaving = (
+                target_id in self._released
+                or target_id in self._drained
+                or target_id in self._drained_by_all
+                or target_id in self._told_leaving
+            )
+
+    def _on_welcome(self, target_id: str, welcome: runner_pb2.Welcome) -> None:
+        row = self._state.targets_by_id.get(target_id)
+        if row is None:
+            return
+        row.connected = True
+        row.slots = welcome.slots
+        row.connections = welcome.connections
+        self._set_leaving(target_id)
+
+    def _on_frame(self, target_id: str, frame: runner_pb2.FromRunner) -> None:
+        now = time.monotonic()
+        state = self._state
+        if frame.HasField("welcome"):
+            known = self._incarnations_by_target.get(target_id)
+            fresh = frame.welcome.incarnation
+            self._incarnations_by_target[target_id] = fresh
+            same = known in (None, fresh)
+            on_welcome(state, target_id, frame.results, same, now)
+        for result in frame.results:
+            on_result(state, target_id, result, now)
+        for refusal in frame.refusals:
+            on_refusal(state, target_id, refusal, now)
+        # Only frames with a status say that a target is not leaving; in a frame
+        # of results alone the field is absent.
+        if frame.leaving or frame.HasField("usage") or frame.HasField("welcome"):
+            self._take_leaving(target_id, frame.leaving)
+        dispatch(state, now)
+
+    def _take_leaving(self, target_id: str, leaving: bool) -> None:
+        if leaving == (target_id in self._told_leaving):
+            return
+        if leaving:
+            self._told_leaving.add(target_id)
+            log_event(Event.TARGET_LEAVING, target_id=target_id)
+        else:
+            self._told_leaving.discard(target_id)
+        self._set_leaving(target_id)
+
+    def _on_lost(self, target_id: str) -> None:
+        row = self._state.targets_by_id.get(target_id)
+        if row is not None:
+            row.connected = False
+
+
+def to_row(settings: TargetSettings) -> TargetRow:
+    """Return the row of a target that is not connected yet."""
+    resources = settings.resources
+    return TargetRow(
+        target_id=settings.target_id,
+        failure_domain=settings.failure_domain,
+        worker=settings.worker,
+        slots=settings.slots,
+        connections=settings.connections,
+        capacity=Resources(
+            cpu_millis=resources.cpu_millis or NOT_COUNTED,
+            memory_mib=resources.memory_mib or NOT_COUNTED,
+            accelerators=resources.accelerators or NOT_COUNTED,
+        ),
+        methods=None if settings.methods is None else frozenset(settings.methods),
+        connected=False,
+    )
--- /dev/null
+++ b/src/cassiaturn/server/tests/fleet.py
@@ -0,0 +1,207 @@
+"""Instances, runner stand-ins and a table service in one process, on loopback."""
+
+import asyncio
+import socket
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
+from importlib.resources import files
+from pathlib import Path
+
+from cassiaturn.client import Client
+from cassiaturn.entities import Address, Schema, TaskKey
+from cassiaturn.server import Instance
+from cassiaturn.settings import (
+    InstanceSettings,
+    PeerSettings,
+    PlatformSettings,
+    TargetSettings,
+    TimingSettings,
+)
+from cassiaturn.standins import (
+    JournalEvent,
+    RunnerHost,
+    RunnerHostSettings,
+    RunnerSettings,
+    RunTime,
+    read_journal,
+)
+from cassiaturn_examples.kwabena import props_pb2
+
+LOOPBACK = "127.0.0.1"
+EXAMPLES = Path(str(files("cassiaturn_examples")))
+SCHEMAS = (
+    EXAMPLES / "kwabena" / "props.binpb",
+    EXAMPLES / "registre" / "register.binpb",
+)
+CHECK = "kwabena.v1.Props/CheckAvailability"
+ORDER = "kwabena.v1.Props/OrderDeck"
+TENANT = "kwabena"
+STEP_S = 0.02
+PATIENCE_S = 15.0
+CONFIGURATION = "tenants:\n  - {name: kwabena, quota_slots: 1000}\n"
+TIMINGS = TimingSettings(
+    heartbeat_ms=200,
+    suspect_after_ms=500,
+    gone_after_ms=1_000,
+    lease_ms=1_500,
+    start_within_ms=1_000,
+    configuration_poll_ms=200,
+)
+
+
+def free_ports(count: int) -> Sequence[int]:
+    """Return ports that nothing listens at now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((LOOPBACK, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+async def eventually(is_true: Callable[[], bool]) -> None:
+    """Wait until something holds; fail if it does not within the patience."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not is_true():  # noqa: ASYNC110 - several tables decide together
+            await asyncio.sleep(STEP_S)
+
+
+def availability(prop_id: str) -> bytes:
+    return props_pb2.AvailabilityRequest(prop_id=prop_id).SerializeToString()
+
+
+def order(deck_id: str) -> bytes:
+    return props_pb2.OrderRequest(deck_id=deck_id).SerializeToString()
+
+
+class Fleet:
+    """Some instances over two failure domains with the targets of both."""
+
+    def __init__(
+        self,
+        *,
+        directory: Path,
+        domains: Sequence[str] = ("osu", "osu", "tema"),
+        targets_by_domain: int = 2,
+        table_url: str | None = None,
+        run_ms: float = 100.0,
+    ) -> None:
+        self.directory = directory
+        self.table_url = table_url
+        ports = iter(free_ports(2 * len(domains) + targets_by_domain * len(domains)))
+        self.addresses = [Address(host=LOOPBACK, port=next(ports)) for _ in domains]
+        self._http = [Address(host=LOOPBACK, port=next(ports)) for _ in domains]
+        self._domains = domains
+        self.targets = self._plan_targets(ports, targets_by_domain)
+        self._journals = [
+            directory / f"{target.target_id}.jsonl" for target in self.targets
+        ]
+        self.runners = RunnerHost(
+            settings=RunnerHostSettings(
+                runners=[
+                    RunnerSettings(
+                        target_id=target.target_id,
+                        port=target.address.port,
+                        journal=journal,
+                    )
+                    for target, journal in zip(
+                        self.targets, self._journals, strict=True
+                    )
+                ],
+                run_time=RunTime(median_ms=run_ms),
+            )
+        )
+        (directory / "shared.yaml").write_text(CONFIGURATION)
+        self.instances: list[Instance] = []
+
+    async def __aenter__(self) -> "Fleet":
+        await self.runners.start()
+        # A runner younger than a home cannot vouch for it; see the fence.
+        await asyncio.sleep(0.6)
+        for index in range(len(self._domains)):
+            await self.start(index)
+        await self.settle()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for instance in self.instances:
+            await instance.close()
+        await self.runners.close()
+
+    async def start(self, index: int) -> Instance:
+        """Start an instance, in the place of an ended one if there was one."""
+        instance = Instance(
+            settings=self._settings(index), schema=Schema.load(SCHEMAS).unwrap()
+        )
+        await instance.start()
+        self.instances[index : index + 1] = [instance]
+        return instance
+
+    async def settle(self) -> None:
+        """Wait until every instance is ready and linked, and every target held."""
+        links = len(self.instances) - 1
+
+        def is_settled() -> bool:
+            held = [
+                row
+                for instance in self.instances
+                for row in instance.state.targets_by_id.values()
+                if row.connected
+            ]
+            linked = all(
+                len(instance.peers.links_by_incarnation) == links
+                for instance in self.instances
+            )
+            ready = all(instance.ready().ready for instance in self.instances)
+            return ready and linked and len(held) == len(self.targets)
+
+        await eventually(is_settled)
+
+    def client(self) -> Client:
+        return Client(addresses=self.addresses, tenant=TENANT, caller="test", seed=1)
+
+    def starts_by_task(self) -> Counter[TaskKey]:
+        """Return how often each task was started, as the runners saw it."""
+        return Counter(
+            entry.key
+            for journal in self._journals
+            for entry in read_journal(journal)
+            if entry.event is JournalEvent.STARTED
+        )
+
+    def _plan_targets(
+        self, ports: Iterator[int], by_domain: int
+    ) -> Sequence[TargetSettings]:
+        return [
+            TargetSettings(
+                target_id=f"{domain}-{index}-{number}",
+                address=Address(host=LOOPBACK, port=next(ports)),
+                failure_domain=domain,
+                worker=f"{domain}-{index}-{number}",
+            )
+            for index, domain in enumerate(self._domains)
+            for number in range(by_domain)
+        ]
+
+    def _settings(self, index: int) -> InstanceSettings:
+        return InstanceSettings(
+            instance_id=f"i{index}",
+            failure_domain=self._domains[index],
+            listen=self.addresses[index],
+            http=self._http[index],
+            peers=tuple(
+                PeerSettings(
+                    instance_id=f"i{other}",
+                    address=self.addresses[other],
+                    failure_domain=domain,
+                )
+                for other, domain in enumerate(self._domains)
+                if other != index
+            ),
+            targets=tuple(self.targets),
+            schemas=SCHEMAS,
+            timings=TIMINGS,
+            platform=PlatformSettings(table_url=self.table_url),
+            configuration_file=self.directory / "shared.yaml",
+        )
