Add the load tool: scenarios, callers, faults and the checker

Cause: promises have to be counted at runners and callers, not by the dispatcher. Change: scenarios as checked YAML, a seeded plan of jobs, callers that send some jobs twice, timed faults, and a verdict from journals and answers. Before: no check. Conclusion: the verdict itself is proved by cases that must be caught.

--- /dev/null
+++ b/src/cassiaturn/load/__init__.py
@@ -0,0 +1,18 @@
+"""Load generator and checker: scenarios against real processes on loopback."""
+
+from cassiaturn.load._answers import CallerAnswer
+from cassiaturn.load._plan import PlannedJob, plan_jobs
+from cassiaturn.load._scenario import Scenario
+from cassiaturn.load._scenario_file import DEMO_SCENARIO, load_scenario
+from cassiaturn.load._verdict import Verdict, judge
+
+__all__ = [
+    "DEMO_SCENARIO",
+    "CallerAnswer",
+    "PlannedJob",
+    "Scenario",
+    "Verdict",
+    "judge",
+    "load_scenario",
+    "plan_jobs",
+]
--- /dev/null
+++ b/src/cassiaturn/load/_answers.py
@@ -0,0 +1,38 @@
+"""What a caller got for one sending of a job."""
+
+from dataclasses import dataclass
+
+from cassiaturn.entities import Answer, Outcome, Ran
+from cassiaturn.load._plan import PlannedJob
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerAnswer:
+    """One sending of a job and its answer; a job sent twice has two."""
+
+    job: PlannedJob
+    """The job."""
+
+    submission_id: str
+    """Its id, which both sendings share."""
+
+    answer: Answer
+    """What the caller got."""
+
+    response_s: float
+    """Time from the sending to the answer, in seconds."""
+
+    is_first: bool
+    """Whether this is the first sending."""
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether no instance said anything in time.
+
+        Instances say ``UNKNOWN`` with what may have run; the client that was
+        told nothing leaves that open.
+        """
+        if self.answer.outcome is Outcome.PENDING:
+            return True
+        is_unknown = self.answer.outcome is Outcome.UNKNOWN
+        return is_unknown and self.answer.ran is Ran.UNSPECIFIED
--- /dev/null
+++ b/src/cassiaturn/load/_commands.py
@@ -0,0 +1,75 @@
+"""Commands that run scenarios."""
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from returns.result import Failure
+
+from cassiaturn.load._report import to_line, to_lines
+from cassiaturn.load._run import run_scenario
+from cassiaturn.load._scenario import Scenario
+from cassiaturn.load._scenario_file import DEMO_SCENARIO, load_scenario
+
+EXIT_BROKEN_PROMISE = 1
+EXIT_INVALID_SCENARIO = 2
+
+app = typer.Typer(help="Run scenarios against real processes on loopback.")
+
+KeepOption = Annotated[
+    Path | None,
+    typer.Option(help="Empty directory to keep settings, logs and journals in."),
+]
+
+
+@app.command()
+def run(
+    scenario: Annotated[Path, typer.Argument(help="YAML file with the scenario.")],
+    keep: KeepOption = None,
+) -> None:
+    """Run one scenario; exit code 1: a promise was broken, 2: invalid file."""
+    _run_file(scenario, keep, "scenario_done")
+
+
+@app.command()
+def demo(keep: KeepOption = None) -> None:
+    """Run both users' requests with a graceful stop and a kill."""
+    _run_file(DEMO_SCENARIO, keep, "demo_done")
+
+
+@app.command()
+def check(
+    scenarios: Annotated[list[Path], typer.Argument(help="YAML files.")],
+) -> None:
+    """Check scenario files without running them."""
+    for path in scenarios:
+        _load(path)
+
+
+def _run_file(path: Path, keep: Path | None, event: str) -> None:
+    scenario = _load(path)
+    if keep is not None:
+        _run_in(scenario, keep, event)
+        return
+    with tempfile.TemporaryDirectory(prefix="cassiaturn-") as directory:
+        _run_in(scenario, Path(directory), event)
+
+
+def _run_in(scenario: Scenario, directory: Path, event: str) -> None:
+    figures = asyncio.run(run_scenario(scenario, directory))
+    for line in to_lines(figures):
+        print(line)
+    print(to_line(event, figures))
+    if not figures.verdict.holds:
+        raise typer.Exit(EXIT_BROKEN_PROMISE)
+
+
+def _load(path: Path) -> Scenario:
+    loaded = load_scenario(path)
+    if isinstance(loaded, Failure):
+        print(loaded.failure(), file=sys.stderr)
+        raise typer.Exit(EXIT_INVALID_SCENARIO)
+    return loaded.unwrap()
--- /dev/null
+++ b/src/cassiaturn/load/_run.py
@@ -0,0 +1,73 @@
+"""Runs a scenario from its first process to its figures."""
+
+import asyncio
+from pathlib import Path
+
+from cassiaturn.entities import Schema
+from cassiaturn.load._callers import Callers
+from cassiaturn.load._faults import run_faults
+from cassiaturn.load._layout import SCHEMAS, Layout, plan_layout, write_settings
+from cassiaturn.load._plan import plan_jobs
+from cassiaturn.load._report import Figures, measure
+from cassiaturn.load._scenario import Scenario
+from cassiaturn.load._site import Site
+from cassiaturn.load._verdict import judge, longest_run_s_by_id
+from cassiaturn.standins import JournalEntry, read_journal
+
+SETTLING_S = 1.0
+"""Pause after the last answer: a start that comes after it is witnessed too."""
+
+
+async def run_scenario(scenario: Scenario, directory: Path) -> Figures:
+    """Start everything, send the load, cause the faults, end everything, judge.
+
+    :param scenario: a checked scenario.
+    :param directory: an empty directory for settings, logs and journals.
+    :raises SiteError: a process could not be started.
+    """
+    layout = plan_layout(scenario, directory)
+    write_settings(scenario, layout)
+    addresses = [place.address for place in layout.instances]
+    site = Site(layout=layout)
+    callers = Callers(addresses=addresses, seed=scenario.seed)
+    jobs = plan_jobs(scenario)
+    try:
+        await site.start()
+        round_trip_s = await callers.idle_round_trip_s(scenario.tenants[0])
+        async with asyncio.TaskGroup() as group:
+            group.create_task(callers.run(jobs))
+            group.create_task(run_faults(site, scenario.faults))
+        await asyncio.sleep(SETTLING_S)
+    finally:
+        callers.close()
+        await site.stop()
+    return _figures(site, callers, layout, round_trip_s)
+
+
+def _figures(
+    site: Site, callers: Callers, layout: Layout, round_trip_s: float
+) -> Figures:
+    schema = Schema.load([Path(str(schema)) for schema in SCHEMAS]).unwrap()
+    entries = _read_journals(layout)
+    verdict = judge(
+        callers.answers,
+        entries,
+        repeatable_by_method={
+            name: method.repeatable for name, method in schema.methods_by_name.items()
+        },
+        killed_at_us_by_target=site.killed_at_us_by_target(),
+    )
+    return measure(
+        callers.answers,
+        verdict,
+        schema=schema,
+        longest_run_s_by_id=longest_run_s_by_id(entries),
+        round_trip_s=round_trip_s,
+        resubmissions=callers.resubmissions,
+    )
+
+
+def _read_journals(layout: Layout) -> list[JournalEntry]:
+    return [
+        entry for runner in layout.runners for entry in read_journal(runner.journal)
+    ]
--- a/src/cassiaturn/standins/_journal.py
+++ b/src/cassiaturn/standins/_journal.py
@@ -44,11 +44,11 @@
     outcome: str = ""
     """Name of the status or of the reason for the refusal."""
 
-    run_ms: int = 0
+    run_ms: float = 0.0
     """Time the task ran, in milliseconds; ended only."""
 
-    at_ms: int
-    """Wall clock, in milliseconds since 1970."""
+    at_us: int
+    """Wall clock, in microseconds since 1970."""
 
     @property
     def key(self) -> TaskKey:
@@ -92,7 +92,7 @@
         attempt: int,
         home: str = "",
         outcome: str = "",
-        run_ms: int = 0,
+        run_ms: float = 0.0,
     ) -> None:
         """Write one entry with the present wall clock."""
         line = json.dumps(
@@ -105,7 +105,7 @@
                 "home": home,
                 "outcome": outcome,
                 "run_ms": run_ms,
-                "at_ms": time.time_ns() // 1_000_000,
+                "at_us": time.time_ns() // 1000,
             }
         )
         self._file.write(line.encode() + b"\n")
--- a/src/cassiaturn/standins/_run_time.py
+++ b/src/cassiaturn/standins/_run_time.py
@@ -3,10 +3,12 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import StrEnum
+from typing import Annotated
 
 import xxhash
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import ConfigDict, Field, with_config
 
 from cassiaturn.entities import TaskKey
 
@@ -17,31 +19,30 @@
     FIXED = "fixed"
     UNIFORM = "uniform"
     LOGNORMAL = "lognormal"
-    LONG_AMONG_SHORT = "long_among_short"
 
 
-class RunTime(BaseModel):
+@with_config(ConfigDict(extra="forbid"))
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunTime:
     """A distribution of run times, as scenarios and settings write it."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
     shape: Shape = Shape.FIXED
     """How run times spread."""
 
-    median_ms: float = Field(default=100.0, ge=0.0, le=600_000.0)
+    median_ms: Annotated[float, Field(ge=0.0, le=600_000.0)] = 100.0
     """Middle of the run times, in milliseconds."""
 
-    spread: float = Field(default=0.0, ge=0.0, le=4.0)
+    spread: Annotated[float, Field(ge=0.0, le=4.0)] = 0.0
     """Uniform: half of the width, as a share of the median, at most 1 is of
     use. Lognormal: standard deviation of the logarithm."""
 
-    long_share: float = Field(default=0.0, ge=0.0, le=1.0)
-    """Long among short: share of the tasks that are long."""
+    long_share: Annotated[float, Field(ge=0.0, le=1.0)] = 0.0
+    """Share of the tasks that are long."""
 
-    long_factor: float = Field(default=10.0, ge=1.0, le=1000.0)
-    """Long among short: run time of a long task over that of a short one."""
+    long_factor: Annotated[float, Field(ge=1.0, le=1000.0)] = 10.0
+    """Run time of a long task over what the shape gave."""
 
-    longest_ms: float = Field(default=600_000.0, gt=0.0)
+    longest_ms: Annotated[float, Field(gt=0.0)] = 600_000.0
     """Cut at this, in milliseconds."""
 
     def draw_ms(self, key: TaskKey, *, seed: int = 0) -> float:
@@ -56,7 +57,10 @@
         """
         text = f"{key.submission_id}/{key.task_index}".encode()
         source = random.Random(xxhash.xxh3_64_intdigest(text, seed))
-        return min(_DRAWS_BY_SHAPE[self.shape](self, source), self.longest_ms)
+        run_ms = _DRAWS_BY_SHAPE[self.shape](self, source)
+        if source.random() < self.long_share:
+            run_ms *= self.long_factor
+        return min(run_ms, self.longest_ms)
 
 
 _Draw = Callable[[RunTime, random.Random], float]
@@ -88,9 +92,3 @@
     if not spec.median_ms:
         return 0.0
     return source.lognormvariate(math.log(spec.median_ms), spec.spread)
-
-
-@_draws(Shape.LONG_AMONG_SHORT)
-def _long_among_short(spec: RunTime, source: random.Random) -> float:
-    is_long = source.random() < spec.long_share
-    return spec.median_ms * (spec.long_factor if is_long else 1.0)
--- a/src/cassiaturn/standins/_runner.py
+++ b/src/cassiaturn/standins/_runner.py
@@ -63,9 +63,11 @@
             keep_acknowledged_ms=host.keep_acknowledged_ms,
         )
         self._host = host
+        self._began_at = time.monotonic()
         self._fault = RunnerFault()
         self._sessions = SessionTable()
         self._timers_by_key: dict[TaskKey, asyncio.TimerHandle] = {}
+        self._began_at_by_key: dict[TaskKey, float] = {}
         self._usage = UsageReport(lag_ms=host.usage_lag_ms)
         self._thawed = asyncio.Event()
         self._thawed.set()
@@ -135,6 +137,7 @@
             target_id=self.settings.target_id,
             begun=[task.to_message() for task in begun],
             exhaustive=self.table.is_exhaustive_for(request.home),
+            uptime_ms=int((time.monotonic() - self._began_at) * 1000),
         )
         await stream.send_message(reply)
 
@@ -221,6 +224,7 @@
 
     def _begin(self, task: BegunTask) -> None:
         self.starts += 1
+        self._began_at_by_key[task.key] = time.monotonic()
         self._write(JournalEvent.STARTED, task.key, task.attempt, home=task.home)
         if self._fault.fail_everything:
             self._end(task.key, RunStatus.FAILED, detail="fails everything")
@@ -269,7 +273,7 @@
             key,
             task.attempt,
             outcome=status.name,
-            run_ms=task.ended_at_ms - task.begun_at_ms,
+            run_ms=(time.monotonic() - self._began_at_by_key.pop(key)) * 1000,
         )
         session = self._sessions.sessions_by_holder.get(task.holder)
         if session is not None:
@@ -302,7 +306,7 @@
         *,
         home: str = "",
         outcome: str = "",
-        run_ms: int = 0,
+        run_ms: float = 0.0,
     ) -> None:
         if self._journal is None:
             return
