Show what each condition of a proposal is for

Cause: of eight safeguards taken out one by one in a scratch copy, three were not noticed by any test: the condition on the version row, the early retry of a read that was held back, and leaving documents of lower versions unread. Change: tests for a proposer that slept past the kept documents, a restored table, reads held back at five moments, and keys read; a restored table is named as such instead of as a lost race.

--- a/src/cassiaturn/configuration/_proposal.py
+++ b/src/cassiaturn/configuration/_proposal.py
@@ -253,7 +253,11 @@
     current = _to_current(rows_by_key.get(VERSION_KEY))
     if not is_successful(current):
         return Failure(current.failure())
-    return Failure(_superseded(proposed.version - 1, current.unwrap().row))
+    row = current.unwrap().row
+    if document is not None and row.version < proposed.version:
+        detail = f"names version {row.version}, but {document.key} exists"
+        return Failure(MalformedRow(key=VERSION_KEY, detail=detail))
+    return Failure(_superseded(proposed.version - 1, row))
 
 
 def _superseded(expected_version: int, row: VersionRow) -> Superseded:
--- a/src/cassiaturn/configuration/tests/test_keeper.py
+++ b/src/cassiaturn/configuration/tests/test_keeper.py
@@ -1,6 +1,7 @@
 import random
 from pathlib import Path
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -165,8 +166,10 @@
     host = Host(table)
     await host.run_for(1.0)
     table.put(VERSION_KEY, to_version_json(VersionRow(version=1, author="ama")))
+    table.keys_read.clear()
     await host.run_for(30.0)
     assert host.versions == [3]
+    assert set(table.keys_read) == {VERSION_KEY}
     assert not host.keeper.view.is_confirmed(host.now)
 
 
@@ -209,14 +212,17 @@
     assert host.versions == [1, 3]
 
 
-async def test_a_read_that_the_budget_holds_back_is_made_soon_after() -> None:
+@pytest.mark.parametrize("held_s", [3.0, 3.5, 4.0, 4.5, 5.0])
+async def test_a_read_that_the_budget_holds_back_is_made_soon_after(
+    held_s: float,
+) -> None:
     table = FakeTable()
     await store(table, 0)
     host = Host(table)
     host.budget.may = False
-    await host.run_for(10.0)
+    await host.run_for(held_s)
     host.budget.may = True
-    await host.run_for(1.0)
+    await host.run_for(0.7)
     assert host.versions == [1]
 
 
--- a/src/cassiaturn/configuration/tests/test_proposal.py
+++ b/src/cassiaturn/configuration/tests/test_proposal.py
@@ -171,3 +171,50 @@
         document_key(4),
         VERSION_KEY,
     ]
+
+
+async def test_a_proposer_that_slept_past_the_kept_documents_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An operator's tool is suspended between its read and its write.
+
+    Meanwhile so many versions pass that the document of its own number is
+    deleted again, so that its insert would succeed. The condition on the version
+    row refuses the write; without it, the version in force would go back.
+    """
+    monkeypatch.setattr(proposal_module, "KEPT_VERSIONS", 2)
+    table = FakeTable()
+    table.lost_before_effect = 1
+
+    async def many_versions_pass(_: float) -> None:
+        for base in range(4):
+            assert (await propose_as(table, "kofi", base=base)).unwrap()
+
+    outcome = await propose(
+        table=table,
+        content=content(),
+        author="ama",
+        expected_version=0,
+        token="ama-0",
+        pause=many_versions_pass,
+    )
+    assert outcome.failure() == Superseded(expected=0, winner=4, author="kofi")
+    assert (await read_current(table)).unwrap().row.version == 4
+
+
+async def test_a_document_that_hosts_may_hold_is_never_replaced() -> None:
+    """The version row was restored from an old copy and names version 1 again.
+
+    Hosts still hold version 2. A new version 2 with another content would count
+    as confirmed on them and never be read, so the proposal is refused.
+    """
+    table = FakeTable()
+    await propose_as(table, "ama", base=0)
+    old = table.rows_by_key[VERSION_KEY].value
+    await propose_as(table, "ama", base=1)
+    table.put(VERSION_KEY, old)
+    outcome = await propose_as(table, "kofi", base=1, quota_slots=99)
+    error = outcome.failure()
+    assert isinstance(error, MalformedRow)
+    assert error.detail == f"names version 1, but {document_key(2)} exists"
+    assert (await read_version(table, 2)).unwrap().author == "ama"
