Add the command line

Cause: operators and the load tool need to start instances, check files, and submit, watch and cancel jobs without writing a program.

--- /dev/null
+++ b/src/cassiaturn/cli/_serve.py
@@ -0,0 +1,46 @@
+"""The command that runs an instance."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from cassiaturn.cli._exit import ExitCode
+
+SettingsOption = Annotated[
+    Path, typer.Option("--settings", help="YAML file of the instance.")
+]
+
+
+def serve(
+    settings: SettingsOption,
+    debug: Annotated[
+        bool, typer.Option(help="Log events of level debug, too.")
+    ] = False,
+) -> None:
+    """Run an instance until SIGTERM, SIGINT or a drain.
+
+    Exit codes: 0 stopped as planned, 2 a file is wrong, 6 an address cannot be
+    listened at, 70 a fault of the program.
+    """
+    from returns.pipeline import is_successful
+
+    from cassiaturn.observability import Event, configure_logging, log_event
+    from cassiaturn.settings import load_instance_settings
+
+    configure_logging(debug=debug)
+    loaded = load_instance_settings(settings)
+    if not is_successful(loaded):
+        for error in loaded.failure().errors:
+            log_event(
+                Event.SETTINGS_INVALID,
+                file=error.file,
+                key=error.key,
+                value=error.value,
+                allowed=error.allowed,
+            )
+        raise typer.Exit(ExitCode.USAGE)
+
+    from cassiaturn.server import run
+
+    raise typer.Exit(run(loaded.unwrap()))
