Make runners serve when their host is made before its loop

Cause: grpclib binds a server to the loop at hand when it is made, so a runner of the stand-in process accepted streams that no loop served, and every session timed out; tests make their host inside the loop and did not show it. Ruled out: frozen answers, the outbox, uvloop. The load tool takes the dispatcher's program and shows reasons and wasted messages.

--- a/src/cassiaturn/load/_commands.py
+++ b/src/cassiaturn/load/_commands.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated
 
@@ -10,7 +11,7 @@
 from returns.result import Failure
 
 from cassiaturn.load._report import to_line, to_lines
-from cassiaturn.load._run import run_scenario
+from cassiaturn.load._run import THIS_PROGRAM, run_scenario
 from cassiaturn.load._scenario import Scenario
 from cassiaturn.load._scenario_file import DEMO_SCENARIO, load_scenario
 
@@ -24,20 +25,26 @@
     typer.Option(help="Empty directory to keep settings, logs and journals in."),
 ]
 
+ProgramOption = Annotated[
+    Path | None,
+    typer.Option(help="Executable of the dispatcher, in place of this one."),
+]
+
 
 @app.command()
 def run(
     scenario: Annotated[Path, typer.Argument(help="YAML file with the scenario.")],
     keep: KeepOption = None,
+    program: ProgramOption = None,
 ) -> None:
     """Run one scenario; exit code 1: a promise was broken, 2: invalid file."""
-    _run_file(scenario, keep, "scenario_done")
+    _run_file(scenario, keep, program, "scenario_done")
 
 
 @app.command()
-def demo(keep: KeepOption = None) -> None:
+def demo(keep: KeepOption = None, program: ProgramOption = None) -> None:
     """Run both users' requests with a graceful stop and a kill."""
-    _run_file(DEMO_SCENARIO, keep, "demo_done")
+    _run_file(DEMO_SCENARIO, keep, program, "demo_done")
 
 
 @app.command()
@@ -49,17 +56,21 @@
         _load(path)
 
 
-def _run_file(path: Path, keep: Path | None, event: str) -> None:
+def _run_file(path: Path, keep: Path | None, program: Path | None, event: str) -> None:
     scenario = _load(path)
+    command = THIS_PROGRAM if program is None else (str(program),)
     if keep is not None:
-        _run_in(scenario, keep, event)
+        keep.mkdir(parents=True, exist_ok=True)
+        _run_in(scenario, keep, command, event)
         return
     with tempfile.TemporaryDirectory(prefix="cassiaturn-") as directory:
-        _run_in(scenario, Path(directory), event)
+        _run_in(scenario, Path(directory), command, event)
 
 
-def _run_in(scenario: Scenario, directory: Path, event: str) -> None:
-    figures = asyncio.run(run_scenario(scenario, directory))
+def _run_in(
+    scenario: Scenario, directory: Path, program: Sequence[str], event: str
+) -> None:
+    figures = asyncio.run(run_scenario(scenario, directory, program=program))
     for line in to_lines(figures):
         print(line)
     print(to_line(event, figures))
--- a/src/cassiaturn/load/_process.py
+++ b/src/cassiaturn/load/_process.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import sys
 import time
 from collections.abc import Sequence
 from pathlib import Path
@@ -19,7 +18,7 @@
         """Prepare a process; :meth:`start` starts it.
 
         :param name: shown in messages.
-        :param arguments: arguments of the Python interpreter.
+        :param arguments: the program and its arguments.
         :param log: file for its output, appended to.
         """
         self.name = name
@@ -37,7 +36,7 @@
         """Start it."""
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, *self._arguments, stdout=log, stderr=log
+                *self._arguments, stdout=log, stderr=log
             )
 
     def kill(self) -> None:
--- a/src/cassiaturn/load/_report.py
+++ b/src/cassiaturn/load/_report.py
@@ -1,11 +1,12 @@
 """The figures of a run, for programs on one line and for people below it."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
 
-from cassiaturn.entities import Outcome, RequestClass, Schema
+from cassiaturn.entities import Outcome, Reason, RequestClass, Schema
 from cassiaturn.load._answers import CallerAnswer
 from cassiaturn.load._verdict import Verdict
 
@@ -68,13 +69,17 @@
     response_s_by_class: Mapping[RequestClass, Histogram]
     """The same for each request class."""
 
-    wasted_messages: int
-    """Refused starts, and sendings that callers were forced to repeat."""
+    resubmissions: int
+    """Sendings that callers were forced to repeat."""
+
+    answers_by_reason: Mapping[tuple[Outcome, Reason], int]
+    """Answers that are not complete, by outcome and reason."""
 
     @property
     def wasted_messages_per_task(self) -> float:
         """Wasted messages over tasks."""
-        return self.wasted_messages / max(1, self.verdict.tasks)
+        wasted = self.verdict.refused_starts + self.resubmissions
+        return wasted / max(1, self.verdict.tasks)
 
 
 def measure(
@@ -115,7 +120,12 @@
         response_s=response_s,
         ideal_ratio=ideal_ratio,
         response_s_by_class=by_class,
-        wasted_messages=verdict.refused_starts + resubmissions,
+        resubmissions=resubmissions,
+        answers_by_reason=Counter(
+            (answer.answer.outcome, answer.answer.reason)
+            for answer in answers
+            if answer.answer.outcome is not Outcome.COMPLETE
+        ),
     )
 
 
@@ -154,6 +164,15 @@
         )
         name = request_class.name.lower()
         yield f"event=class_histogram class={name} count={histogram.count} {shown}"
+    for (outcome, reason), count in sorted(figures.answers_by_reason.items()):
+        yield (
+            f"event=not_complete outcome={outcome.name.lower()}"
+            f" reason={reason.name.lower()} answers={count}"
+        )
+    yield (
+        f"event=wasted refused_starts={figures.verdict.refused_starts}"
+        f" resubmissions={figures.resubmissions}"
+    )
     for violation in figures.verdict.violations:
         yield f"event=violation detail={violation!r}"
 
--- a/src/cassiaturn/load/_run.py
+++ b/src/cassiaturn/load/_run.py
@@ -1,6 +1,8 @@
 """Runs a scenario from its first process to its figures."""
 
 import asyncio
+import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 from cassiaturn.entities import Schema
@@ -14,21 +16,27 @@
 from cassiaturn.load._verdict import judge, longest_run_s_by_id
 from cassiaturn.standins import JournalEntry, read_journal
 
+THIS_PROGRAM = (sys.executable, "-m", "cassiaturn")
+"""The dispatcher of this installation."""
+
 SETTLING_S = 1.0
 """Pause after the last answer: a start that comes after it is witnessed too."""
 
 
-async def run_scenario(scenario: Scenario, directory: Path) -> Figures:
+async def run_scenario(
+    scenario: Scenario, directory: Path, *, program: Sequence[str] = THIS_PROGRAM
+) -> Figures:
     """Start everything, send the load, cause the faults, end everything, judge.
 
     :param scenario: a checked scenario.
     :param directory: an empty directory for settings, logs and journals.
+    :param program: the dispatcher, to which ``serve`` is added.
     :raises SiteError: a process could not be started.
     """
     layout = plan_layout(scenario, directory)
     write_settings(scenario, layout)
     addresses = [place.address for place in layout.instances]
-    site = Site(layout=layout)
+    site = Site(layout=layout, program=program)
     callers = Callers(addresses=addresses, seed=scenario.seed)
     jobs = plan_jobs(scenario)
     try:
--- a/src/cassiaturn/load/_site.py
+++ b/src/cassiaturn/load/_site.py
@@ -1,6 +1,7 @@
 """A deployment on loopback: its processes, started, hurt and ended."""
 
 import asyncio
+import sys
 from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 
@@ -26,10 +27,11 @@
 class Site:
     """Every process of a run."""
 
-    def __init__(self, *, layout: Layout) -> None:
+    def __init__(self, *, layout: Layout, program: Sequence[str]) -> None:
         """Prepare the processes; :meth:`start` starts them.
 
         :param layout: whose settings files are written.
+        :param program: the dispatcher, to which ``serve`` is added.
         """
         self.layout = layout
         self.platform = self._stand_in("platform", "platform")
@@ -38,7 +40,7 @@
             for host in range(len(layout.control_ports))
         ]
         self.instances = [
-            self._child(place.instance_id, ["cassiaturn", "serve"])
+            self._child(place.instance_id, [*program, "serve"])
             for place in layout.instances
         ]
         self.exit_codes: list[int | None] = []
@@ -125,12 +127,12 @@
         return response.code == HTTPStatus.OK
 
     def _stand_in(self, command: str, name: str) -> ChildProcess:
-        return self._child(name, ["cassiaturn.standins", command])
+        return self._child(name, [sys.executable, "-m", "cassiaturn.standins", command])
 
     def _child(self, name: str, command: Sequence[str]) -> ChildProcess:
         settings = str(self.layout.settings_of(name))
         return ChildProcess(
             name=name,
-            arguments=["-m", *command, "--settings", settings],
+            arguments=[*command, "--settings", settings],
             log=self.layout.log_of(name),
         )
--- a/src/cassiaturn/standins/_runner.py
+++ b/src/cassiaturn/standins/_runner.py
@@ -8,6 +8,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
+from tornado.netutil import bind_sockets
 
 from cassiaturn.entities import TaskKey
 from cassiaturn.standins._fault import RunnerFault
@@ -72,14 +73,16 @@
         self._thawed = asyncio.Event()
         self._thawed.set()
         self._journal = Journal(path=settings.journal) if settings.journal else None
-        self._server = Server([self])
+        self._server: Server | None = None
         self._background: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Open the port and begin to watch leases."""
-        await self._server.start(self._host.host, self.port)
-        sockets = self._server._server.sockets  # type: ignore[union-attr]
+        # The server binds to the loop that runs when it is made.
+        self._server = Server([self])
+        sockets = bind_sockets(self.port, self._host.host)
         self.port = sockets[0].getsockname()[1]
+        await self._server.start(sock=sockets[0])
         self._background = [
             asyncio.create_task(self._watch_leases()),
             asyncio.create_task(self._report_status()),
@@ -93,8 +96,9 @@
             timer.cancel()
         for session in self._sessions.all():
             session.end()
-        self._server.close()
-        await self._server.wait_closed()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
 
     def set_fault(self, fault: RunnerFault) -> None:
         """Show a fault from now on, in place of the one before.
