Estimate a class's wait from the slots that higher classes leave

Cause: at three times the load 29% (kwabena) of the batch jobs that had been admitted missed their deadline, and the work on them was lost: their wait was computed as if all slots drained the batch queue, and the job's own tasks as if all slots ran them. Change: slots that higher classes use are measured; the rest, at least the floor of the class, divides both the backlog and the job.

--- a/src/cassiaturn/policy/_admission.py
+++ b/src/cassiaturn/policy/_admission.py
@@ -20,6 +20,7 @@
 
 from cassiaturn.entities import Reason, RequestClass
 from cassiaturn.policy._run_times import RunTimes
+from cassiaturn.policy._service_rates import ServiceRates
 from cassiaturn.policy._settings import AdmissionSettings
 
 _HASH_RANGE = float(1 << 64)
@@ -203,6 +204,7 @@
     def __init__(self, *, settings: AdmissionSettings) -> None:
         self._settings = settings
         self._run_times = RunTimes(settings=settings)
+        self._rates = ServiceRates()
         self._refusing: set[tuple[str, RequestClass]] = set()
 
     def decide(self, request: AdmissionRequest, load: LoadView) -> Admit | Refuse:
@@ -212,7 +214,9 @@
         :param load: the instance's load.
         """
         settings = self._settings
-        estimate = _estimate(request, load)
+        slots_above = self._rates.slots_above(request.request_class, load.now)
+        least_share = settings.least_share_by_class.get(request.request_class, 1.0)
+        estimate = _estimate(request, load, slots_above, least_share)
         gate = (request.tenant, request.request_class)
         scale = settings.resume if gate in self._refusing else 1.0
         for rule in _rules:
@@ -229,6 +233,7 @@
     ) -> None:
         """Learn from the observed run time of a task, in seconds."""
         self._run_times.observe(method, request_class, run_s)
+        self._rates.observe(request_class, run_s)
 
     def expected_run_s(self, method: str, declared: float) -> float:
         """Return the expected run time of a method, in seconds.
@@ -262,7 +267,9 @@
         return start_s * (1.0 + settings.spread * place)
 
 
-def _estimate(request: AdmissionRequest, load: LoadView) -> _Estimate:
+def _estimate(
+    request: AdmissionRequest, load: LoadView, slots_above: float, least_share: float
+) -> _Estimate:
     slots = load.slots + load.peers_free_slots
     if slots <= 0:
         return _Estimate(wait_s=math.inf, job_s=0.0, is_over_quota=False)
@@ -274,16 +281,22 @@
             ahead_s += queued * load.mean_run_s_by_class.get(
                 request_class, request.expected_run_s
             )
-    free = load.slots - load.busy + load.peers_free_slots
-    wait_s = 0.0 if ahead < free else ahead_s / slots
+    rounds = -(-request.tasks // slots)
+    idle_job_s = rounds * request.expected_run_s
     quota_slots = min(load.tenant_quota_slots, float(slots))
+    is_over_quota = 0.0 < quota_slots < load.tenant_running + load.tenant_queued
+    free = load.slots - load.busy + load.peers_free_slots
+    if ahead < free:
+        return _Estimate(wait_s=0.0, job_s=idle_job_s, is_over_quota=is_over_quota)
+    left = max(slots - slots_above, least_share * slots)
+    wait_s = ahead_s / left
+    job_s = request.tasks * request.expected_run_s / left
     if quota_slots > 0.0:
-        own_wait_s = load.tenant_queued * request.expected_run_s / quota_slots
-        wait_s = min(wait_s, own_wait_s)
-    in_hand = load.tenant_running + load.tenant_queued
-    rounds = -(-request.tasks // slots)
-    return _Estimate(
-        wait_s=wait_s,
-        job_s=rounds * request.expected_run_s,
-        is_over_quota=0.0 < quota_slots < in_hand,
-    )
+        own_slots = quota_slots * left / slots
+        own_s = load.tenant_queued * request.expected_run_s / own_slots
+        own_job_s = request.tasks * request.expected_run_s / own_slots
+        if own_s + own_job_s < wait_s + job_s:
+            wait_s = own_s
+            job_s = own_job_s
+    job_s = max(job_s, idle_job_s)
+    return _Estimate(wait_s=wait_s, job_s=job_s, is_over_quota=is_over_quota)
--- a/src/cassiaturn/policy/_settings.py
+++ b/src/cassiaturn/policy/_settings.py
@@ -54,6 +54,11 @@
     )
     """Longest expected wait accepted whatever the deadline, in seconds."""
 
+    least_share_by_class: Mapping[RequestClass, float] = field(
+        default_factory=_default_floors
+    )
+    """Share of the slots that a class can count on; the floors of the order."""
+
     safety: float = 0.9
     """Share of the deadline that the expected end may take; a ratio."""
 
