Compare ratios with a baseline and list what misses its goal

Change: python -m cassiaturn.bench run and check; refusals counted by reason; spilling no longer asks the queue by task, which its contract excludes.

--- /dev/null
+++ b/src/cassiaturn/bench/__main__.py
@@ -0,0 +1,108 @@
+"""Command line of the decision benchmarks: ``python -m cassiaturn.bench``."""
+
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+import typer
+
+from cassiaturn.bench._check import (
+    BASELINE_PATH,
+    Baseline,
+    load_baseline,
+    ratios_of,
+    regressions,
+    save_baseline,
+)
+from cassiaturn.bench._deployment import DEPLOYMENTS_BY_USER
+from cassiaturn.bench._dispatcher import dispatchers_by_name
+from cassiaturn.bench._scenario import scenarios_by_name
+from cassiaturn.bench._suite import (
+    EXACT,
+    OURS,
+    REFERENCE,
+    ablations,
+    compared_dispatchers,
+    names_of,
+    run_all,
+)
+from cassiaturn.bench._workload import SEED
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
+
+ScenarioOption = Annotated[
+    str | None, typer.Option(help="one scenario; default: every one")
+]
+UserOption = Annotated[str | None, typer.Option(help="one user's site; default: both")]
+
+
+@app.command()
+def run(
+    scenario: ScenarioOption = None,
+    user: UserOption = None,
+    dispatcher: Annotated[
+        str | None, typer.Option(help="one dispatcher; default: ours and baselines")
+    ] = None,
+    ablation: Annotated[
+        bool, typer.Option(help="also run ours with one module off at a time")
+    ] = False,
+) -> None:
+    """Print one key=value line for each result."""
+    dispatchers = [dispatcher] if dispatcher else list(compared_dispatchers())
+    if ablation:
+        dispatchers.extend(ablations())
+    known = {*dispatchers_by_name(), REFERENCE}
+    for name in dispatchers:
+        if name not in known:
+            _fail(f"no dispatcher '{name}'; there are {', '.join(sorted(known))}")
+    for result in run_all(names_of(_users(user), _scenarios(scenario), dispatchers)):
+        typer.echo(result.line())
+
+
+@app.command()
+def check(
+    update: Annotated[
+        bool, typer.Option(help="write the baseline in place of comparing")
+    ] = False,
+    baseline_path: Annotated[
+        Path, typer.Option("--baseline", help="the committed ratios")
+    ] = BASELINE_PATH,
+) -> None:
+    """Rerun with fixed seeds; exit 1 if a ratio is past its bound."""
+    names = names_of(DEPLOYMENTS_BY_USER, scenarios_by_name(), (OURS, EXACT, REFERENCE))
+    measured = ratios_of(run_all(names))
+    if update:
+        ratios = {run: dict(figures) for run, figures in measured.items()}
+        save_baseline(baseline_path, Baseline(seed=SEED, ratios=ratios))
+        typer.echo(f"event=bench_baseline_written path={baseline_path}")
+        return
+    found = regressions(load_baseline(baseline_path), measured)
+    for regression in found:
+        typer.echo(regression.line())
+    typer.echo(f"event=bench_checked runs={len(names)} regressions={len(found)}")
+    if found:
+        raise typer.Exit(1)
+
+
+def _users(user: str | None) -> list[str]:
+    if user is None:
+        return list(DEPLOYMENTS_BY_USER)
+    if user not in DEPLOYMENTS_BY_USER:
+        _fail(f"no user '{user}'; there are {', '.join(DEPLOYMENTS_BY_USER)}")
+    return [user]
+
+
+def _scenarios(scenario: str | None) -> list[str]:
+    if scenario is None:
+        return list(scenarios_by_name())
+    if scenario not in scenarios_by_name():
+        _fail(f"no scenario '{scenario}'; there are {', '.join(scenarios_by_name())}")
+    return [scenario]
+
+
+def _fail(problem: str) -> NoReturn:
+    typer.echo(f"error: {problem}", err=True)
+    raise typer.Exit(2)
+
+
+if __name__ == "__main__":
+    app()
--- a/src/cassiaturn/bench/_instance.py
+++ b/src/cassiaturn/bench/_instance.py
@@ -14,13 +14,13 @@
 from cassiaturn.policy import (
     Admission,
     AdmissionRequest,
-    Admit,
     FairQueue,
     FirstRun,
     LoadView,
     PeerRow,
     Placement,
     QueuedTask,
+    Refuse,
     Retry,
     RetryBudget,
     TargetHealth,
@@ -30,6 +30,9 @@
 )
 
 TICK_S = 0.05
+DEMAND_STEP_S = 0.5
+"""How often an instance counts its tenants' demand and takes its quota parts."""
+
 TASK_RESOURCES = Resources(cpu_millis=1000, memory_mib=512)
 WORKER_CAPACITY = Resources(cpu_millis=16_000, memory_mib=64 * 1024)
 CONNECTIONS = 64
@@ -118,6 +121,8 @@
         self._held_by_key: dict[TaskKey, Held] = {}
         self._held_by_job: dict[str, set[Held]] = defaultdict(set)
         self._running_by_tenant: Counter[str] = Counter()
+        self._demand_by_tenant: Mapping[str, int] = {}
+        self._demand_counted_at = 0.0
 
     def connect(self, instances: Sequence["Instance"]) -> None:
         """Learn of the other instances, and begin to tick."""
@@ -145,8 +150,9 @@
         job = run.job
         now = self._world.loop.now
         expected_s = self._admission.expected_run_s(job.kind.method, job.declared_run_s)
-        if self._modules.admission and not self._admits(run, expected_s):
-            self._world.refuse(run)
+        refusal = self._refusal(run, expected_s)
+        if self._modules.admission and refusal is not None:
+            self._world.refuse(run, refusal.reason)
             return
         for index in range(len(job.run_s)):
             key = TaskKey(job.submission_id, index)
@@ -186,7 +192,7 @@
 
     # Admission
 
-    def _admits(self, run: JobRun, expected_s: float) -> bool:
+    def _refusal(self, run: JobRun, expected_s: float) -> Refuse | None:
         job = run.job
         request = AdmissionRequest(
             submission_id=job.submission_id,
@@ -199,7 +205,7 @@
             deadline_in_s=job.kind.deadline_s,
         )
         decision = self._admission.decide(request, self._load_view(job.tenant))
-        return isinstance(decision, Admit)
+        return decision if isinstance(decision, Refuse) else None
 
     def _load_view(self, tenant: str) -> LoadView:
         slots = self._usable_slots()
@@ -306,24 +312,24 @@
         now = self._world.loop.now
         peers = list(self._peers_by_id.values())
         while True:
-            task = self._queue.peek(now=now, fits=self._is_own)
-            if task is None:
+            task = self._queue.peek(now=now)
+            if task is None or self._held_by_key[task.key].home is not self:
+                # A task that came from a peer is not passed on, or two instances
+                # with old reports would hand it back and forth.
                 return
             peer = self._placement.choose_peer(
                 task, self._expected_wait_s(), peers, now
             )
             if peer is None:
                 return
-            self._queue.pop(now=now, fits=self._is_own)
+            if self._queue.pop(now=now) is not task:
+                raise AssertionError(f"{task.key} was next and is no longer")
             held = self._held_by_key.pop(task.key)
             peer.send()
             other = self._instances_by_id[peer.instance_id]
             held.holder = other
             self._send(MessageKind.FORWARD, other, other._on_spilled, held)
 
-    def _is_own(self, task: QueuedTask) -> bool:
-        return self._held_by_key[task.key].home is self
-
     def _on_spilled(self, held: Held) -> None:
         if held.start.run.outcome is not None:
             return
@@ -509,10 +515,7 @@
             free_slots=max(self._free_slots() - len(self._queue), 0),
             queued=len(self._queue),
             expected_wait_s=self._expected_wait_s(),
-            demand_by_tenant={
-                tenant: running + self._queue.queued_of(tenant)
-                for tenant, running in self._running_by_tenant.items()
-            },
+            demand_by_tenant=self._demand_by_tenant,
         )
 
     def _tick(self) -> None:
@@ -522,7 +525,9 @@
         if self._modules.health:
             for change in self._health.tick(now):
                 self._targets_by_id[change.target_id].allowance = change.allowance
-        self._update_quota_parts()
+        if now - self._demand_counted_at >= DEMAND_STEP_S:
+            self._demand_counted_at = now
+            self._update_quota_parts()
         for instance_id, sent_at in self._sent_at_by_peer.items():
             if now - sent_at >= self._modules.heartbeat_s:
                 peer = self._instances_by_id[instance_id]
@@ -539,16 +544,22 @@
             self.withdraw(run)
 
     def _update_quota_parts(self) -> None:
+        self._demand_by_tenant = {
+            tenant: self._running_by_tenant[tenant] + self._queue.queued_of(tenant)
+            for tenant in self._quotas_by_tenant
+        }
+        demand_by_instance = {
+            **self._demand_by_peer,
+            self.instance_id: self._demand_by_tenant,
+        }
         for tenant, quota in self._quotas_by_tenant.items():
-            demand = {
-                instance: by_tenant.get(tenant, 0)
-                for instance, by_tenant in self._demand_by_peer.items()
-            }
-            own = self._running_by_tenant[tenant] + self._queue.queued_of(tenant)
             self._quota_parts_by_tenant[tenant] = next_quota_part(
                 quota_slots=quota,
                 instance_id=self.instance_id,
-                demand_by_instance={**demand, self.instance_id: own},
+                demand_by_instance={
+                    instance: by_tenant.get(tenant, 0)
+                    for instance, by_tenant in demand_by_instance.items()
+                },
                 current_slots=self._quota_parts_by_tenant[tenant],
             )
 
--- a/src/cassiaturn/bench/_tally.py
+++ b/src/cassiaturn/bench/_tally.py
@@ -10,7 +10,7 @@
 
 from cassiaturn.bench._message import WASTED_KINDS, MessageKind
 from cassiaturn.bench._traffic import Job
-from cassiaturn.entities import Outcome, RequestClass
+from cassiaturn.entities import Outcome, Reason, RequestClass
 
 RATIO_SCALE = 1000
 """Ratios are recorded in thousandths."""
@@ -107,6 +107,9 @@
     outcomes: Counter[Outcome] = field(default_factory=Counter)
     """Jobs answered, by outcome."""
 
+    refusals_by_reason: Counter[Reason] = field(default_factory=Counter)
+    """Jobs refused at the door, by reason."""
+
     tasks_begun: int = 0
     """Starts that a target began."""
 
@@ -146,8 +149,9 @@
         if outcome is Outcome.COMPLETE:
             self._ratios_by_tenant[job.tenant].append(ratio)
 
-    def refused(self, job: Job) -> None:
+    def refused(self, job: Job, reason: Reason) -> None:
         """Count a job that was refused at the door."""
+        self.refusals_by_reason[reason] += 1
         for tally in self._tallies_of(job):
             tally.refused += 1
 
--- a/src/cassiaturn/bench/_world.py
+++ b/src/cassiaturn/bench/_world.py
@@ -10,7 +10,7 @@
 from cassiaturn.bench._scenario import Scenario
 from cassiaturn.bench._tally import Tally
 from cassiaturn.bench._traffic import Job, Tenants
-from cassiaturn.entities import Outcome
+from cassiaturn.entities import Outcome, Reason
 
 
 class World:
@@ -87,9 +87,9 @@
         self.answer(run, Outcome.COMPLETE)
         return True
 
-    def refuse(self, run: JobRun) -> None:
+    def refuse(self, run: JobRun, reason: Reason) -> None:
         """Answer a job "not run" at the door."""
-        self.tally.refused(run.job)
+        self.tally.refused(run.job, reason)
         self.answer(run, Outcome.NOT_RUN)
 
     def answer(self, run: JobRun, outcome: Outcome) -> None:
