--- a/src/cassiaturn/cli/_jobs.py
+++ b/src/cassiaturn/cli/_jobs.py
@@ -3,14 +3,14 @@
 import asyncio
 import json
 import sys
-from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
 
 import typer
 from returns.pipeline import is_successful
 
-from cassiaturn.cli._connection import AddressesOption, read_address
+from cassiaturn.cli._callers import Connection, connect, issue_ticket
+from cassiaturn.cli._connection import AddressesOption
 from cassiaturn.cli._exit import ExitCode
 from cassiaturn.cli._output import JsonOption, fail, print_json
 
@@ -33,6 +33,12 @@
 SchemaOption = Annotated[
     list[Path], typer.Option("--schema", help="Schema file; repeat for several.")
 ]
+ShownMethodOption = Annotated[
+    str, typer.Option("--method", help="Method of the job, to print its replies.")
+]
+ShownSchemaOption = Annotated[
+    list[Path] | None, typer.Option("--schema", help="Schema file of that method.")
+]
 IdArgument = Annotated[str, typer.Argument(help="Id of the submission.")]
 
 
@@ -58,18 +64,13 @@
     Prints one JSON line a task. Exit codes: 0 complete, 2 wrong request, 3
     failed, 4 not run, 5 unknown.
     """
-    from cassiaturn.cli._messages import load_method
-
-    loaded = load_method(schema, method)
-    if not is_successful(loaded):
-        fail(ExitCode.USAGE, loaded.failure())
-    messages = loaded.unwrap()
+    messages = _load_messages(schema, method)
     payloads = messages.encode_lines(tasks)
     if not is_successful(payloads):
         fail(ExitCode.USAGE, payloads.failure())
     answer = asyncio.run(
         _submit(
-            _client(to, tenant, caller),
+            connect(to, tenant, caller),
             method,
             payloads.unwrap(),
             submission_id,
@@ -84,16 +85,21 @@
     to: AddressesOption,
     tenant: TenantOption,
     caller: CallerOption = "cli",
+    method: ShownMethodOption = "",
+    schema: ShownSchemaOption = None,
     as_json: JsonOption = False,
 ) -> None:
     """Show the progress of a job until its answer.
 
+    Without its method and schema, replies are printed in hexadecimal.
+
     Exit codes: those of its answer; 6 no instance answered.
     """
-    answer = asyncio.run(_watch(_client(to, tenant, caller), submission_id))
+    messages = _load_messages(schema or [], method) if method else None
+    answer = asyncio.run(_watch(connect(to, tenant, caller), submission_id))
     if answer is None:
         fail(ExitCode.UNREACHABLE, "no instance told the answer")
-    _finish(answer, as_json=as_json)
+    _finish(answer, as_json=as_json, messages=messages)
 
 
 def collect(
@@ -101,14 +107,19 @@
     to: AddressesOption,
     tenant: TenantOption,
     caller: CallerOption = "cli",
+    method: ShownMethodOption = "",
+    schema: ShownSchemaOption = None,
     as_json: JsonOption = False,
 ) -> None:
     """Print the answer of an earlier submission.
 
+    Without its method and schema, replies are printed in hexadecimal.
+
     Exit codes: those of its answer; 7 it still runs.
     """
-    answer = asyncio.run(_collect(_client(to, tenant, caller), submission_id))
-    _finish(answer, as_json=as_json)
+    messages = _load_messages(schema or [], method) if method else None
+    answer = asyncio.run(_collect(connect(to, tenant, caller), submission_id))
+    _finish(answer, as_json=as_json, messages=messages)
 
 
 def cancel(
@@ -122,8 +133,8 @@
 
     Exit codes: 0 cancelled, 5 unknown, 9 its answer was settled before.
     """
-    client = _client(to, tenant, caller)
-    cancelled, answer = asyncio.run(_cancel(client, submission_id))
+    connection = connect(to, tenant, caller)
+    cancelled, answer = asyncio.run(_cancel(connection, submission_id))
     _print(answer, as_json=as_json)
     if not cancelled:
         settled = _code_of(answer.outcome)
@@ -131,45 +142,53 @@
         raise typer.Exit(ExitCode.UNKNOWN if unknown else ExitCode.REFUSED)
 
 
-def _client(to: list[str], tenant: str, caller: str) -> "Client":
-    from cassiaturn.client import Client
+def _load_messages(schema: list[Path], method: str) -> "MethodMessages":
+    from cassiaturn.cli._messages import load_method
 
-    addresses = [read_address(text) for text in to]
-    return Client(addresses=addresses, tenant=tenant, caller=caller)
+    loaded = load_method(schema, method)
+    if not is_successful(loaded):
+        fail(ExitCode.USAGE, loaded.failure())
+    return loaded.unwrap()
 
 
 async def _submit(
-    client: "Client",
+    connection: Connection,
     method: str,
     payloads: list[bytes],
     submission_id: str | None,
     deadline_s: float,
 ) -> "Answer":
-    async with client:
-        progress = None
-        if submission_id is not None and sys.stderr.isatty():
-            progress = asyncio.create_task(_show_progress(client, submission_id))
+    home = None
+    if submission_id is None:
+        home = await issue_ticket(connection)
+    chosen = submission_id if home is None else home.submission_id
+    async with connection.open() as client:
+        progress = asyncio.create_task(_show_progress(client, chosen))
         try:
             return await client.submit(
-                method, payloads, deadline_s=deadline_s, submission_id=submission_id
+                method,
+                payloads,
+                deadline_s=deadline_s,
+                submission_id=chosen,
+                address=None if home is None else home.address,
             )
         finally:
-            if progress is not None:
-                progress.cancel()
-                with suppress(asyncio.CancelledError):
-                    await progress
+            progress.cancel()
+            await asyncio.gather(progress, return_exceptions=True)
 
 
-async def _show_progress(client: "Client", submission_id: str) -> None:
+async def _show_progress(client: "Client", submission_id: str | None) -> None:
+    if submission_id is None or not sys.stderr.isatty():
+        return
     await asyncio.sleep(WATCH_AFTER_S)
     async for event in client.watch(submission_id):
         _print_progress(event.tasks_done, event.tasks_total)
 
 
-async def _watch(client: "Client", submission_id: str) -> "Answer | None":
+async def _watch(connection: Connection, submission_id: str) -> "Answer | None":
     from cassiaturn.entities import Answer
 
-    async with client:
+    async with connection.open() as client:
         async for event in client.watch(submission_id):
             if event.HasField("answer"):
                 return Answer.from_message(event.answer)
@@ -177,13 +196,13 @@
     return None
 
 
-async def _collect(client: "Client", submission_id: str) -> "Answer":
-    async with client:
+async def _collect(connection: Connection, submission_id: str) -> "Answer":
+    async with connection.open() as client:
         return await client.collect(submission_id)
 
 
-async def _cancel(client: "Client", submission_id: str) -> "tuple[bool, Answer]":
-    async with client:
+async def _cancel(connection: Connection, submission_id: str) -> "tuple[bool, Answer]":
+    async with connection.open() as client:
         return await client.cancel(submission_id)
 
 
@@ -232,20 +251,25 @@
 
 
 def _summary(answer: "Answer") -> str:
+    from cassiaturn.entities import Outcome
+
     parts = [
         f"{answer.submission_id}: {answer.outcome.name.lower()}",
         f"{answer.tasks_done} of {answer.tasks_total} tasks",
     ]
     if answer.reason:
         parts.append(f"reason: {answer.reason.name.lower()}")
-    if answer.ran:
+    if answer.ran and answer.outcome is not Outcome.COMPLETE:
         parts.append(f"ran: {answer.ran.name.lower()}")
     if answer.detail:
         parts.append(answer.detail)
     if answer.result_object:
         parts.append(f"results in the object store: {answer.result_object}")
     if answer.retry_after_ms:
-        parts.append(f"come back in {answer.retry_after_ms} ms with a new id")
+        # What is known not to have run needs a new id; what is unknown must
+        # keep its id, or it could run a second time.
+        which = "a new" if answer.outcome is Outcome.NOT_RUN else "the same"
+        parts.append(f"come back in {answer.retry_after_ms} ms with {which} id")
     return "; ".join(parts)
 
 
--- a/src/cassiaturn/cli/_messages.py
+++ b/src/cassiaturn/cli/_messages.py
@@ -1,5 +1,6 @@
 """Requests and replies of a schema's method as JSON."""
 
+import json
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -49,17 +50,30 @@
         for number, line in enumerate(lines, start=1):
             if not line.strip():
                 continue
-            try:
-                request = json_format.Parse(line, self.request_class())
-            except json_format.ParseError as error:
+            encoded = self._encode(line)
+            if not is_successful(encoded):
                 source = f"line {number}"
-                return Failure(InvalidRequest(source=source, problem=str(error)))
-            payloads.append(request.SerializeToString())
+                return Failure(InvalidRequest(source=source, problem=encoded.failure()))
+            payloads.append(encoded.unwrap())
         if not payloads:
             problem = "holds no task; at least one JSON line is needed"
             return Failure(InvalidRequest(source="input", problem=problem))
         return Success(payloads)
 
+    def _encode(self, line: str) -> Result[bytes, str]:
+        try:
+            document = json.loads(line)
+        except (ValueError, RecursionError) as error:
+            return Failure(f"no JSON: {error}")
+        # The library takes an empty list for an empty message.
+        if not isinstance(document, dict):
+            return Failure("must be a JSON object")
+        try:
+            request = json_format.ParseDict(document, self.request_class())
+        except json_format.ParseError as error:
+            return Failure(str(error))
+        return Success(request.SerializeToString())
+
     def decode_reply(self, content: bytes) -> str:
         """Return a reply as JSON text on one line.
 
--- a/src/cassiaturn/cli/_output.py
+++ b/src/cassiaturn/cli/_output.py
@@ -9,6 +9,9 @@
 
 from cassiaturn.cli._exit import ExitCode
 
+PIPE_WIDTH = 400
+"""Width of a table that goes to a file or another program, in characters."""
+
 JsonOption = Annotated[
     bool, typer.Option("--json", help="Print one JSON document, for programs.")
 ]
@@ -36,14 +39,20 @@
 
     table = Table(title=title, title_justify="left", box=None, pad_edge=False)
     for column in columns:
-        table.add_column(column, no_wrap=True)
+        table.add_column(column, overflow="fold")
     for row in rows:
         table.add_row(*(str(value) for value in row))
-    console = Console(soft_wrap=True, highlight=False, markup=False)
-    if rows:
+    console = Console(highlight=False, markup=False)
+    if not console.is_terminal:
+        # What reads a pipe expects one line a row, however long.
+        console.width = PIPE_WIDTH
+    if not rows:
+        typer.echo(f"{title}: none")
+        return
+    with console.capture() as captured:
         console.print(table)
-    else:
-        console.print(f"{title}: none")
+    for line in captured.get().splitlines():
+        typer.echo(line.rstrip())
 
 
 def fail(code: ExitCode, message: object) -> NoReturn:
