--- a/src/cassiaturn/load/_answers.py
+++ b/src/cassiaturn/load/_answers.py
@@ -1,6 +1,9 @@
 """What a caller got for one sending of a job."""
 
+import json
+from collections.abc import Iterable
 from dataclasses import dataclass
+from pathlib import Path
 
 from cassiaturn.entities import Answer, Outcome, Ran
 from cassiaturn.load._plan import PlannedJob
@@ -36,3 +39,27 @@
             return True
         is_unknown = self.answer.outcome is Outcome.UNKNOWN
         return is_unknown and self.answer.ran is Ran.UNSPECIFIED
+
+
+def write_answers(answers: Iterable[CallerAnswer], path: Path) -> None:
+    """Write what callers got, one JSON object a line, to look at after a run.
+
+    :param answers: every answer.
+    :param path: the file.
+    """
+    with path.open("w") as file:
+        for sending in answers:
+            answer = sending.answer
+            line = {
+                "submission_id": sending.submission_id,
+                "method": sending.job.method,
+                "at_s": round(sending.job.at_s, 3),
+                "instance": sending.job.instance,
+                "is_first": sending.is_first,
+                "response_s": round(sending.response_s, 4),
+                "outcome": answer.outcome.name,
+                "ran": answer.ran.name,
+                "reason": answer.reason.name,
+                "detail": answer.detail,
+            }
+            file.write(json.dumps(line) + "\n")
--- a/src/cassiaturn/load/_callers.py
+++ b/src/cassiaturn/load/_callers.py
@@ -17,13 +17,15 @@
 from cassiaturn.v1.dispatcher_grpc import DispatcherStub
 from cassiaturn.v1.dispatcher_pb2 import IssueTicketsRequest
 
-TICKETS_AT_ONCE = 16
+TICKETS_AT_ONCE = 4
 """Tickets fetched in one call."""
 
 TICKET_TIMEOUT_S = 1.0
 
-TICKET_LIFE_S = 10.0
-"""Tickets kept longer than this are thrown away; instances take them longer."""
+TICKET_LIFE_S = 1.0
+"""Tickets kept longer than this are thrown away, in seconds. Instances take them
+for longer, but under a ticket of a dead home nobody can answer until its
+successor has taken over."""
 
 IDLE_ROUND_TRIPS = 200
 """Round trips that the idle median is taken from."""
--- a/src/cassiaturn/load/_layout.py
+++ b/src/cassiaturn/load/_layout.py
@@ -206,6 +206,7 @@
             "objects_url": platform_url,
             "hosts_url": platform_url,
         },
+        "timings": dict(scenario.deployment.timings),
         "peers": [
             {
                 "instance_id": other.instance_id,
--- a/src/cassiaturn/load/_report.py
+++ b/src/cassiaturn/load/_report.py
@@ -72,6 +72,9 @@
     resubmissions: int
     """Sendings that callers were forced to repeat."""
 
+    exit_codes: Sequence[int | None]
+    """Exit codes of the instances that were asked to end; None: it took too long."""
+
     answers_by_reason: Mapping[tuple[Outcome, Reason], int]
     """Answers that are not complete, by outcome and reason."""
 
@@ -90,6 +93,7 @@
     longest_run_s_by_id: Mapping[str, float],
     round_trip_s: float,
     resubmissions: int,
+    exit_codes: Sequence[int | None],
 ) -> Figures:
     """Return the figures of a run.
 
@@ -103,6 +107,7 @@
     :param longest_run_s_by_id: longest real run of each submission's tasks.
     :param round_trip_s: idle round trip, in seconds.
     :param resubmissions: sendings that callers were forced to repeat.
+    :param exit_codes: how the instances ended that were asked to.
     """
     response_s = Histogram(scale=US_PER_S)
     ideal_ratio = Histogram(scale=RATIO_SCALE)
@@ -121,6 +126,7 @@
         ideal_ratio=ideal_ratio,
         response_s_by_class=by_class,
         resubmissions=resubmissions,
+        exit_codes=exit_codes,
         answers_by_reason=Counter(
             (answer.answer.outcome, answer.answer.reason)
             for answer in answers
@@ -173,6 +179,8 @@
         f"event=wasted refused_starts={figures.verdict.refused_starts}"
         f" resubmissions={figures.resubmissions}"
     )
+    codes = ",".join(str(code) for code in figures.exit_codes)
+    yield f"event=instances_ended exit_codes={codes}"
     for violation in figures.verdict.violations:
         yield f"event=violation detail={violation!r}"
 
--- a/src/cassiaturn/load/_run.py
+++ b/src/cassiaturn/load/_run.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from cassiaturn.entities import Schema
+from cassiaturn.load._answers import write_answers
 from cassiaturn.load._callers import Callers
 from cassiaturn.load._faults import run_faults
 from cassiaturn.load._layout import SCHEMAS, Layout, plan_layout, write_settings
@@ -49,6 +50,7 @@
     finally:
         callers.close()
         await site.stop()
+    write_answers(callers.answers, directory / "answers.jsonl")
     return _figures(site, callers, layout, round_trip_s)
 
 
@@ -72,6 +74,7 @@
         longest_run_s_by_id=longest_run_s_by_id(entries),
         round_trip_s=round_trip_s,
         resubmissions=callers.resubmissions,
+        exit_codes=site.exit_codes,
     )
 
 
--- a/src/cassiaturn/load/_scenario.py
+++ b/src/cassiaturn/load/_scenario.py
@@ -1,5 +1,6 @@
 """Scenarios as data: a deployment, its load and a timed list of faults."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Annotated
@@ -47,6 +48,10 @@
     runners_per_process: Annotated[int, Field(ge=1, le=64)] = 8
     """Runners that a process hosts; 1 where single ones are killed or paused."""
 
+    timings: Mapping[str, Annotated[int, Field(gt=0)]] = field(default_factory=dict)
+    """Timings of the instances that differ from the defaults, in milliseconds;
+    the instances check them."""
+
     store_writes_per_s: PerSecond = 400.0
     """Limit of the table service and object store."""
 
--- a/src/cassiaturn/standins/_runner.py
+++ b/src/cassiaturn/standins/_runner.py
@@ -137,6 +137,10 @@
             raise GRPCError(Status.INVALID_ARGUMENT, "no home given")
         await self._thawed.wait()
         begun = self.table.fence(request.home)
+        for task in begun:
+            task.lease_until_ms = max(
+                task.lease_until_ms, clock_ms() + request.lease_ms
+            )
         reply = pb.FenceReply(
             target_id=self.settings.target_id,
             begun=[task.to_message() for task in begun],
