Take over a dead home's submissions and end calls to it in time

Change: calls overlap after a silence, claims open what they win, fences renew leases, a pause grows with failures in a row.

--- a/src/cassiaturn/client/_client.py
+++ b/src/cassiaturn/client/_client.py
@@ -39,6 +39,11 @@
     longest_pause_s: float = 1.0
     """Longest pause between resubmissions, in seconds."""
 
+    hedge_after_s: float = 2.0
+    """Silence of a call after which the next instance is asked beside it, in
+    seconds: above most jobs, below the time in which a stopped home is given up.
+    Grows with each attempt, so that long jobs cost few messages."""
+
     grace_s: float = 1.0
     """Time after the deadline in which a late final answer is still taken."""
 
@@ -219,33 +224,55 @@
     async def _until_final(
         self, request: pb.SubmitRequest, order: Sequence[Address], deadline: float
     ) -> Answer:
+        """Call one instance after the other until one knows the final answer.
+
+        A call that is silent for long goes on beside the next one: a stopped
+        process keeps its connection open and would hold its caller until the
+        deadline. The id makes the calls idempotent, so they may overlap.
+        """
         answer = _unknown(request.submission_id, "no instance answered in time")
+        give_up = deadline + self._settings.grace_s
         pause = self._settings.resubmit_pause_s
+        calls: set[asyncio.Task[Answer | None]] = set()
         attempt = 0
-        while True:
-            left = deadline + self._settings.grace_s - time.monotonic()
-            if left <= 0:
-                return answer
-            address = order[attempt % len(order)]
-            attempt += 1
-            latest = await self._submit_once(address, request, left)
-            if latest is not None:
-                answer = latest
-            if answer.is_final:
-                return answer
-            self.resubmissions += 1
-            await asyncio.sleep(min(pause * self._random.uniform(0.5, 1.0), left))
-            pause = min(pause * 2, self._settings.longest_pause_s)
+        try:
+            while (left := give_up - time.monotonic()) > 0:
+                call = self._submit_once(order, attempt, request, left)
+                calls.add(asyncio.create_task(call))
+                attempt += 1
+                silence = min(self._settings.hedge_after_s * attempt, left)
+                found, calls = await _next_answer(calls, silence)
+                if found is not None and found.is_final:
+                    return found
+                answer = found or answer
+                self.resubmissions += 1
+                if found is not None or not calls:
+                    await asyncio.sleep(min(self._spread(pause, answer), left))
+                    pause = min(pause * 2, self._settings.longest_pause_s)
+            return answer
+        finally:
+            for call_left in calls:
+                call_left.cancel()
+
+    def _spread(self, pause: float, answer: Answer) -> float:
+        advised = answer.retry_after_ms / 1000
+        return max(advised, pause) * self._random.uniform(0.5, 1.0)
 
     async def _submit_once(
-        self, address: Address, request: pb.SubmitRequest, left: float
+        self,
+        order: Sequence[Address],
+        attempt: int,
+        request: pb.SubmitRequest,
+        left: float,
     ) -> Answer | None:
+        address = order[attempt % len(order)]
         try:
             reply = await self._stub(address).Submit(
                 request, timeout=left, metadata=self._metadata
             )
         except GRPCError as error:
-            if error.status in FATAL_STATUSES:
+            # Of a later attempt it says nothing: an earlier one may have run.
+            if error.status in FATAL_STATUSES and attempt == 0:
                 return Answer(
                     submission_id=request.submission_id,
                     outcome=Outcome.NOT_RUN,
@@ -258,6 +285,22 @@
         return Answer.from_message(reply)
 
 
+async def _next_answer(
+    calls: set["asyncio.Task[Answer | None]"], timeout_s: float
+) -> tuple[Answer | None, set["asyncio.Task[Answer | None]"]]:
+    """Wait for the next call to end.
+
+    :returns: the best answer among those that ended, and the calls still open.
+    """
+    done, open_calls = await asyncio.wait(
+        calls, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    answers = [call.result() for call in done]
+    known = [answer for answer in answers if answer is not None]
+    final = [answer for answer in known if answer.is_final]
+    return next(iter(final or known), None), open_calls
+
+
 def _unknown(submission_id: str, detail: str) -> Answer:
     return Answer(
         submission_id=submission_id,
--- a/src/cassiaturn/engine/_results.py
+++ b/src/cassiaturn/engine/_results.py
@@ -8,7 +8,7 @@
 from cassiaturn.engine._state import State
 from cassiaturn.engine._tables import Job, TaskRecord, TaskState
 from cassiaturn.entities import Reason, TaskKey
-from cassiaturn.policy import FirstRun, Retry
+from cassiaturn.policy import FirstRun, Retry, failure_pause_s
 from cassiaturn.v1 import peer_pb2
 from cassiaturn.v1 import runner_pb2 as pb
 
@@ -39,9 +39,12 @@
     release(state, record)
     if record.state is TaskState.CANCELLED:
         state.records_by_key.pop(record.key, None)
+        state.health.refused(target_id, None, now, key=record.key)
         state.ports.acknowledge(target_id, record.key, record.task.attempt)
         return record
-    state.health.finished(target_id, record.key, record.method.name, run_s, ok, now)
+    seen_s = now - record.sent_at
+    state.health.finished(target_id, record.key, record.method.name, seen_s, ok, now)
+    _pace_failures(state, target_id, ok, now)
     _charge(state, record, run_s)
     if record.origin is not None:
         return_result(state, record, result, now)
@@ -61,7 +64,7 @@
         return
     release(state, record)
     state.counters.refused_starts += 1
-    state.health.refused(target_id, refusal.reason, now)
+    state.health.refused(target_id, refusal.reason, now, key=record.key)
     _mark_target(state, target_id, refusal.reason, now)
     if record.state is TaskState.CANCELLED:
         state.records_by_key.pop(record.key, None)
@@ -222,6 +225,17 @@
     state.delay(record, now + decision.delay_s)
 
 
+def _pace_failures(state: State, target_id: str, ok: bool, now: float) -> None:
+    failures = state.failures_in_row_by_target
+    if ok:
+        failures.pop(target_id, None)
+        return
+    failures[target_id] += 1
+    pause_s = failure_pause_s(failures[target_id])
+    if pause_s:
+        state.blocked_until_by_target[target_id] = now + pause_s
+
+
 def _mark_target(state: State, target_id: str, reason: int, now: float) -> None:
     target = state.targets_by_id.get(target_id)
     if target is None:
--- a/src/cassiaturn/engine/_state.py
+++ b/src/cassiaturn/engine/_state.py
@@ -71,6 +71,7 @@
         """Running and queued tasks of each tenant, by reporting incarnation."""
         self.draining = False
         """True during a planned stop: nothing new is taken."""
+        self.failures_in_row_by_target: Counter[str] = Counter()
         self.blocked_until_by_target: dict[str, float] = {}
         self.quota_share_by_tenant: dict[str, float] = {}
         self.mean_run_s_by_class: dict[RequestClass, float] = dict.fromkeys(
--- a/src/cassiaturn/policy/__init__.py
+++ b/src/cassiaturn/policy/__init__.py
@@ -7,6 +7,7 @@
     LoadView,
     Refuse,
 )
+from cassiaturn.policy._failure_pause import failure_pause_s
 from cassiaturn.policy._fair_queue import FairQueue
 from cassiaturn.policy._health import HealthChange, HealthState, TargetHealth
 from cassiaturn.policy._placement import PeerRow, Placement
@@ -48,6 +49,7 @@
     "TargetHealth",
     "TargetRow",
     "choose_target",
+    "failure_pause_s",
     "next_quota_part",
     "split_quota",
 ]
--- a/src/cassiaturn/server/_homes.py
+++ b/src/cassiaturn/server/_homes.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cassiaturn.engine import State, Submission, cancel, dispatch, pending, submit
 from cassiaturn.entities import Answer, Outcome, Ran, Reason
@@ -32,6 +32,9 @@
 LONGEST_WAIT_S = 3600.0
 """Wait for a submission whose caller set no deadline, in seconds."""
 
+SHORTEST_S = 0.001
+"""Deadline of a submission whose time ran out while its id was claimed."""
+
 UNKNOWN_RETRY_MS = 200
 """Advice with ``UNKNOWN``: a fence of every target takes about as long."""
 
@@ -70,6 +73,7 @@
         self._successor = successor
         self._me = state.settings.incarnation
         self.ticket_valid_ms = ticket_valid_ms
+        self._openings: set[asyncio.Task[str | Answer]] = set()
 
     def issue_ticket(self) -> str:
         """Return a submission id that names this instance."""
@@ -77,8 +81,12 @@
 
     async def submit(self, submission: Submission, *, hops: int = 0) -> Answer:
         """Return the answer of a submission, from its home."""
-        home = await self._home_of(submission.submission_id)
+        home = self._ticket_home(submission.submission_id)
+        if home is None:
+            home = await self._own_id_home(submission)
         if isinstance(home, Answer):
+            if home.outcome is Outcome.PENDING:
+                return await self._ports.wait(submission.submission_id)
             return home
         if home == self._me:
             return await self._submit_here(submission)
@@ -173,8 +181,8 @@
                 )
             await asyncio.sleep(WATCH_PERIOD_S)
 
-    async def _home_of(self, submission_id: str) -> str | Answer:
-        """Return the home of a submission, claiming a caller's own id."""
+    def _ticket_home(self, submission_id: str) -> str | Answer | None:
+        """Return the home that a ticket names; None for a caller's own id."""
         match parse_ticket(submission_id):
             case Ticket(home=home):
                 return home
@@ -187,9 +195,32 @@
             return _invalid(submission_id, f"its length is wrong; {allowed}")
         if self._state.submissions.get(submission_id) is not None:
             return self._me
+        return None
+
+    async def _own_id_home(self, submission: Submission) -> str | Answer:
+        """Claim a caller's own id; an id that becomes ours is opened at once.
+
+        The claim goes on when the caller hangs up. Otherwise a claim that
+        succeeds unseen would leave an id that nobody may ever open.
+        """
+        opening = asyncio.create_task(self._claim_and_open(submission))
+        self._openings.add(opening)
+        opening.add_done_callback(self._openings.discard)
+        wait_s = submission.deadline_s or LONGEST_WAIT_S
+        done, _ = await asyncio.wait({opening}, timeout=wait_s)
+        if not done:
+            return _store_unreachable(submission.submission_id)
+        return opening.result()
+
+    async def _claim_and_open(self, submission: Submission) -> str | Answer:
+        submission_id = submission.submission_id
+        began = time.monotonic()
         match await self._claims.claim(submission_id):
             case ClaimMine():
-                return self._me
+                left_s = submission.deadline_s - (time.monotonic() - began)
+                if submission.deadline_s:
+                    submission = replace(submission, deadline_s=max(left_s, SHORTEST_S))
+                return self._open(submission)
             case ClaimTaken(home=home):
                 if home == self._me:
                     return self._own_row(submission_id)
@@ -199,13 +230,9 @@
 
     async def _known_home(self, submission_id: str) -> str | Answer:
         """Return the home of a submission without claiming it."""
-        match parse_ticket(submission_id):
-            case Ticket(home=home):
-                return home
-            case MalformedTicket(problem=problem):
-                return _invalid(submission_id, problem)
-            case _:
-                pass
+        home = self._ticket_home(submission_id)
+        if home is not None:
+            return home
         if self._state.submissions.get(submission_id) is not None:
             return self._me
         found = await self._claims.look_up(submission_id)
@@ -218,10 +245,14 @@
             return self._me
         return self._state.submissions.forgotten_answer(submission_id)
 
-    async def _submit_here(self, submission: Submission) -> Answer:
+    def _open(self, submission: Submission) -> Answer:
         now = time.monotonic()
         answer = submit(self._state, submission, now)
         dispatch(self._state, now)
+        return answer
+
+    async def _submit_here(self, submission: Submission) -> Answer:
+        answer = self._open(submission)
         if answer.outcome is not Outcome.PENDING:
             return answer
         return await self._ports.wait(submission.submission_id)
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -72,6 +72,9 @@
         self._connect_timeout_s = connect_timeout_s
         self._dialers_by_instance: dict[str, asyncio.Task[None]] = {}
         self._channels_by_instance: dict[str, Channel] = {}
+        self._calls_by_incarnation: dict[
+            str, set[asyncio.Task[peer_pb2.ForwardReply]]
+        ] = {}
         self._ended: set[str] = set()
 
     def know(self, instance_id: str, address: Address) -> None:
@@ -113,13 +116,30 @@
         channel = self._channel_to(instance_id)
         if channel is None:
             return None
+        call = asyncio.create_task(
+            PeerStub(channel).Forward(request, timeout=timeout_s + FORWARD_GRACE_S)
+        )
+        calls = self._calls_by_incarnation.setdefault(incarnation, set())
+        calls.add(call)
         try:
-            return await PeerStub(channel).Forward(
-                request, timeout=timeout_s + FORWARD_GRACE_S
-            )
+            return await call
         except FORWARD_ERRORS:
             self._membership.disconnected(incarnation, time.monotonic())
             return None
+        except asyncio.CancelledError:
+            # Either the caller hung up or the other instance was given up.
+            if call.cancelled() and incarnation not in self._calls_by_incarnation:
+                return None
+            call.cancel()
+            raise
+        finally:
+            calls.discard(call)
+
+    def _give_up_calls(self, incarnation: str) -> None:
+        # A stopped process keeps its connections open: its callers would wait
+        # until their deadlines although a successor can answer by now.
+        for call in self._calls_by_incarnation.pop(incarnation, set()):
+            call.cancel()
 
     async def fetch_configuration(self, version: int) -> str | None:
         """Return the shared configuration of a member that told a version."""
@@ -236,6 +256,7 @@
             self._ended.add(change.incarnation)
         if change.after is MemberState.GONE or change.superseded_by:
             on_peer_gone(self._state, change.incarnation, now)
+            self._give_up_calls(change.incarnation)
         else:
             ready = change.after is MemberState.READY
             self._set_ready(change.incarnation, ready)
--- a/src/cassiaturn/server/_successor.py
+++ b/src/cassiaturn/server/_successor.py
@@ -42,6 +42,11 @@
 FENCE_TIMEOUT_S = 1.0
 """Longest wait for a target's answer to a fence, in seconds."""
 
+RENEW_MS = 2_000
+"""Lease that each fence gives to the dead home's running tasks. Nobody else
+renews them: without it a task longer than the rest of its lease would be stopped
+while its result is awaited. Well above the time between two fences."""
+
 UNKNOWN_WAIT_S = 1.5
 """How long a caller waits for fences that may still settle its answer."""
 
@@ -206,7 +211,12 @@
 
     async def _fence(self, due: FenceDue) -> None:
         address = self._addresses_by_target()[due.target_id]
-        result = await fence(address=address, home=due.dead, timeout_s=FENCE_TIMEOUT_S)
+        result = await fence(
+            address=address,
+            home=due.dead,
+            timeout_s=FENCE_TIMEOUT_S,
+            lease_ms=RENEW_MS,
+        )
         now = time.monotonic()
         match result:
             case Success(reply):
--- a/src/cassiaturn/standins/_runner.py
+++ b/src/cassiaturn/standins/_runner.py
@@ -136,7 +136,9 @@
         if request is None or not request.home:
             raise GRPCError(Status.INVALID_ARGUMENT, "no home given")
         await self._thawed.wait()
-        begun = self.table.fence(request.home)
+        begun = self.table.fence(
+            request.home, lease_ms=request.lease_ms, now_ms=clock_ms()
+        )
         for task in begun:
             task.lease_until_ms = max(
                 task.lease_until_ms, clock_ms() + request.lease_ms
--- a/src/cassiaturn/targets/_fence.py
+++ b/src/cassiaturn/targets/_fence.py
@@ -11,7 +11,7 @@
 
 
 async def fence(
-    *, address: Address, home: str, timeout_s: float
+    *, address: Address, home: str, timeout_s: float, lease_ms: int = 0
 ) -> Result[FenceReply, TargetError]:
     """Have a target refuse later starts of a home and tell what it began.
 
@@ -20,13 +20,18 @@
 
     :param address: the target.
     :param home: incarnation to shut out.
+    :param lease_ms: extends the leases of its running tasks, in milliseconds.
     :param timeout_s: longest wait for the reply, in seconds.
     :returns: what the target began for that home, or why it gave no answer.
     """
     channel = Channel(address.host, address.port)
     try:
         stub = RunnerStub(channel)
-        return Success(await stub.Fence(FenceRequest(home=home), timeout=timeout_s))
+        return Success(
+            await stub.Fence(
+                FenceRequest(home=home, lease_ms=lease_ms), timeout=timeout_s
+            )
+        )
     except TimeoutError:
         return _failure(TargetProblem.TIMEOUT, f"no reply within {timeout_s} s")
     except GRPCError as error:
