Let a fence extend leases, and start runners before instances

Change: runners get a head start of 2 s; the stand-in extends the leases of a fenced home's running tasks when asked.

--- a/src/cassiaturn/load/_site.py
+++ b/src/cassiaturn/load/_site.py
@@ -15,6 +15,10 @@
 READY_TIMEOUT_S = 30.0
 """Longest wait for every process to be ready."""
 
+HEAD_START_S = 2.0
+"""How much older runners are than instances. A successor takes a runner's word
+that it began nothing only if the runner is surely older than the dead home."""
+
 READY_POLL_S = 0.1
 
 CONTROL_TIMEOUT_S = 2.0
@@ -53,6 +57,7 @@
         """
         for child in [self.platform, *self.runner_hosts]:
             await child.start()
+        await asyncio.sleep(HEAD_START_S)
         for child in self.instances:
             await child.start()
         async with asyncio.timeout(READY_TIMEOUT_S):
--- a/src/cassiaturn/standins/_task_table.py
+++ b/src/cassiaturn/standins/_task_table.py
@@ -232,14 +232,21 @@
             if task.holder == holder and not task.forget_at_ms:
                 yield task
 
-    def fence(self, home: str) -> list[BegunTask]:
+    def fence(self, home: str, *, lease_ms: int, now_ms: int) -> list[BegunTask]:
         """Refuse later starts of a home, and list what it began here.
 
         :param home: incarnation that is dead or given up.
+        :param lease_ms: how long its running tasks may go on at least.
+        :param now_ms: the runner's clock.
         :returns: every task of that home that is still known.
         """
         self.fenced_homes.add(home)
-        return [task for task in self._all_tasks() if task.home == home]
+        begun = [task for task in self._all_tasks() if task.home == home]
+        for task in begun:
+            # Nobody renews the leases of a dead home; its successor may want
+            # the result of what still runs.
+            task.lease_until_ms = max(task.lease_until_ms, now_ms + lease_ms)
+        return begun
 
     def is_exhaustive_for(self, home: str) -> bool:
         """Whether no task of a home was forgotten too early.
--- a/src/cassiaturn/standins/tests/test_task_table.py
+++ b/src/cassiaturn/standins/tests/test_task_table.py
@@ -93,9 +93,12 @@
     run_to_end(table, start(key=TaskKey("ended", 0)))
     begin(table, start(key=TaskKey("running", 0)))
     begin(table, start(key=TaskKey("other", 0), home="other"))
-    begun = {task.key.submission_id: task.status for task in table.fence("home")}
+    fenced = table.fence("home", lease_ms=2 * LEASE_MS, now_ms=NOW_MS)
+    begun = {task.key.submission_id: task.status for task in fenced}
     assert begun == {"ended": RunStatus.DONE, "running": RunStatus.RUNNING}
     assert table.is_exhaustive_for("home")
+    lapsed = table.lapsed(now_ms=NOW_MS + 2 * LEASE_MS)
+    assert [task.key.submission_id for task in lapsed] == ["other"]
 
 
 def test_forgetting_too_early_makes_the_fence_inexhaustive() -> None:
