--- a/src/cassiaturn/bench/__main__.py
+++ b/src/cassiaturn/bench/__main__.py
@@ -13,10 +13,13 @@
     regressions,
     save_baseline,
 )
+from cassiaturn.bench._cost import costs, slope_line
 from cassiaturn.bench._deployment import DEPLOYMENTS_BY_USER
 from cassiaturn.bench._dispatcher import dispatchers_by_name
+from cassiaturn.bench._plot import PLOTS_PATH, plot_scenario
 from cassiaturn.bench._scenario import scenarios_by_name
 from cassiaturn.bench._suite import (
+    BASELINES,
     EXACT,
     OURS,
     REFERENCE,
@@ -83,6 +86,32 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def plot(
+    directory: Annotated[Path, typer.Option(help="where pictures go")] = PLOTS_PATH,
+    scenario: ScenarioOption = None,
+    user: UserOption = None,
+) -> None:
+    """Write one picture a scenario and user, ours against bound and baselines."""
+    shown = (OURS, EXACT, *BASELINES)
+    names = names_of(_users(user), _scenarios(scenario), shown)
+    results = list(run_all(names))
+    for first in range(0, len(results), len(shown)):
+        group = results[first : first + len(shown)]
+        name = group[0].name
+        path = plot_scenario(name.user, name.scenario, group, directory)
+        typer.echo(f"event=bench_plot_written path={path}")
+
+
+@app.command()
+def cost() -> None:
+    """Print nanoseconds for each decision, and its slope."""
+    for measured in costs():
+        for item in measured:
+            typer.echo(item.line())
+        typer.echo(slope_line(measured))
+
+
 def _users(user: str | None) -> list[str]:
     if user is None:
         return list(DEPLOYMENTS_BY_USER)
--- a/src/cassiaturn/bench/_run.py
+++ b/src/cassiaturn/bench/_run.py
@@ -38,7 +38,7 @@
 ) -> Tally:
     """Return what the callers of given jobs received.
 
-    :raises AssertionError: a job got no outcome.
+    :raises AssertionError: a job got no outcome, or a slot was not given back.
     """
     world = World(
         deployment=deployment,
@@ -54,6 +54,9 @@
     world.loop.run(until=scenario.until_s + DRAIN_S)
     if world.unanswered:
         raise AssertionError(f"{world.unanswered} jobs have no outcome")
+    held = sum(runner.in_use for runner in world.runners)
+    if held:
+        raise AssertionError(f"{held} slots are held after every job was answered")
     world.tally.tasks_begun = sum(runner.begun for runner in world.runners)
     world.tally.started_twice = sum(runner.started_twice for runner in world.runners)
     return world.tally
