Take a new ticket when an instance, not the request, is the reason

Change: tickets of a lost address are dropped, a ticket that was never sent is replaced at once, and a true not run for drain or takeover is submitted again under a new ticket; the engine spills only what its peek returned. Times: suspicion 2.5 s, gone 4 s, lease 8 s.

--- a/src/cassiaturn/client/_client.py
+++ b/src/cassiaturn/client/_client.py
@@ -12,7 +12,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from cassiaturn.client._metadata import CALLER_KEY, TENANT_KEY
-from cassiaturn.entities import Address, Answer, Outcome, Reason
+from cassiaturn.entities import Address, Answer, Outcome, Ran, Reason
 from cassiaturn.v1 import dispatcher_pb2 as pb
 from cassiaturn.v1.dispatcher_grpc import DispatcherStub
 
@@ -25,6 +25,10 @@
 """Statuses that a second try cannot mend."""
 
 
+NEW_TICKET = frozenset({Reason.DRAINING, Reason.SUPERSEDED, Reason.HOME_UNREACHABLE})
+"""Reasons of "not run" that concern an instance and not the request."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientSettings:
     """How a client fetches tickets and resubmits."""
@@ -81,6 +85,9 @@
         }
         self._metadata = {TENANT_KEY: tenant, CALLER_KEY: caller}
         self.resubmissions = 0
+        """Calls beyond the first for one id."""
+        self.renewals = 0
+        """Requests submitted again under a new ticket, after a true "not run"."""
 
     def close(self) -> None:
         """Close every connection; calls in flight end with an error."""
@@ -119,15 +126,20 @@
         """
         deadline = time.monotonic() + deadline_s
         order = self._order(address)
-        if submission_id is None:
-            submission_id, order = await self._take_ticket(order, deadline)
-        request = pb.SubmitRequest(
-            submission_id=submission_id,
-            method=method,
-            tasks=tasks,
-            deadline_ms=max(1, int(deadline_s * 1000)),
-        )
-        return await self._until_final(request, order, deadline)
+        if submission_id is not None:
+            request = _to_request(submission_id, method, tasks, deadline_s)
+            return await self._until_final(request, order, deadline, is_new=False)
+        while True:
+            ticket, order = await self._take_ticket(order, deadline)
+            left = max(0.001, deadline - time.monotonic())
+            request = _to_request(ticket, method, tasks, left)
+            answer = await self._until_final(request, order, deadline, is_new=True)
+            # Nothing ran and nothing will under this ticket, for a reason that
+            # does not concern the request, so another ticket is no second run.
+            again = answer.outcome is Outcome.NOT_RUN and answer.reason in NEW_TICKET
+            if not again or time.monotonic() >= deadline:
+                return answer
+            self.renewals += 1
 
     async def collect(self, submission_id: str, *, timeout_s: float = 5.0) -> Answer:
         """Return what the instances know of a submission now."""
@@ -222,13 +234,20 @@
         return tickets.popleft() if tickets else None
 
     async def _until_final(
-        self, request: pb.SubmitRequest, order: Sequence[Address], deadline: float
+        self,
+        request: pb.SubmitRequest,
+        order: Sequence[Address],
+        deadline: float,
+        *,
+        is_new: bool,
     ) -> Answer:
         """Call one instance after the other until one knows the final answer.
 
         A call that is silent for long goes on beside the next one: a stopped
         process keeps its connection open and would hold its caller until the
         deadline. The id makes the calls idempotent, so they may overlap.
+
+        :param is_new: whether the id was never sent to any instance before.
         """
         answer = _unknown(request.submission_id, "no instance answered in time")
         give_up = deadline + self._settings.grace_s
@@ -237,7 +256,9 @@
         attempt = 0
         try:
             while (left := give_up - time.monotonic()) > 0:
-                call = self._submit_once(order, attempt, request, left)
+                unsent = is_new and attempt == 0
+                address = order[attempt % len(order)]
+                call = self._submit_once(address, request, left, unsent=unsent)
                 calls.add(asyncio.create_task(call))
                 attempt += 1
                 silence = min(self._settings.hedge_after_s * attempt, left)
@@ -259,30 +280,58 @@
         return max(advised, pause) * self._random.uniform(0.5, 1.0)
 
     async def _submit_once(
-        self,
-        order: Sequence[Address],
-        attempt: int,
-        request: pb.SubmitRequest,
-        left: float,
+        self, address: Address, request: pb.SubmitRequest, left: float, *, unsent: bool
     ) -> Answer | None:
-        address = order[attempt % len(order)]
+        """Call one instance.
+
+        :param unsent: whether no earlier call may have brought the id anywhere,
+            so that an error before sending proves that nothing runs.
+        """
+        stub = self._stub(address)
         try:
-            reply = await self._stub(address).Submit(
-                request, timeout=left, metadata=self._metadata
-            )
+            reply = await stub.Submit(request, timeout=left, metadata=self._metadata)
         except GRPCError as error:
-            # Of a later attempt it says nothing: an earlier one may have run.
-            if error.status in FATAL_STATUSES and attempt == 0:
-                return Answer(
-                    submission_id=request.submission_id,
-                    outcome=Outcome.NOT_RUN,
-                    reason=Reason.INVALID,
-                    detail=error.message or error.status.name,
+            if unsent and error.status in FATAL_STATUSES:
+                return _not_run(
+                    request, Reason.INVALID, error.message or error.status.name
                 )
             return None
+        except ConnectionRefusedError:
+            # Tickets of a process that is gone would each cost a takeover.
+            self._tickets_by_address[address].clear()
+            if unsent:
+                detail = f"nothing listens at {address}"
+                return _not_run(request, Reason.HOME_UNREACHABLE, detail)
+            return None
         except CONNECTION_ERRORS:
+            self._tickets_by_address[address].clear()
             return None
-        return Answer.from_message(reply)
+        answer = Answer.from_message(reply)
+        if answer.reason is Reason.DRAINING:
+            self._tickets_by_address[address].clear()
+        return answer
+
+
+def _to_request(
+    submission_id: str, method: str, tasks: Sequence[bytes], deadline_s: float
+) -> pb.SubmitRequest:
+    return pb.SubmitRequest(
+        submission_id=submission_id,
+        method=method,
+        tasks=tasks,
+        deadline_ms=max(1, int(deadline_s * 1000)),
+    )
+
+
+def _not_run(request: pb.SubmitRequest, reason: Reason, detail: str) -> Answer:
+    return Answer(
+        submission_id=request.submission_id,
+        outcome=Outcome.NOT_RUN,
+        ran=Ran.NOTHING,
+        reason=reason,
+        detail=detail,
+        tasks_total=len(request.tasks),
+    )
 
 
 async def _next_answer(
--- a/src/cassiaturn/engine/_dispatch.py
+++ b/src/cassiaturn/engine/_dispatch.py
@@ -129,19 +129,20 @@
     if not peers:
         return
 
-    def fits(task: QueuedTask) -> bool:
-        return _may_spill(state, task)
-
     while True:
         own_wait_s = expected_wait_s(state)
-        task = state.queue.peek(now=now, fits=fits, blocked_tenants=blocked_tenants)
-        if task is None:
+        task = state.queue.peek(now=now, blocked_tenants=blocked_tenants)
+        # A task that was spilled once is not passed on: two hosts with stale
+        # reports would hand it back and forth until its deadline.
+        if task is None or not _is_own(state, task):
             return
         peer = state.placement.choose_peer(task, own_wait_s, peers, now)
         if peer is None:
             return
-        state.queue.pop(now=now, fits=fits, blocked_tenants=blocked_tenants)
-        record = state.records_by_key.get(task.key)
+        popped = state.queue.pop(now=now, blocked_tenants=blocked_tenants)
+        if popped is None:
+            return
+        record = state.records_by_key.get(popped.key)
         if record is not None and record.state is TaskState.QUEUED:
             _give(state, record, peer, now)
 
@@ -159,9 +160,7 @@
     state.ports.spill(record, within_s=within_s, job_remaining=job.remaining)
 
 
-def _may_spill(state: State, task: QueuedTask) -> bool:
-    # A task that was spilled once is not passed on: two hosts with stale
-    # reports would hand it back and forth until its deadline.
+def _is_own(state: State, task: QueuedTask) -> bool:
     record = state.records_by_key.get(task.key)
     return record is None or record.origin is None
 
--- a/src/cassiaturn/server/_homes.py
+++ b/src/cassiaturn/server/_homes.py
@@ -75,6 +75,11 @@
         self.ticket_valid_ms = ticket_valid_ms
         self._openings: set[asyncio.Task[str | Answer]] = set()
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether a planned stop is under way."""
+        return self._state.draining
+
     def issue_ticket(self) -> str:
         """Return a submission id that names this instance."""
         return self._issuer.issue(time.monotonic())
--- a/src/cassiaturn/settings/_timings.py
+++ b/src/cassiaturn/settings/_timings.py
@@ -15,14 +15,16 @@
     heartbeat_ms: Positive = 1_000
     """Longest silence towards a neighbour before a heartbeat is sent alone."""
 
-    suspect_after_ms: Positive = 3_000
-    """Silence after which a peer gets nothing new: three heartbeats."""
+    suspect_after_ms: Positive = 2_500
+    """Silence after which a peer gets nothing new: two heartbeats and a half."""
 
-    gone_after_ms: Positive = 10_000
-    """Silence after which a peer's submissions may be taken over."""
+    gone_after_ms: Positive = 4_000
+    """Silence after which a peer's submissions may be taken over; leaves a second
+    of a recovery within 5 s for one store write and one round of fences."""
 
-    lease_ms: Positive = 10_000
-    """How long a target runs a task whose lease nobody renews."""
+    lease_ms: Positive = 8_000
+    """How long a target runs a task whose lease nobody renews: long enough that a
+    successor, after gone_after_ms, still finds the tasks of a dead home running."""
 
     start_within_ms: Positive = 2_000
     """How long a start may travel; a later one is refused by the target."""
--- a/src/cassiaturn/settings/tests/test_load.py
+++ b/src/cassiaturn/settings/tests/test_load.py
@@ -68,7 +68,7 @@
         ("limits: {max_job_bytes: yes}", "limits.max_job_bytes", "True", "integer"),
         ("limits: 4", "limits", "4", "max_tasks_per_job"),
         ("timings: {suspect_after_ms: 1500}", "timings", "1500", "at least twice"),
-        ("timings: {gone_after_ms: 3000}", "timings", "3000", "above suspect_after_ms"),
+        ("timings: {gone_after_ms: 2500}", "timings", "2500", "above suspect_after_ms"),
         ("timings: {tick_ms: 1001}", "timings", "1001", "not be above heartbeat_ms"),
         ("timings: {lease_ms: 900}", "timings", "900", "lease_ms must be above"),
         ("limits: {store_writes_per_s: .inf}", "limits.store_writes_per_s", "inf", ""),
