Stop without waiting for idle connections of callers

Change: that wait ends after a second; make demo, bench and dist; addresses that refuse are tried last.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,21 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+demo: $(STAMP)
+	$(BIN)/python -m cassiaturn.load demo
+
+# With SCENARIO=file.yaml, that load on real processes; without, the decision
+# benchmarks in virtual time against the committed baseline.
+bench: $(STAMP)
+ifdef SCENARIO
+	$(BIN)/python -m cassiaturn.load run $(SCENARIO)
+else
+	$(BIN)/python -m cassiaturn.bench check
+endif
+
+dist: $(STAMP)
+	$(BIN)/python tools/dist.py
+
 # Needs requirements-proto.lock installed; its output is committed.
 proto: $(STAMP)
 	$(BIN)/pip install --quiet --requirement requirements-proto.lock
--- a/src/cassiaturn/client/_client.py
+++ b/src/cassiaturn/client/_client.py
@@ -43,6 +43,10 @@
     longest_pause_s: float = 1.0
     """Longest pause between resubmissions, in seconds."""
 
+    avoid_refused_s: float = 2.0
+    """How long an address that refused or broke a connection is tried last, in
+    seconds: about the time of a restart."""
+
     hedge_after_s: float = 2.0
     """Silence of a call after which the next instance is asked beside it, in
     seconds: above most jobs, below the time in which a stopped home is given up.
@@ -83,6 +87,7 @@
         self._tickets_by_address: dict[Address, deque[str]] = {
             address: deque() for address in addresses
         }
+        self._refused_until_by_address: dict[Address, float] = {}
         self._metadata = {TENANT_KEY: tenant, CALLER_KEY: caller}
         self.resubmissions = 0
         """Calls beyond the first for one id."""
@@ -202,7 +207,19 @@
         if first is not None:
             order.remove(first)
             order.insert(0, first)
-        return order
+        # Without a balancer in between, an address that refused connections a
+        # moment ago would cost every call one vain attempt.
+        now = time.monotonic()
+        return sorted(order, key=lambda one: self._refused_until(one) > now)
+
+    def _refused_until(self, address: Address) -> float:
+        return self._refused_until_by_address.get(address, 0.0)
+
+    def _note_refused(self, address: Address) -> None:
+        # Tickets of a process that is gone would each cost a takeover.
+        self._tickets_by_address[address].clear()
+        until = time.monotonic() + self._settings.avoid_refused_s
+        self._refused_until_by_address[address] = until
 
     async def _take_ticket(
         self, order: list[Address], deadline: float
@@ -228,6 +245,9 @@
                 reply = await self._stub(address).IssueTickets(
                     request, timeout=timeout, metadata=self._metadata
                 )
+            except ConnectionRefusedError:
+                self._note_refused(address)
+                return None
             except (GRPCError, *CONNECTION_ERRORS):
                 return None
             tickets.extend(reply.tickets)
@@ -297,14 +317,13 @@
                 )
             return None
         except ConnectionRefusedError:
-            # Tickets of a process that is gone would each cost a takeover.
-            self._tickets_by_address[address].clear()
+            self._note_refused(address)
             if unsent:
                 detail = f"nothing listens at {address}"
                 return _not_run(request, Reason.HOME_UNREACHABLE, detail)
             return None
         except CONNECTION_ERRORS:
-            self._tickets_by_address[address].clear()
+            self._note_refused(address)
             return None
         answer = Answer.from_message(reply)
         if answer.reason is Reason.DRAINING:
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -1,6 +1,7 @@
 """One instance: its tables, its streams and what runs beside them."""
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Coroutine, Sequence
@@ -72,6 +73,9 @@
 LEAVING_NOTICE_S = 0.2
 """Time for peers to hear that we leave before our listening port closes."""
 
+CLOSE_TIMEOUT_S = 1.0
+"""Longest wait for the listening port and its connections, in seconds."""
+
 DRAIN_STEP_S = 0.02
 """Pause between two looks at whether everything has ended, in seconds."""
 
@@ -174,7 +178,11 @@
         await self.targets.close()
         self.platform.close()
         if self._server is not None:
-            await self._server.wait_closed()
+            # Callers keep connections open that nobody uses any more; the loop's
+            # own wait would last until the last of them closes his.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                    await self._server.wait_closed()
 
     def ready(self) -> Ready:
         """Return whether new submissions are taken, and why not."""
