--- a/src/cassiaturn/load/_process.py
+++ b/src/cassiaturn/load/_process.py
@@ -7,8 +7,11 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-END_TIMEOUT_S = 10.0
-"""Wait for a process to end on SIGTERM before it is killed."""
+DRAIN_TIMEOUT_S = 35.0
+"""Wait for a process to end under load: an instance may drain for 30 s."""
+
+IDLE_END_TIMEOUT_S = 10.0
+"""Wait for a process to end that has nothing in flight."""
 
 
 class ChildProcess:
@@ -32,6 +35,11 @@
         """Whether it was started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Its process id; 0 before it was started."""
+        return 0 if self._process is None else self._process.pid
+
     async def start(self) -> None:
         """Start it."""
         with self._log.open("ab") as log:
@@ -52,9 +60,10 @@
         """Let it go on."""
         self._signal(signal.SIGCONT)
 
-    async def stop(self) -> int | None:
+    async def stop(self, *, timeout_s: float = IDLE_END_TIMEOUT_S) -> int | None:
         """Ask it to end and wait.
 
+        :param timeout_s: longest wait, in seconds; then it is killed.
         :returns: its exit code; None where it had to be killed.
         """
         if self._process is None:
@@ -64,7 +73,7 @@
         self._signal(signal.SIGCONT)
         self._signal(signal.SIGTERM)
         try:
-            return await asyncio.wait_for(self._process.wait(), END_TIMEOUT_S)
+            return await asyncio.wait_for(self._process.wait(), timeout_s)
         except TimeoutError:
             self._signal(signal.SIGKILL)
             await self._process.wait()
