--- a/src/cassiaturn/recovery/_decision.py
+++ b/src/cassiaturn/recovery/_decision.py
@@ -100,10 +100,8 @@
     begun, failed                   FailTask(EVERYTHING)         the same
     begun, cancelled                FailTask(SOME)               the same
     begun, running, target in reach AwaitRunning                 AwaitRunning
-    begun, running, target unheard  as "silent target" below     Undetermined
-    begun, lease lapsed, or
-    running on a gone target        as "not begun" below, ground FailTask(SOME)
-                                    EARLIER_RUN_OVER
+    begun, running, target gone     as "not begun" below         Undetermined
+    begun, lease lapsed             as "not begun" below         FailTask(SOME)
     not begun, silent target        RunAfter(over_by), RunNow    Undetermined
                                     once past it; Undetermined
                                     without over_by
@@ -112,6 +110,11 @@
     not begun, all fenced           RunNow(NEVER_BEGUN)          the same
     ==============================  ===========================  =============
 
+    A run on a target that is gone is no failure for sure: the home may have got
+    its result, and told its caller, before the target went. A lapsed lease is one,
+    since its result never existed. Ask again when an awaited run ends without a
+    result: a home that is alive but cut off may start the task elsewhere.
+
     :param repeatable: whether the task may run again.
     :param begun: the best run that any target reported.
     :param fenced_targets: refuse the dead home's starts, and remember every run.
@@ -126,8 +129,6 @@
         settled = _decide_begun(begun, repeatable, fenced_targets, forgetful_targets)
         if settled is not None:
             return settled
-        if begun.target_id in gone_targets and not repeatable:
-            return FailTask(ran=Ran.SOME, reason=Reason.TARGET_LOST)
     silent = tuple(unfenced_targets)
     if not repeatable:
         silent += tuple(forgetful_targets) + tuple(gone_targets)
