--- a/src/cassiaturn/load/_callers.py
+++ b/src/cassiaturn/load/_callers.py
@@ -161,7 +161,7 @@
             if ticket is not None:
                 return ticket
             instance = (instance + 1) % len(self._addresses)
-        return f"no-ticket-{id(job)}"
+        return f"no-ticket-{job.caller}-{job.at_s:.9f}"
 
     async def _send_again(
         self, job: PlannedJob, submission_id: str, after_s: float
--- a/src/cassiaturn/load/_commands.py
+++ b/src/cassiaturn/load/_commands.py
@@ -8,12 +8,17 @@
 from typing import Annotated
 
 import typer
+import uvloop
 from returns.result import Failure
 
 from cassiaturn.load._report import to_line, to_lines
 from cassiaturn.load._run import THIS_PROGRAM, run_scenario
 from cassiaturn.load._scenario import Scenario
 from cassiaturn.load._scenario_file import DEMO_SCENARIO, load_scenario
+from cassiaturn.load._transport import measure_transport
+
+IN_FLIGHT = [1, 8, 64, 512, 2048]
+"""Starts in flight that are measured one after another."""
 
 EXIT_BROKEN_PROMISE = 1
 EXIT_INVALID_SCENARIO = 2
@@ -56,6 +61,20 @@
         _load(path)
 
 
+@app.command()
+def transport(
+    in_flight: Annotated[list[int], typer.Option(min=1, max=100_000)] = IN_FLIGHT,
+    seconds: Annotated[float, typer.Option(min=0.1, max=600.0)] = 3.0,
+) -> None:
+    """Measure one stream from a holder to a runner, a process each."""
+    for count in in_flight:
+        with tempfile.TemporaryDirectory(prefix="cassiaturn-") as directory:
+            figures = uvloop.run(
+                measure_transport(Path(directory), in_flight=count, seconds=seconds)
+            )
+        print(figures.to_line())
+
+
 def _run_file(path: Path, keep: Path | None, program: Path | None, event: str) -> None:
     scenario = _load(path)
     command = THIS_PROGRAM if program is None else (str(program),)
--- a/src/cassiaturn/load/_site.py
+++ b/src/cassiaturn/load/_site.py
@@ -10,7 +10,7 @@
 
 from cassiaturn.load._layout import Layout
 from cassiaturn.load._ports import LOOPBACK
-from cassiaturn.load._process import ChildProcess
+from cassiaturn.load._process import DRAIN_TIMEOUT_S, ChildProcess
 
 READY_TIMEOUT_S = 30.0
 """Longest wait for every process to be ready."""
@@ -24,6 +24,14 @@
 CONTROL_TIMEOUT_S = 2.0
 
 
+def stand_in_command(kind: str) -> Sequence[str]:
+    """Return what starts a stand-in, to which its settings are added.
+
+    :param kind: name of the stand-in's command.
+    """
+    return (sys.executable, "-m", "cassiaturn.standins", kind)
+
+
 class SiteError(Exception):
     """The run cannot go on: a process of it is not as it should be."""
 
@@ -84,7 +92,7 @@
         :param index: the instance.
         """
         child = self.instances[index]
-        self.exit_codes.append(await child.stop())
+        self.exit_codes.append(await child.stop(timeout_s=DRAIN_TIMEOUT_S))
 
     async def stop(self) -> None:
         """End everything, instances first, and note how these ended."""
@@ -132,7 +140,7 @@
         return response.code == HTTPStatus.OK
 
     def _stand_in(self, command: str, name: str) -> ChildProcess:
-        return self._child(name, [sys.executable, "-m", "cassiaturn.standins", command])
+        return self._child(name, stand_in_command(command))
 
     def _child(self, name: str, command: Sequence[str]) -> ChildProcess:
         settings = str(self.layout.settings_of(name))
--- a/src/cassiaturn/load/_verdict.py
+++ b/src/cassiaturn/load/_verdict.py
@@ -72,8 +72,8 @@
         )
 
 
-SHOWN_VIOLATIONS = 20
-"""Lines kept for people; the counts are complete."""
+SHOWN_VIOLATIONS = 5
+"""Lines of each kind kept for people; the counts are complete."""
 
 
 def judge(
@@ -118,6 +118,7 @@
         self._repeatable_by_method = repeatable_by_method
         self._killed_at_us_by_target = killed_at_us_by_target
         self._begun_ids: set[str] = set()
+        self._reported: Counter[str] = Counter()
 
     def hear_runners(self, entries: Iterable[JournalEntry]) -> None:
         entries_by_key: defaultdict[TaskKey, list[JournalEntry]] = defaultdict(list)
@@ -158,7 +159,7 @@
             self.verdict.restarted += 1
             return
         self.verdict.started_twice += 1
-        self._report(f"started twice: {key} on {again.target_id}")
+        self._report("started twice", f"{key} on {again.target_id}")
 
     def _was_killed(self, running: JournalEntry, again: JournalEntry) -> bool:
         kills = self._killed_at_us_by_target.get(running.target_id, ())
@@ -177,7 +178,7 @@
         }
         if len(finals) > 1:
             self.verdict.contradictory += 1
-            self._report(f"contradictory: {sendings[0].submission_id} {finals}")
+            self._report("contradictory", f"{sendings[0].submission_id} {finals}")
         if Outcome.COMPLETE in outcomes:
             self.verdict.complete += 1
         elif Outcome.FAILED in outcomes:
@@ -186,7 +187,7 @@
             self.verdict.not_run += 1
         elif all(sending.is_lost for sending in sendings):
             self.verdict.lost += 1
-            self._report(f"lost: {sendings[0].submission_id}")
+            self._report("lost", f"{sendings[0].submission_id}")
         else:
             self.verdict.unknown += 1
 
@@ -194,22 +195,22 @@
         answer = sending.answer
         if answer.outcome is Outcome.NOT_RUN and submission_id in self._begun_ids:
             self.verdict.false_not_run += 1
-            self._report(f"false not run: {submission_id}")
+            self._report("false not run", f"{submission_id}")
         if answer.submission_id != submission_id:
             self.verdict.foreign += 1
-            self._report(f"foreign: {submission_id} got {answer.submission_id}")
+            self._report("foreign", f"{submission_id} got {answer.submission_id}")
         if answer.outcome is Outcome.COMPLETE:
             self._judge_results(submission_id, sending)
         elif answer.results:
             self.verdict.partial += 1
-            self._report(f"results without completion: {submission_id}")
+            self._report("results without completion", f"{submission_id}")
 
     def _judge_results(self, submission_id: str, sending: CallerAnswer) -> None:
         results = sending.answer.results
         payloads = sending.job.payloads
         if len(results) != len(payloads) and not sending.answer.result_object:
             self.verdict.partial += 1
-            self._report(f"partial: {submission_id}")
+            self._report("partial", f"{submission_id}")
             return
         expected = [
             reply_to(
@@ -221,11 +222,12 @@
         ]
         if results and list(results) != expected:
             self.verdict.foreign += 1
-            self._report(f"foreign result: {submission_id}")
+            self._report("foreign result", f"{submission_id}")
 
-    def _report(self, line: str) -> None:
-        if len(self.verdict.violations) < SHOWN_VIOLATIONS:
-            self.verdict.violations.append(line)
+    def _report(self, kind: str, detail: str) -> None:
+        self._reported[kind] += 1
+        if self._reported[kind] <= SHOWN_VIOLATIONS:
+            self.verdict.violations.append(f"{kind}: {detail}")
 
 
 def longest_run_s_by_id(entries: Iterable[JournalEntry]) -> Mapping[str, float]:
--- a/src/cassiaturn/targets/_session.py
+++ b/src/cassiaturn/targets/_session.py
@@ -9,6 +9,7 @@
 
 from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from h2.exceptions import H2Error
 
 from cassiaturn.entities import Address
 from cassiaturn.observability import Event, log_event
@@ -26,7 +27,14 @@
 SILENCE_TIMEOUT_S = 5.0
 """A runner sends a frame at least every second; five missed ones are a loss."""
 
-_LOST = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
+_LOST = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    H2Error,
+)
 
 _RunnerStream = Stream[ToRunner, FromRunner]
 
