Accept a dead home's submission once in the life of its successor

Cause: a successor that forgot a row after its retention and got the same submission again decided it anew; it asks targets about the dead home's runs only, so it would start again what it had run itself. Found while the scheduler was laid out; the model now has a scenario for it. Change: ids adopted are remembered, bounded; results in memory became a module of their own; one function reads the start time of an incarnation.

--- a/src/cassiaturn/membership/_table.py
+++ b/src/cassiaturn/membership/_table.py
@@ -19,7 +19,7 @@
     MemberState,
 )
 from cassiaturn.membership._settings import MembershipSettings
-from cassiaturn.submission import boot_ms_of, instance_of
+from cassiaturn.submission import booted_ms, instance_of
 
 
 class MembershipTable:
@@ -286,7 +286,7 @@
 
     def _replace(self, row: MemberRow, facts: MemberFacts) -> None:
         old = row.facts.incarnation
-        later = boot_ms_of(facts.incarnation) > boot_ms_of(old)
+        later = booted_ms(facts.incarnation) > booted_ms(old)
         self._ids_by_incarnation.pop(old, None)
         self._links = None
         row.sent_at = None
@@ -345,7 +345,7 @@
     life has the lower start time, and is accepted once the known one is gone.
     """
     known = row.facts.incarnation
-    return row.gone_at is not None or boot_ms_of(incarnation) > boot_ms_of(known)
+    return row.gone_at is not None or booted_ms(incarnation) > booted_ms(known)
 
 
 def _silent_since(row: MemberRow) -> float | None:
--- a/src/cassiaturn/model/_faults.py
+++ b/src/cassiaturn/model/_faults.py
@@ -132,6 +132,8 @@
     for number, instance in enumerate(state.instances):
         if not instance.alive or not instance.line or instance.record:
             continue
+        if rules.expiry and instance.forgot:
+            continue
         tasks = range(scenario.tasks)
         decided = [_decide(state, instance, task, scenario) for task in tasks]
         any_begun = any(any(seen.begun) for seen in instance.seen if seen is not None)
--- a/src/cassiaturn/model/_scenarios.py
+++ b/src/cassiaturn/model/_scenarios.py
@@ -57,6 +57,18 @@
         budget=_QUIET._replace(target_losses=1),
     ),
     _TWO._replace(name="home_forgets", budget=_QUIET._replace(submits=3, forgets=1)),
+    _TWO._replace(
+        name="successor_forgets",
+        tasks=2,
+        budget=_STILL._replace(submits=3, forgets=1),
+        begin_with=(
+            "0 opens its ticket",
+            "submitted to 1",
+            "0 sends task 0 to target 0",
+            "task 0 of 0 at target 0: begins",
+            "1 succeeds 0",
+        ),
+    ),
     _TWO._replace(
         name="claim_answer_lost",
         bare_id=True,
--- a/src/cassiaturn/submission/__init__.py
+++ b/src/cassiaturn/submission/__init__.py
@@ -14,7 +14,6 @@
 from cassiaturn.submission._claims import ClaimLedger
 from cassiaturn.submission._incarnation import (
     booted_ms,
-    boot_ms_of,
     instance_of,
     is_incarnation,
     new_incarnation,
@@ -75,7 +74,6 @@
     "SubmissionTable",
     "Ticket",
     "TicketIssuer",
-    "boot_ms_of",
     "booted_ms",
     "claim_key",
     "fingerprint_of",
--- a/src/cassiaturn/submission/_incarnation.py
+++ b/src/cassiaturn/submission/_incarnation.py
@@ -37,15 +37,6 @@
     return incarnation
 
 
-def booted_ms(incarnation: str) -> int:
-    """Return the wall clock at the start of an incarnation, in milliseconds.
-
-    :param incarnation: one that :func:`new_incarnation` made.
-    """
-    drawn = incarnation.rpartition(INCARNATION_MARK)[2]
-    return int(drawn[: -_RANDOM_BITS // 4], 16)
-
-
 def is_incarnation(text: str) -> bool:
     """Whether a text has the form that :func:`new_incarnation` gives."""
     return _INCARNATION.fullmatch(text) is not None
@@ -59,10 +50,10 @@
     return incarnation.partition(INCARNATION_MARK)[0]
 
 
-def boot_ms_of(incarnation: str) -> int:
+def booted_ms(incarnation: str) -> int:
     """Return the wall clock at the start of an incarnation, in milliseconds.
 
-    Use it only to order the lives of one instance.
+    Use it to order the lives of one instance; clocks of two hosts differ.
 
     :param incarnation: a text of :func:`new_incarnation`; any other gives 0.
     """
--- a/src/cassiaturn/submission/_settings.py
+++ b/src/cassiaturn/submission/_settings.py
@@ -22,6 +22,9 @@
     max_records: int = 100_000
     """Records of running and settled submissions together."""
 
+    max_adopted: int = 20_000
+    """Submissions of dead homes accepted in the life of an incarnation."""
+
     max_result_bytes: int = 64 * _MIB
     """Results kept in memory; beyond it new submissions are refused."""
 
--- a/src/cassiaturn/submission/_table.py
+++ b/src/cassiaturn/submission/_table.py
@@ -13,8 +13,6 @@
 from dataclasses import replace
 from types import MappingProxyType
 
-import xxhash
-
 from cassiaturn.entities import Answer, Outcome, Ran, Reason
 from cassiaturn.submission._invariant import InvariantError
 from cassiaturn.submission._record import (
@@ -27,6 +25,7 @@
     Settled,
     SubmissionRecord,
 )
+from cassiaturn.submission._retained import RetainedResults
 from cassiaturn.submission._settings import SubmissionSettings
 from cassiaturn.submission._ticket import MalformedTicket, Ticket, parse_ticket
 
@@ -46,9 +45,8 @@
         self._settings = settings
         self._records_by_id: dict[str, SubmissionRecord] = {}
         self._settled_by_id: dict[str, SubmissionRecord] = {}
-        self._to_offload_by_id: dict[str, SubmissionRecord] = {}
-        self._result_bytes = 0
-        self._offloading_bytes = 0
+        self._retained = RetainedResults(incarnation=incarnation, settings=settings)
+        self._adopted_ids: set[str] = set()
         self._forgotten_ms = -1
         self._refused_ms = -1
 
@@ -60,7 +58,7 @@
     @property
     def result_bytes(self) -> int:
         """Bytes of results in memory."""
-        return self._result_bytes
+        return self._retained.total_bytes
 
     @property
     def running(self) -> int:
@@ -93,6 +91,8 @@
         record = self._records_by_id.get(submission_id)
         if record is not None:
             return _reopen(record, fingerprint)
+        if succeeded and not self._may_adopt(submission_id):
+            return Expired(answer=self.forgotten_answer(submission_id))
         ticket = None if succeeded else self._own_ticket(submission_id)
         if ticket is not None:
             expired = self._expired(ticket, now)
@@ -177,8 +177,7 @@
         :param now: monotonic time, in seconds.
         """
         del now
-        due = list(self._take_due_offloads())
-        return [self._offload_of(record) for record in due]
+        return self._retained.take_due()
 
     def offloaded(self, submission_id: str, object_key: str) -> None:
         """Report that the object store holds the results.
@@ -189,16 +188,13 @@
         if record is None or record.answer is None or not record.offload_asked:
             return
         record.answer = replace(record.answer, results=(), result_object=object_key)
-        self._drop_bytes(record)
+        self._retained.drop(record)
 
     def offload_failed(self, submission_id: str) -> None:
         """Report that the object store did not take the results."""
         record = self._records_by_id.get(submission_id)
-        if record is None or not record.offload_asked:
-            return
-        record.offload_asked = False
-        self._offloading_bytes -= record.result_bytes
-        self._to_offload_by_id[submission_id] = record
+        if record is not None:
+            self._retained.offer_again(record)
 
     def forgotten_answer(self, submission_id: str) -> Answer:
         """Return what is true of an id that was this home's and has no row.
@@ -213,6 +209,17 @@
             detail="The home keeps no record of this submission any more.",
         )
 
+    def _may_adopt(self, submission_id: str) -> bool:
+        # Targets are asked for the dead home's runs only. Adopted a second time,
+        # after its row was forgotten, a submission would start again what this
+        # incarnation itself ran; so each is adopted once in its life.
+        if submission_id in self._adopted_ids:
+            return False
+        if len(self._adopted_ids) >= self._settings.max_adopted:
+            return False
+        self._adopted_ids.add(submission_id)
+        return True
+
     def _own_ticket(self, submission_id: str) -> Ticket | None:
         match parse_ticket(submission_id):
             case MalformedTicket(problem=problem):
@@ -241,7 +248,7 @@
         self._records_by_id[record.submission_id] = record
         full = (
             len(self._records_by_id) > self._settings.max_records
-            or self._result_bytes >= self._settings.max_result_bytes
+            or self._retained.is_full
         )
         if not full:
             return Opened(record=record)
@@ -265,11 +272,7 @@
     def _settle_row(self, record: SubmissionRecord, now: float) -> None:
         record.settled_at = now
         self._settled_by_id[record.submission_id] = record
-        if record.answer is None or not record.answer.results:
-            return
-        record.result_bytes = sum(len(result) for result in record.answer.results)
-        self._result_bytes += record.result_bytes
-        self._to_offload_by_id[record.submission_id] = record
+        self._retained.add(record)
 
     def _make_room(self) -> None:
         """Forget the oldest settled rows above the bound of records.
@@ -296,39 +299,7 @@
     def _forget(self, record: SubmissionRecord) -> None:
         del self._records_by_id[record.submission_id]
         del self._settled_by_id[record.submission_id]
-        self._drop_bytes(record)
-
-    def _drop_bytes(self, record: SubmissionRecord) -> None:
-        self._to_offload_by_id.pop(record.submission_id, None)
-        if record.offload_asked:
-            self._offloading_bytes -= record.result_bytes
-            record.offload_asked = False
-        self._result_bytes -= record.result_bytes
-        record.result_bytes = 0
-
-    def _take_due_offloads(self) -> Sequence[SubmissionRecord]:
-        due = []
-        limit = self._settings.max_result_bytes * self._settings.offload_share
-        for record in list(self._to_offload_by_id.values()):
-            staying = self._result_bytes - self._offloading_bytes
-            large = record.result_bytes > self._settings.inline_bytes
-            if not large and staying <= limit:
-                continue
-            del self._to_offload_by_id[record.submission_id]
-            record.offload_asked = True
-            self._offloading_bytes += record.result_bytes
-            due.append(record)
-        return due
-
-    def _offload_of(self, record: SubmissionRecord) -> Offload:
-        if record.answer is None:
-            raise InvariantError(f"{record.submission_id}: offload without answer")
-        name = xxhash.xxh3_128_hexdigest(record.submission_id.encode())
-        return Offload(
-            submission_id=record.submission_id,
-            object_key=f"result/{self._incarnation}/{name}",
-            results=record.answer.results,
-        )
+        self._retained.drop(record)
 
 
 def _reopen(record: SubmissionRecord, fingerprint: bytes) -> Opening:
