--- a/src/cassiaturn/submission/_budget.py
+++ b/src/cassiaturn/submission/_budget.py
@@ -65,6 +65,7 @@
         self._reads = _Bucket(rate=settings.reads_per_s, burst=settings.read_burst)
         self._failures = 0
         self._retry_at = 0.0
+        self._probed_at = 0.0
         self._state = StoreState.CLOSED
 
     @property
@@ -110,9 +111,17 @@
     def _may(self, bucket: _Bucket, now: float) -> bool:
         if self._state is StoreState.CLOSED:
             return bucket.take(now)
-        if self._state is StoreState.HALF_OPEN or now < self._retry_at:
+        if now < self._retry_at or self._is_probing(now):
             return False
         if not bucket.take(now):
             return False
         self._state = StoreState.HALF_OPEN
+        self._probed_at = now
         return True
+
+    def _is_probing(self, now: float) -> bool:
+        # A probe whose caller was cancelled never ends. Taken for under way, it
+        # would shut the store off for good, so the longest backoff ends it.
+        if self._state is not StoreState.HALF_OPEN:
+            return False
+        return now - self._probed_at < self._settings.backoff_max_s
