--- a/src/cassiaturn/bench/tests/test_goals.py
+++ b/src/cassiaturn/bench/tests/test_goals.py
@@ -11,6 +11,7 @@
     [
         (Goal(scenario="s", figure="f", at_most=1.2), 1.2, True),
         (Goal(scenario="s", figure="f", at_most=1.2), 1.21, False),
+        (Goal(scenario="s", figure="f", at_most=1.2), float("nan"), False),
         (Goal(scenario="s", figure="f", at_least=0.95), 0.95, True),
         (Goal(scenario="s", figure="f", at_least=0.95), 0.94, False),
     ],
