--- a/src/cassiaturn/recovery/_begun.py
+++ b/src/cassiaturn/recovery/_begun.py
@@ -33,6 +33,9 @@
     result: bytes = b""
     """Serialized reply; only of a run that is done."""
 
+    result_dropped: bool = False
+    """Whether the result was acknowledged and is no longer kept there."""
+
     detail: str = ""
     """What the task reported when it failed."""
 
@@ -78,6 +81,7 @@
         status=RunStatus(result.status),
         attempt=result.ref.attempt,
         result=result.result,
+        result_dropped=result.result_dropped,
         detail=result.detail,
         run_ms=result.run_ms,
     )
--- a/src/cassiaturn/recovery/_decision.py
+++ b/src/cassiaturn/recovery/_decision.py
@@ -97,6 +97,7 @@
     known                           repeatable                   not repeatable
     ==============================  ===========================  =============
     begun, done                     Adopt                        Adopt
+    begun, done, result dropped     Undetermined                 Undetermined
     begun, failed                   FailTask(EVERYTHING)         the same
     begun, cancelled                FailTask(SOME)               the same
     begun, running, target in reach AwaitRunning                 AwaitRunning
@@ -150,6 +151,10 @@
     forgetful_targets: Collection[str],
 ) -> TaskDecision | None:
     match begun.status:
+        case RunStatus.DONE if begun.result_dropped:
+            # Its home had the result and may have answered with it. The empty
+            # rest, taken for a reply, would be a wrong answer.
+            return Undetermined(silent_targets=())
         case RunStatus.DONE:
             return Adopt(begun=begun)
         case RunStatus.FAILED:
