Let every target fail at once and count starts a task

Cause: no scenario would show a retry storm. Change: scenario every-target-fails; starts a task among the ratios.

--- a/src/cassiaturn/bench/_check.py
+++ b/src/cassiaturn/bench/_check.py
@@ -22,6 +22,15 @@
 
 CLASSES = ("urgent", "normal", "batch")
 
+FIGURES_OF_OURS = (
+    "useful",
+    "wasted",
+    "misplaced",
+    "attempts",
+    "unfairness",
+    "started_twice",
+)
+
 
 class Baseline(BaseModel):
     """The committed ratios, as the file holds them."""
@@ -131,7 +140,7 @@
         for key in ("watched_p99", "within_quota_p99"):
             ratios[f"{key}_over_reference"] = _over(ours[key], reference[key])
         ratios["watched_in_time"] = ours["watched_in_time"]
-    for key in ("useful", "wasted", "misplaced", "unfairness", "started_twice"):
+    for key in FIGURES_OF_OURS:
         ratios[key] = ours[key]
     return ratios
 
--- a/src/cassiaturn/bench/_result.py
+++ b/src/cassiaturn/bench/_result.py
@@ -55,7 +55,8 @@
     For the run: ``useful`` (share of the slot time spent on jobs complete in
     time), ``busy`` (on any), ``wasted`` (messages a task), of which
     ``heartbeats`` and ``refused_starts``, ``forwarded`` and ``misplaced`` (a
-    task), ``ejections``, ``unfairness``, jobs refused by reason, and ``started_twice``.
+    task), ``attempts`` (starts a task), ``ejections``, ``unfairness``, jobs
+    refused by reason, and ``started_twice``.
     """
     figures: dict[str, float] = {}
     for request_class, of_class in tally.by_class.items():
@@ -72,6 +73,7 @@
             "refused_starts": tally.per_task(MessageKind.REFUSED_START),
             "forwarded": tally.per_task(MessageKind.FORWARD),
             "misplaced": tally.misplaced / begun,
+            "attempts": tally.attempts,
             "ejections": float(tally.ejections),
             "unfairness": tally.unfairness,
             **{
--- a/src/cassiaturn/bench/_run.py
+++ b/src/cassiaturn/bench/_run.py
@@ -59,6 +59,7 @@
         raise AssertionError(f"{held} slots are held after every job was answered")
     world.tally.busy_s = sum(runner.busy_s for runner in world.runners)
     world.tally.tasks_begun = sum(runner.begun for runner in world.runners)
+    world.tally.distinct_tasks_begun = sum(len(run.begun) for run in world.runs)
     world.tally.started_twice = sum(runner.started_twice for runner in world.runners)
     return world.tally
 
@@ -79,6 +80,7 @@
     def _arrive(self, job: Job) -> None:
         loop = self._world.loop
         run = JobRun(job=job, accepted_at=loop.now)
+        self._world.runs.append(run)
         self._world.tally.submitted(job)
         loop.call_later(job.kind.deadline_s, self._end_late, run)
         if job.cancel_at is not None:
--- a/src/cassiaturn/bench/_scenarios.py
+++ b/src/cassiaturn/bench/_scenarios.py
@@ -1,5 +1,6 @@
 """The scenarios that decisions are judged by."""
 
+from cassiaturn.bench._deployment import TARGETS
 from cassiaturn.bench._scenario import Flow, Scenario, TargetFault, scenario
 from cassiaturn.bench._traffic import default_tenants
 from cassiaturn.entities import RequestClass
@@ -9,6 +10,7 @@
 
 FAULT_AT_S = 10.0
 REACTION_S = 2.0
+OUTAGE_S = 5.0
 DECLARATION_ERROR = 10.0
 HOT_FACTOR = 10.0
 
@@ -227,3 +229,18 @@
             ),
         ),
     )
+
+
+@scenario
+def _every_target_fails() -> Scenario:
+    every_target = tuple(range(TARGETS))
+    return Scenario(
+        name="every-target-fails",
+        summary="60%; every target fails every task for five seconds.",
+        flows=(Flow(name="all", load=0.6, until_s=SECONDS),),
+        faults=(
+            TargetFault(at_s=FAULT_AT_S, targets=every_target, fails_after_s=0.005),
+            TargetFault(at_s=FAULT_AT_S + OUTAGE_S, targets=every_target),
+        ),
+        watched_from_s=FAULT_AT_S + OUTAGE_S + REACTION_S,
+    )
--- a/src/cassiaturn/bench/_tally.py
+++ b/src/cassiaturn/bench/_tally.py
@@ -124,6 +124,9 @@
     tasks_begun: int = 0
     """Starts that a target began."""
 
+    distinct_tasks_begun: int = 0
+    """Tasks that a target began at least once."""
+
     started_twice: int = 0
     """Tasks that may not be repeated and began more than once."""
 
@@ -187,6 +190,11 @@
         """Return the messages of a kind for each task begun."""
         return self.messages_by_kind[kind] / max(self.tasks_begun, 1)
 
+    @property
+    def attempts(self) -> float:
+        """Starts for each task that was started at all."""
+        return self.tasks_begun / max(self.distinct_tasks_begun, 1)
+
     @property
     def useful_share(self) -> float:
         """Share of the slot time that went to jobs complete in time."""
--- a/src/cassiaturn/bench/_world.py
+++ b/src/cassiaturn/bench/_world.py
@@ -40,6 +40,7 @@
         self.scenario = scenario
         self.jobs = jobs
         self.unanswered = len(jobs)
+        self.runs: list[JobRun] = []
         self.tally = Tally(
             slot_seconds=deployment.slots * scenario.until_s,
             watched_from_s=scenario.watched_from_s,
