Keep takeovers to homes that ended, and answers to what targets still hold

Ruled out: two takeover rows for one incarnation (the table refused the second in each trace). Change: only an older boot time proves an end, a pause is forgiven to all others, a fenced instance begins a new incarnation, targets keep results for 15 s after the answer and say when one was dropped, tickets older than the targets' memory prove nothing.

--- a/src/cassiaturn/engine/_dispatch.py
+++ b/src/cassiaturn/engine/_dispatch.py
@@ -17,14 +17,13 @@
 
 def dispatch(state: State, now: float) -> None:
     """Send whatever can be sent now."""
-    if state.starts_held or not len(state.queue):
+    if state.starts_held:
         return
-    blocked_tenants = tenants_at_quota(state)
-    free = state.free_slots()
-    if free > 0:
-        _start_own(state, now, free, blocked_tenants)
-    if len(state.queue):
-        _spill(state, now, blocked_tenants)
+    while len(state.queue):
+        blocked_tenants = tenants_at_quota(state)
+        _start_own(state, now, blocked_tenants)
+        if not len(state.queue) or not _spill(state, now, blocked_tenants):
+            return
 
 
 def tenants_at_quota(state: State) -> set[str]:
@@ -36,9 +35,13 @@
     }
 
 
-def _start_own(state: State, now: float, free: int, blocked_tenants: set[str]) -> None:
+def _start_own(state: State, now: float, blocked_tenants: set[str]) -> None:
+    free = state.free_slots()
+    if free == 0:
+        return
+
     def fits(task: QueuedTask) -> bool:
-        return choose_target(task, open_targets(state, now)) is not None
+        return _choose(state, task, now) is not None
 
     while free > 0:
         task = state.queue.pop(now=now, fits=fits, blocked_tenants=blocked_tenants)
@@ -52,7 +55,7 @@
             # queue; a start sent now could begin after its home gave it up.
             expire_record(state, record, now)
             continue
-        target = choose_target(task, open_targets(state, now))
+        target = _choose(state, task, now)
         if target is None:
             raise AssertionError(f"{task.key}: it fitted a target and no more")
         start_here(state, record, target, now)
@@ -61,6 +64,14 @@
         free -= 1
 
 
+def _choose(state: State, task: QueuedTask, now: float) -> TargetRow | None:
+    return choose_target(
+        task,
+        open_targets(state, now),
+        spare_share_by_class=state.policy.placement.spare_share_by_class,
+    )
+
+
 def open_targets(state: State, now: float) -> Iterable[TargetRow]:
     """Return the targets that are not paused after a refusal."""
     blocked = state.blocked_until_by_target
@@ -123,25 +134,31 @@
         raise AssertionError(f"{record.key}: a start after the final answer")
 
 
-def _spill(state: State, now: float, blocked_tenants: set[str]) -> None:
-    """Give queued tasks to peers that are believed to have free slots."""
-    peers = [row for row in state.peers_by_incarnation.values() if row.ready]
-    if not peers:
-        return
+def _spill(state: State, now: float, blocked_tenants: set[str]) -> bool:
+    """Give queued tasks to peers that are believed to have free slots.
 
+    :returns: whether the next task may now use slots here that are kept for
+        higher classes, since no peer is open to it.
+    """
+    peers = [row for row in state.peers_by_incarnation.values() if row.ready]
     while True:
         own_wait_s = expected_wait_s(state)
         task = state.queue.peek(now=now, blocked_tenants=blocked_tenants)
+        if task is None:
+            return False
+        may_use_spare = task.may_use_spare
         # A task that was spilled once is not passed on: two hosts with stale
         # reports would hand it back and forth until its deadline.
-        if task is None or not _is_own(state, task):
-            return
-        peer = state.placement.choose_peer(task, own_wait_s, peers, now)
+        peer = None
+        if _is_own(state, task):
+            peer = state.placement.choose_peer(task, own_wait_s, peers, now)
+        else:
+            task.may_use_spare = True
         if peer is None:
-            return
+            return task.may_use_spare and not may_use_spare
         popped = state.queue.pop(now=now, blocked_tenants=blocked_tenants)
         if popped is None:
-            return
+            return False
         record = state.records_by_key.get(popped.key)
         if record is not None and record.state is TaskState.QUEUED:
             _give(state, record, peer, now)
--- a/src/cassiaturn/engine/_intake.py
+++ b/src/cassiaturn/engine/_intake.py
@@ -14,6 +14,9 @@
     fingerprint_of,
 )
 
+STARTING_RETRY_MS = 200
+"""Advice while the shared configuration is read: a few reads of the table."""
+
 
 def submit(state: State, submission: Submission, now: float) -> Answer:
     """Take a submission at its home.
@@ -22,6 +25,10 @@
     :param now: time in seconds.
     :returns: the answer if it is known, else one with ``PENDING``.
     """
+    if not state.tenants_by_name:
+        return _starting(submission.submission_id)
+    if state.superseded and state.submissions.get(submission.submission_id) is None:
+        return _superseded(submission.submission_id)
     opening = state.submissions.open(
         submission_id=submission.submission_id,
         fingerprint=fingerprint(submission),
@@ -214,6 +221,29 @@
     )
 
 
+def _starting(submission_id: str) -> Answer:
+    # Refusing the tenant before the configuration is known would be final for
+    # the id, and wrong.
+    return Answer(
+        submission_id=submission_id,
+        outcome=Outcome.UNKNOWN,
+        ran=Ran.MAYBE,
+        reason=Reason.HOME_UNREACHABLE,
+        detail="its home is starting and has no shared configuration yet",
+        retry_after_ms=STARTING_RETRY_MS,
+    )
+
+
+def _superseded(submission_id: str) -> Answer:
+    return Answer(
+        submission_id=submission_id,
+        outcome=Outcome.UNKNOWN,
+        ran=Ran.MAYBE,
+        reason=Reason.SUPERSEDED,
+        detail="another instance took over; submit the same id there",
+    )
+
+
 def _mismatch(submission_id: str) -> Answer:
     # The id belongs to another request. Its own answer must not leak, and "not
     # run" would be false of the id, so this is an answer to the call alone.
--- a/src/cassiaturn/engine/_returns.py
+++ b/src/cassiaturn/engine/_returns.py
@@ -20,6 +20,7 @@
     outcome = _outcome(record)
     outcome.result.CopyFrom(result)
     _return(state, record, outcome, now)
+    state.acknowledge_later(record, now)
 
 
 def return_refusal(state: State, record: TaskRecord, reason: int, now: float) -> None:
--- a/src/cassiaturn/engine/_settle.py
+++ b/src/cassiaturn/engine/_settle.py
@@ -124,11 +124,11 @@
     state.queue.cancel(job.submission_id)
     state.queue.forget_job(job.submission_id)
     for record in job.records:
-        _drop(state, record)
+        _drop(state, record, now)
     state.ports.deliver(settled, job)
 
 
-def _drop(state: State, record: TaskRecord) -> None:
+def _drop(state: State, record: TaskRecord, now: float) -> None:
     ports = state.ports
     attempt = record.task.attempt
     match record.state:
@@ -144,7 +144,7 @@
             state.records_by_key.pop(record.key, None)
         case TaskState.DONE:
             if record.target_id:
-                ports.acknowledge(record.target_id, record.key, attempt)
+                state.acknowledge_later(record, now)
             state.records_by_key.pop(record.key, None)
         case _:
             record.state = TaskState.CANCELLED
--- a/src/cassiaturn/engine/_state.py
+++ b/src/cassiaturn/engine/_state.py
@@ -1,7 +1,7 @@
 """All tables of an instance in one place, for the systems that run over them."""
 
 import heapq
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from collections.abc import Mapping
 
 from cassiaturn.engine._ports import Ports
@@ -45,6 +45,7 @@
     ) -> None:
         """Start with empty tables."""
         self.settings = settings
+        self.policy = policy
         self.schema = schema
         self.submissions = submissions
         self.ports = ports
@@ -69,9 +70,12 @@
         self.returned_by_peer: dict[str, OrderedDict[TaskKey, Returned]] = {}
         self.tenant_loads_by_peer: dict[str, Mapping[str, int]] = {}
         """Running and queued tasks of each tenant, by reporting incarnation."""
+        self.superseded = False
+        """True once targets fence this incarnation: only a successor may decide."""
         self.draining = False
         """True during a planned stop: nothing new is taken."""
         self.failures_in_row_by_target: Counter[str] = Counter()
+        self._acknowledgements: deque[tuple[float, TaskRecord]] = deque()
         self.blocked_until_by_target: dict[str, float] = {}
         self.quota_share_by_tenant: dict[str, float] = {}
         self.mean_run_s_by_class: dict[RequestClass, float] = dict.fromkeys(
@@ -83,12 +87,35 @@
         self._deadlines: list[tuple[float, str]] = []
         self._sequence = 0
 
+    def reconfigure(self, policy: PolicySettings) -> None:
+        """Put other tunables in force, as the shared configuration asks."""
+        self.policy = policy
+        self.admission.reconfigure(policy.admission)
+        self.health.reconfigure(policy.health)
+        self.retries.reconfigure(policy.retries)
+
     def delay(self, record: TaskRecord, until: float) -> None:
         """Keep a task out of the queue until a time, in seconds."""
         record.state = TaskState.DELAYED
         self._sequence += 1
         heapq.heappush(self._due, (until, self._sequence, record))
 
+    def acknowledge_later(self, record: TaskRecord, now: float) -> None:
+        """Let the target keep a result until a successor would not need it.
+
+        Until its caller has the answer the target's copy is the only one that
+        outlives this process; an early acknowledgement leaves a successor with
+        proof that the task ran and no result to answer with.
+        """
+        due = now + self.settings.result_kept_s
+        self._acknowledgements.append((due, record))
+
+    def pop_acknowledgement(self, now: float) -> TaskRecord | None:
+        """Return a record whose result its target may forget, if there is one."""
+        if self._acknowledgements and self._acknowledgements[0][0] <= now:
+            return self._acknowledgements.popleft()[1]
+        return None
+
     def pop_due(self, now: float) -> TaskRecord | None:
         """Return a delayed task whose time has come, if there is one."""
         while self._due and self._due[0][0] <= now:
--- a/src/cassiaturn/engine/_sweep.py
+++ b/src/cassiaturn/engine/_sweep.py
@@ -22,6 +22,7 @@
     _apply_health(state, now)
     _unblock(state, now)
     trim_returned(state, now)
+    _acknowledge(state, now)
     state.submissions.expire(now)
     dispatch(state, now)
 
@@ -107,6 +108,12 @@
             target.allowance = change.allowance
 
 
+def _acknowledge(state: State, now: float) -> None:
+    while (record := state.pop_acknowledgement(now)) is not None:
+        attempt = record.task.attempt
+        state.ports.acknowledge(record.target_id, record.key, attempt)
+
+
 def _unblock(state: State, now: float) -> None:
     blocked = state.blocked_until_by_target
     for target_id in [key for key, until in blocked.items() if until <= now]:
--- a/src/cassiaturn/engine/_tables.py
+++ b/src/cassiaturn/engine/_tables.py
@@ -152,6 +152,10 @@
     peer_gone_s: float = 10.0
     """Silence after which a peer is gone, in seconds."""
 
+    result_kept_s: float = 15.0
+    """How long a target keeps a result after its job was settled, in seconds:
+    above the time in which a dead home's caller finds the successor."""
+
     spill_within_s: float = 2.0
     """How long a spilled task may wait at the peer, in seconds."""
 
--- a/src/cassiaturn/membership/_table.py
+++ b/src/cassiaturn/membership/_table.py
@@ -37,6 +37,7 @@
         self._changes: list[MemberChange] = []
         self._links: Collection[str] | None = None
         self._refutes = False
+        self._ticked_at: float | None = None
 
     @property
     def members_by_id(self) -> Mapping[str, MemberRow]:
@@ -120,6 +121,7 @@
 
         :param now: monotonic time, in seconds.
         """
+        self._forgive_own_pause(now)
         links = self.neighbours()
         for instance_id, row in list(self._members_by_id.items()):
             self._note_link(row, now, linked=instance_id in links)
@@ -132,6 +134,21 @@
         self._changes = []
         return changes
 
+    def _forgive_own_pause(self, now: float) -> None:
+        # A process that was stopped wakes with old times and unread frames. Every
+        # member would seem silent, and this one would take over all of them.
+        gap_s = 0.0 if self._ticked_at is None else now - self._ticked_at
+        self._ticked_at = now
+        if gap_s <= self._settings.heartbeat_s:
+            return
+        for row in self._members_by_id.values():
+            if row.heard_at is not None:
+                row.heard_at += gap_s
+            if row.probed_since is not None:
+                row.probed_since += gap_s
+            if row.linked_at is not None:
+                row.linked_at += gap_s
+
     def neighbours(self) -> Collection[str]:
         """Return ids of the instances to exchange heartbeats with.
 
--- a/src/cassiaturn/membership/tests/test_table.py
+++ b/src/cassiaturn/membership/tests/test_table.py
@@ -54,6 +54,19 @@
     return changes
 
 
+def test_a_paused_instance_takes_nobody_for_gone() -> None:
+    """
+    An instance is stopped for a minute and wakes with a minute of unread frames.
+    All others seem silent since then; judged by that, it would take them over.
+    """
+    table = members()
+    table.observe(facts("a2"), 0.0)
+    run(table, 0.0, 1.0)
+    assert table.tick(61.0) == []
+    table.heard(facts("a2").incarnation, 61.1)
+    assert run(table, 61.1, 63.0) == []
+
+
 def test_a_silent_member_is_suspected_then_gone() -> None:
     """
     A host vanishes. Its neighbours suspect it after 2.5 s, when nothing moves yet,
--- a/src/cassiaturn/policy/_health.py
+++ b/src/cassiaturn/policy/_health.py
@@ -16,11 +16,11 @@
 from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from enum import Enum, auto
 from statistics import median
 
 from cassiaturn.entities import TaskKey
 from cassiaturn.policy._settings import HealthSettings
+from cassiaturn.policy._target_record import HealthState, Running, TargetRecord
 
 _METHOD_WINDOW = 64
 """Run times of a method that its median is taken over, in tasks."""
@@ -32,19 +32,6 @@
 _MAX_DOUBLINGS = 10
 
 
-class HealthState(Enum):
-    """How far a target is trusted."""
-
-    HEALTHY = auto()
-    """All its slots."""
-
-    PROBATION = auto()
-    """One slot, until it has proved itself."""
-
-    EJECTED = auto()
-    """No slot."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HealthChange:
     """A target's state changed."""
@@ -59,64 +46,21 @@
     """Slots it may use now."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Running:
-    method: str
-    started_at: float
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Verdict:
-    is_slow: bool
-    is_failing: bool
+    is_bad: bool
+    """Whether the target is slow or failing."""
+
     badness: float
     """Order of ejection where the cap does not allow all."""
 
 
-class _Record:
-    """What was seen of one target."""
-
-    __slots__ = (
-        "ejected_until",
-        "ejections",
-        "failures",
-        "good_in_row",
-        "ratios",
-        "running_by_key",
-        "slots",
-        "state",
-    )
-
-    def __init__(self, *, slots: int, window: int) -> None:
-        self.slots = slots
-        self.state = HealthState.HEALTHY
-        self.running_by_key: dict[TaskKey, _Running] = {}
-        self.ratios: deque[float] = deque(maxlen=window)
-        self.failures: deque[bool] = deque(maxlen=window)
-        self.ejected_until = 0.0
-        self.ejections = 0
-        self.good_in_row = 0
-
-    @property
-    def allowance(self) -> int:
-        """Slots that the state permits."""
-        if self.state is HealthState.HEALTHY:
-            return self.slots
-        return 1 if self.state is HealthState.PROBATION else 0
-
-    def failure_share(self) -> float:
-        """Return the share of failures among the last results."""
-        if not self.failures:
-            return 0.0
-        return sum(self.failures) / len(self.failures)
-
-
 class TargetHealth:
     """Health of the targets of one instance."""
 
     def __init__(self, *, settings: HealthSettings) -> None:
         self._settings = settings
-        self._records_by_target: dict[str, _Record] = {}
+        self._records_by_target: dict[str, TargetRecord] = {}
         self._runs_by_method: dict[str, deque[float]] = {}
         self._median_by_method: dict[str, float] = {}
         self._judged_at: float | None = None
@@ -132,7 +76,7 @@
             record.slots = slots
             return
         window = self._settings.window
-        self._records_by_target[target_id] = _Record(slots=slots, window=window)
+        self._records_by_target[target_id] = TargetRecord(slots=slots, window=window)
 
     def remove(self, target_id: str) -> None:
         """Forget a target."""
@@ -146,7 +90,7 @@
         """Take in that a start was sent."""
         record = self._records_by_target.get(target_id)
         if record is not None:
-            record.running_by_key[key] = _Running(method=method, started_at=now)
+            record.running_by_key[key] = Running(method=method, started_at=now)
 
     def finished(
         self,
@@ -168,7 +112,7 @@
         record.running_by_key.pop(key, None)
         record.failures.append(not ok)
         if not ok:
-            record.good_in_row = 0
+            record.count(is_good=False)
             return
         self._runs_by_method.setdefault(method, deque(maxlen=_METHOD_WINDOW)).append(
             run_s
@@ -176,8 +120,7 @@
         usual_s = self._median_by_method.get(method)
         ratio = run_s / usual_s if usual_s else 1.0
         record.ratios.append(ratio)
-        is_good = ratio < self._settings.slow_ratio
-        record.good_in_row = record.good_in_row + 1 if is_good else 0
+        record.count(is_good=ratio < self._settings.slow_ratio)
 
     def refused(
         self, target_id: str, reason: object, now: float, key: TaskKey | None = None
@@ -197,7 +140,7 @@
             return
         record.failures.extend([True] * len(record.running_by_key))
         record.running_by_key.clear()
-        record.good_in_row = 0
+        record.count(is_good=False)
 
     def tick(self, now: float) -> Sequence[HealthChange]:
         """Judge every target against its peers.
@@ -221,9 +164,7 @@
         settings = self._settings
         for target_id, record in self._records_by_target.items():
             if record.state is HealthState.EJECTED and now >= record.ejected_until:
-                record.ratios.clear()
-                record.failures.clear()
-                record.good_in_row = 0
+                record.forget_results()
                 yield _move(target_id, record, HealthState.PROBATION)
             elif (
                 record.state is HealthState.PROBATION
@@ -233,32 +174,34 @@
 
     def _demote(self, now: float) -> Iterable[HealthChange]:
         room = self._room()
-        if room <= 0:
-            return
-        usual_failures = median(
-            record.failure_share() for record in self._records_by_target.values()
-        )
-        bad: list[tuple[float, str, _Record]] = []
-        for target_id, record in self._records_by_target.items():
-            if record.state is HealthState.EJECTED:
-                continue
-            verdict = self._judge(record, usual_failures, now)
-            if verdict.is_slow or verdict.is_failing:
-                bad.append((verdict.badness, target_id, record))
-        bad.sort(key=lambda item: item[:2], reverse=True)
-        for _, target_id, record in bad:
-            on_probation = record.state is HealthState.PROBATION
-            if not on_probation:
-                # A cause common to many targets would empty the pool: callers
-                # would see refusals on workers that are slow but working. The
-                # cap keeps the rest in use, whatever they look like.
+        for target_id, record in self._bad_records(now):
+            # A cause common to many targets would empty the pool: callers would
+            # see refusals on workers that are slow but working. The cap keeps the
+            # rest in use, whatever they look like. A target on probation is in
+            # the cap's count already.
+            if record.state is HealthState.HEALTHY:
                 if room <= 0:
                     continue
                 room -= 1
             self._eject(record, now)
             yield _move(target_id, record, HealthState.EJECTED)
 
-    def _eject(self, record: _Record, now: float) -> None:
+    def _bad_records(self, now: float) -> Iterable[tuple[str, TargetRecord]]:
+        records = self._records_by_target
+        if not records:
+            return []
+        usual_failures = median(record.failure_share() for record in records.values())
+        bad: list[tuple[float, str]] = []
+        for target_id, record in records.items():
+            if record.state is HealthState.EJECTED:
+                continue
+            verdict = self._judge(record, usual_failures, now)
+            if verdict.is_bad:
+                bad.append((verdict.badness, target_id))
+        bad.sort(reverse=True)
+        return [(target_id, records[target_id]) for _, target_id in bad]
+
+    def _eject(self, record: TargetRecord, now: float) -> None:
         settings = self._settings
         duration_s = settings.ejection_s * float(
             1 << min(record.ejections, _MAX_DOUBLINGS)
@@ -277,30 +220,30 @@
         )
         return allowed - taken
 
-    def _judge(self, record: _Record, usual_failures: float, now: float) -> _Verdict:
+    def _judge(
+        self, record: TargetRecord, usual_failures: float, now: float
+    ) -> _Verdict:
         settings = self._settings
         share = record.failure_share()
+        overdue = self._overdue(record, now)
+        if record.state is HealthState.PROBATION:
+            bad = overdue + record.bad_in_row
+            return _Verdict(is_bad=bad >= settings.probation_failures, badness=bad)
         is_failing = (
-            len(record.failures) >= settings.min_samples
+            sum(record.failures) >= settings.min_samples
             and share >= settings.failure_share
             and share >= usual_failures + settings.failure_margin
         )
-        slow_share = self._slow_share(record, now)
+        slow = overdue + sum(ratio >= settings.slow_ratio for ratio in record.ratios)
+        # Results that are not there count as good: a few tasks that happen to be
+        # long would otherwise eject a target that has just begun.
+        slow_share = slow / (overdue + settings.window)
         return _Verdict(
-            is_slow=slow_share >= settings.slow_share,
-            is_failing=is_failing,
+            is_bad=is_failing or slow_share >= settings.slow_share,
             badness=max(slow_share, share),
         )
 
-    def _slow_share(self, record: _Record, now: float) -> float:
-        settings = self._settings
-        overdue = self._overdue(record, now)
-        slow = overdue + sum(ratio >= settings.slow_ratio for ratio in record.ratios)
-        if slow < settings.min_samples:
-            return 0.0
-        return slow / (overdue + len(record.ratios))
-
-    def _overdue(self, record: _Record, now: float) -> int:
+    def _overdue(self, record: TargetRecord, now: float) -> int:
         overdue = 0
         for running in record.running_by_key.values():
             usual_s = self._median_by_method.get(running.method)
@@ -311,6 +254,6 @@
         return overdue
 
 
-def _move(target_id: str, record: _Record, state: HealthState) -> HealthChange:
+def _move(target_id: str, record: TargetRecord, state: HealthState) -> HealthChange:
     record.state = state
     return HealthChange(target_id=target_id, state=state, allowance=record.allowance)
--- a/src/cassiaturn/recovery/_progress.py
+++ b/src/cassiaturn/recovery/_progress.py
@@ -65,9 +65,6 @@
     phase: TakeoverPhase = TakeoverPhase.WANTED
     """How far it is."""
 
-    over_by: float | None = None
-    """Time by which no run of the dead home can go on, if its end is proved."""
-
     runs_by_key: dict[TaskKey, Begun] = field(default_factory=dict)
     """The best run that any target told of, by task."""
 
--- a/src/cassiaturn/recovery/_takeover.py
+++ b/src/cassiaturn/recovery/_takeover.py
@@ -43,8 +43,9 @@
         self._settings = settings
         self._rng = rng
         self._takeovers_by_dead: dict[str, Takeover] = {}
-        self._target_ids: set[str] = set()
+        self._target_ids: dict[str, None] = {}
         self._gone_target_ids: set[str] = set()
+        self._over_by_dead: dict[str, float] = {}
 
     @property
     def takeovers_by_dead(self) -> Mapping[str, Takeover]:
@@ -60,7 +61,7 @@
         for target_id in target_ids:
             if target_id in self._target_ids:
                 continue
-            self._target_ids.add(target_id)
+            self._target_ids[target_id] = None
             for takeover in self._takeovers_by_dead.values():
                 takeover.fences_by_target.setdefault(target_id, FenceState.DUE)
 
@@ -106,9 +107,8 @@
 
         :param now: monotonic time, in seconds.
         """
-        takeover = self._takeovers_by_dead.get(dead)
-        if takeover is not None and takeover.over_by is None:
-            takeover.over_by = now + self._settings.over_after_s
+        over_by = now + self._settings.over_after_s
+        self._over_by_dead.setdefault(dead, over_by)
 
     def rows_due(self) -> Sequence[TakeoverRow]:
         """Return rows to insert, each only if its key is absent.
@@ -228,7 +228,7 @@
         # nothing denies a run.
         if not self._target_ids or not self._decides(line):
             return Undetermined(silent_targets=())
-        overs = [takeover.over_by for takeover in line]
+        overs = [self._over_by_dead.get(takeover.row.dead) for takeover in line]
         known = [over for over in overs if over is not None]
         return decide_task(
             repeatable=repeatable,
--- a/src/cassiaturn/recovery/tests/test_decision.py
+++ b/src/cassiaturn/recovery/tests/test_decision.py
@@ -44,7 +44,11 @@
 FAILED = FailTask(ran=Ran.EVERYTHING, reason=Reason.TASK_FAILED)
 CANCELLED = FailTask(ran=Ran.SOME, reason=Reason.CANCELLED)
 
+DROPPED = Begun(target_id="a", status=RunStatus.DONE, result_dropped=True)
+"""Acknowledged by its home: an empty result is left, which is no reply."""
+
 LINES = [
+    (DROPPED, ALL, None, Undetermined(silent_targets=()), None),
     (DONE, SILENT, None, Adopt(begun=DONE), Adopt(begun=DONE)),
     (run(RunStatus.FAILED), ALL, None, FAILED, FAILED),
     (run(RunStatus.CANCELLED), ALL, None, CANCELLED, CANCELLED),
--- a/src/cassiaturn/server/_caller_service.py
+++ b/src/cassiaturn/server/_caller_service.py
@@ -43,8 +43,8 @@
     ) -> None:
         """Issue ids that name this instance as home, without a store write."""
         request = await _receive(stream)
-        if self._homes.is_draining:
-            raise GRPCError(Status.UNAVAILABLE, "this instance is stopping")
+        if not self._homes.takes_work:
+            raise GRPCError(Status.UNAVAILABLE, "this instance is not ready")
         count = min(max(1, request.count), MAX_TICKETS)
         tickets = [self._homes.issue_ticket() for _ in range(count)]
         valid_for_ms = self._homes.ticket_valid_ms
--- a/src/cassiaturn/server/_homes.py
+++ b/src/cassiaturn/server/_homes.py
@@ -76,9 +76,15 @@
         self._openings: set[asyncio.Task[str | Answer]] = set()
 
     @property
-    def is_draining(self) -> bool:
-        """Whether a planned stop is under way."""
-        return self._state.draining
+    def takes_work(self) -> bool:
+        """Whether new submissions are taken.
+
+        Not before a shared configuration is known, and not once a planned stop or
+        a takeover is under way.
+        """
+        state = self._state
+        closed = state.draining or state.superseded
+        return bool(state.tenants_by_name) and not closed
 
     def issue_ticket(self) -> str:
         """Return a submission id that names this instance."""
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -29,7 +29,6 @@
     MemberState,
 )
 from cassiaturn.observability import Event, Metrics, Ready, StatusDocument, log_event
-from cassiaturn.policy import PolicySettings
 from cassiaturn.recovery import (
     HoldState,
     PauseDetector,
@@ -86,13 +85,23 @@
 class Instance:
     """A running instance; :meth:`start` it, then :meth:`stop` it."""
 
-    def __init__(self, *, settings: InstanceSettings, schema: Schema) -> None:
-        """Build the tables; no connection opens yet."""
+    def __init__(
+        self,
+        *,
+        settings: InstanceSettings,
+        schema: Schema,
+        stop_requested: asyncio.Event | None = None,
+    ) -> None:
+        """Build the tables; no connection opens yet.
+
+        :param stop_requested: set when a planned stop is asked for.
+        """
         rng = random.Random()
         boot_ms = int(time.time() * MILLISECONDS)
         self.settings = settings
         self.started_at = time.monotonic()
-        self.stop_requested = asyncio.Event()
+        self.stop_requested = stop_requested or asyncio.Event()
+        self.superseded = asyncio.Event()
         self.metrics = Metrics(
             instance_id=settings.instance_id,
             failure_domain=settings.failure_domain,
@@ -202,6 +211,7 @@
         ticket_valid_s = limits.ticket_valid_ms / MILLISECONDS
         submissions = SubmissionTable(
             incarnation=self.incarnation,
+            booted_at=self.started_at,
             settings=SubmissionSettings(
                 ticket_valid_s=ticket_valid_s,
                 retention_s=max(retention_s, ticket_valid_s + 1.0),
@@ -229,7 +239,7 @@
                 max_payload_bytes=limits.max_payload_bytes,
                 max_job_bytes=limits.max_job_bytes,
             ),
-            policy=PolicySettings(),
+            policy=settings.policy,
             schema=schema,
             submissions=submissions,
             ports=self.ports,
@@ -299,6 +309,7 @@
             addresses_by_target=self._addresses_by_target,
             incarnation=self.incarnation,
             max_clock_skew_ms=limits.max_clock_skew_ms,
+            ticket_valid_ms=limits.ticket_valid_ms,
         )
         self.homes = Homes(
             state=self.state,
@@ -306,6 +317,7 @@
             issuer=TicketIssuer(
                 incarnation=self.incarnation,
                 valid_for_s=limits.ticket_valid_ms / MILLISECONDS,
+                booted_at=self.started_at,
             ),
             ticket_valid_ms=limits.ticket_valid_ms,
             peers=self.peers,
@@ -404,6 +416,7 @@
             for tenant in configuration.tenants
         }
         self.state.tenants_by_name = tenants
+        self.state.reconfigure(configuration.applied_to(self.settings.policy))
         self.targets.drain_shared(configuration.content.drained_targets)
         self.state.queue.set_weights(
             {name: tenant.weight for name, tenant in tenants.items()}
@@ -425,6 +438,8 @@
         if self._superseded:
             return
         self._superseded = True
+        self.state.superseded = True
+        self.superseded.set()
         log_event(Event.INCARNATION_FENCED, incarnation=self.incarnation)
         supersede_all(self.state, time.monotonic())
 
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -28,7 +28,7 @@
 from cassiaturn.observability import Event, log_event
 from cassiaturn.policy import PeerRow
 from cassiaturn.server._link import FrameStream, Link, LinkDialer
-from cassiaturn.submission import instance_of
+from cassiaturn.submission import booted_ms, instance_of
 from cassiaturn.v1 import peer_pb2
 from cassiaturn.v1.peer_grpc import PeerStub
 
@@ -103,9 +103,12 @@
         """Take an incarnation that a newer one replaced for ended."""
         row = self._membership.members_by_id.get(instance_of(incarnation) or "")
         known = row.facts.incarnation if row is not None else ""
-        if row is not None and known and known != incarnation and row.heard_at:
-            # A process that we hear has this instance id now, and an instance
-            # id names one process at a time.
+        if row is None or not known or known == incarnation or not row.heard_at:
+            return
+        # An instance id names one process at a time, so one that we hear has
+        # replaced every older one. A younger one may just not be heard yet:
+        # taken for ended, it would be fenced in its first second.
+        if booted_ms(incarnation) < booted_ms(known):
             self._ended.add(incarnation)
 
     async def forward(
--- a/src/cassiaturn/server/_run.py
+++ b/src/cassiaturn/server/_run.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
+from enum import Enum, auto
 
 import uvloop
 from returns.result import Failure, Success
@@ -10,6 +12,7 @@
 from cassiaturn.observability import Event, HttpServer, log_event
 from cassiaturn.server._instance import Instance
 from cassiaturn.settings import InstanceSettings
+from cassiaturn.submission import InvariantError
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -37,38 +40,66 @@
     return code
 
 
+class _End(Enum):
+    """Why an instance stops serving."""
+
+    STOP = auto()
+    """A planned stop."""
+
+    SUPERSEDED = auto()
+    """Another instance took its submissions over: begin a new incarnation."""
+
+    BROKEN = auto()
+    """An invariant does not hold."""
+
+
 async def _serve(settings: InstanceSettings, schema: Schema) -> int:
-    instance = Instance(settings=settings, schema=schema)
+    stop = asyncio.Event()
+    broken = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, instance.stop_requested.set)
-    broken = asyncio.Event()
+        loop.add_signal_handler(number, stop.set)
+    loop.set_exception_handler(_failure_handler(broken))
+    while True:
+        instance = Instance(settings=settings, schema=schema, stop_requested=stop)
+        http = HttpServer(
+            address=settings.http, source=instance, metrics=instance.metrics
+        )
+        try:
+            http.start()
+            await instance.start()
+        except OSError as error:
+            log_event(Event.LISTEN_FAILED, detail=str(error))
+            return EXIT_LISTEN
+        end = await _wait_for_end(instance, broken)
+        if end is _End.BROKEN:
+            return EXIT_INVARIANT
+        await instance.stop()
+        await http.close()
+        instance.metrics.close()
+        if end is _End.STOP:
+            return EXIT_OK
+
+
+async def _wait_for_end(instance: Instance, broken: asyncio.Event) -> _End:
+    ends_by_task = {
+        asyncio.create_task(broken.wait()): _End.BROKEN,
+        asyncio.create_task(instance.stop_requested.wait()): _End.STOP,
+        asyncio.create_task(instance.superseded.wait()): _End.SUPERSEDED,
+    }
+    done, _ = await asyncio.wait(ends_by_task, return_when=asyncio.FIRST_COMPLETED)
+    for task in ends_by_task:
+        task.cancel()
+    return next(end for task, end in ends_by_task.items() if task in done)
+
 
+def _failure_handler(
+    broken: asyncio.Event,
+) -> Callable[[asyncio.AbstractEventLoop, dict[str, object]], None]:
     def on_failure(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         failure = context.get("exception")
         log_event(Event.INVARIANT_BROKEN, detail=repr(failure or context["message"]))
-        if isinstance(failure, AssertionError):
+        if isinstance(failure, AssertionError | InvariantError):
             broken.set()
 
-    loop.set_exception_handler(on_failure)
-    metrics = instance.metrics
-    http = HttpServer(address=settings.http, source=instance, metrics=metrics)
-    try:
-        http.start()
-        await instance.start()
-    except OSError as error:
-        log_event(Event.LISTEN_FAILED, detail=str(error))
-        return EXIT_LISTEN
-    waits = [
-        asyncio.create_task(instance.stop_requested.wait()),
-        asyncio.create_task(broken.wait()),
-    ]
-    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    for wait in waits:
-        wait.cancel()
-    if broken.is_set():
-        return EXIT_INVARIANT
-    await instance.stop()
-    await http.close()
-    metrics.close()
-    return EXIT_OK
+    return on_failure
--- a/src/cassiaturn/server/_successor.py
+++ b/src/cassiaturn/server/_successor.py
@@ -18,6 +18,8 @@
     FenceDue,
     FenceReport,
     RunAfter,
+    RunNow,
+    SubmissionDecision,
     TakeoverPhase,
     TakeoverRow,
     TakeoverTable,
@@ -25,7 +27,7 @@
     takeover_key,
 )
 from cassiaturn.server._peers import PeerBook
-from cassiaturn.submission import StoreBudget, booted_ms
+from cassiaturn.submission import StoreBudget, Ticket, booted_ms, parse_ticket
 from cassiaturn.targets import fence
 
 MILLISECONDS = 1000
@@ -66,6 +68,7 @@
         addresses_by_target: Callable[[], Mapping[str, Address]],
         incarnation: str,
         max_clock_skew_ms: int,
+        ticket_valid_ms: int,
     ) -> None:
         """Succeed for one instance.
 
@@ -80,6 +83,8 @@
         self._addresses_by_target = addresses_by_target
         self._me = incarnation
         self._max_clock_skew_ms = max_clock_skew_ms
+        self._ticket_valid_ms = ticket_valid_ms
+        self._shortest_memory_ms = ticket_valid_ms
         self._tasks: set[asyncio.Task[None]] = set()
         self.writes = 0
         self.reads = 0
@@ -126,6 +131,8 @@
                 repeatable=repeatable,
                 now=now,
             )
+            if self._is_too_old(home, submission.submission_id):
+                decision = without_denials(decision, submission.submission_id)
             if isinstance(decision, TellCaller):
                 if decision.answer.outcome is not Outcome.UNKNOWN or now >= give_up:
                     return decision.answer
@@ -220,6 +227,9 @@
         now = time.monotonic()
         match result:
             case Success(reply):
+                self._shortest_memory_ms = min(
+                    self._shortest_memory_ms, reply.remembers_ms
+                )
                 report = FenceReport.from_message(reply)
                 if not self._vouches(reply.uptime_ms, due.dead):
                     report = replace(report, exhaustive=False)
@@ -227,6 +237,15 @@
             case _:
                 self._table.fence_failed(due.dead, due.target_id, now)
 
+    def _is_too_old(self, home: str, submission_id: str) -> bool:
+        # Targets forget the keys of acknowledged tasks after a time. A ticket
+        # older than that may have run and been forgotten, so that no denial
+        # proves anything; of an id without a ticket the home's age is the bound.
+        ticket = parse_ticket(submission_id)
+        issued_ms = ticket.issued_ms if isinstance(ticket, Ticket) else 0
+        age_ms = time.time() * MILLISECONDS - booted_ms(home) - issued_ms
+        return age_ms + self._max_clock_skew_ms > self._shortest_memory_ms
+
     def _vouches(self, uptime_ms: int, dead: str) -> bool:
         # A runner that was restarted knows nothing of what its earlier process
         # began. Taken at its word, a task that ran there would be called "not
@@ -240,6 +259,30 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def without_denials(
+    decision: SubmissionDecision, submission_id: str
+) -> SubmissionDecision:
+    """Return a decision that rests on what ran, and on nobody's denial.
+
+    Results and failures that targets tell stay; "not run" and starting the rest
+    become "unknown".
+    """
+    if isinstance(decision, TellCaller):
+        if decision.answer.outcome is not Outcome.NOT_RUN:
+            return decision
+    elif not any(isinstance(d, RunNow) for d in decision.decisions_by_index.values()):
+        return decision
+    return TellCaller(
+        answer=Answer(
+            submission_id=submission_id,
+            outcome=Outcome.UNKNOWN,
+            ran=Ran.MAYBE,
+            reason=Reason.EXPIRED,
+            detail="its home ended, and the targets may have forgotten what ran",
+        )
+    )
+
+
 def _resumed(
     submission: Submission, decisions_by_index: Mapping[int, object]
 ) -> Submission:
--- a/src/cassiaturn/server/tests/fleet.py
+++ b/src/cassiaturn/server/tests/fleet.py
@@ -142,6 +142,11 @@
         self.instances[index : index + 1] = [instance]
         return instance
 
+    async def start_unlinked(self, index: int) -> Instance:
+        """Replace an instance by a new incarnation that no peer has heard."""
+        await self.kill(index)
+        return await self.start(index)
+
     async def kill(self, index: int) -> None:
         """End an instance without warning: its connections just close."""
         instance = self.instances[index]
--- a/src/cassiaturn/server/tests/test_failures.py
+++ b/src/cassiaturn/server/tests/test_failures.py
@@ -6,6 +6,7 @@
 
 from cassiaturn.client import Client
 from cassiaturn.configuration import load_content, propose
+from cassiaturn.engine import Submission
 from cassiaturn.entities import Answer, Outcome, Ran, Reason
 from cassiaturn.platform import HttpCaller, HttpTableService
 from cassiaturn.server.tests.fleet import (
@@ -301,3 +302,59 @@
             )
         )
         caller.close()
+
+
+async def test_a_younger_incarnation_is_not_taken_for_ended(
+    tmp_path: Path, platform: PlatformStandIn
+) -> None:
+    """An instance restarts and at once gives a caller a ticket.
+
+    The caller sends it to a peer that has only heard the old incarnation. The
+    peer must forward it and not succeed a home that has just begun.
+    """
+    async with fleet_with(platform, tmp_path) as fleet, fleet.client() as client:
+        peers = fleet.instances[1].peers
+        younger = await fleet.start_unlinked(0)
+        peers.note_unknown(younger.incarnation)
+        assert not peers.is_gone(younger.incarnation)
+        ticket = younger.homes.issue_ticket()
+        answer = await submit(client, fleet, ticket, DECKS, index=1)
+        assert answer.outcome is Outcome.COMPLETE
+        assert not younger.superseded.is_set()
+
+
+async def test_a_fenced_incarnation_says_that_it_does_not_know(
+    tmp_path: Path, platform: PlatformStandIn
+) -> None:
+    """Targets refuse a home's starts as fenced: a successor has taken over.
+
+    Its callers hear "unknown" at once, and so does whoever comes with one of
+    its tickets later; only the successor may say more.
+    """
+    async with fleet_with(platform, tmp_path) as fleet, fleet.client() as client:
+        home = fleet.instances[0]
+        for runner in fleet.runners.runners_by_id.values():
+            runner.table.fence(home.incarnation, lease_ms=0, now_ms=0)
+        ticket = await ticket_of(client, fleet, 0)
+        answer = await client.submit(
+            ORDER,
+            DECKS,
+            deadline_s=0.5,
+            submission_id=ticket,
+            address=fleet.addresses[0],
+        )
+        assert answer.outcome is Outcome.UNKNOWN
+        assert home.superseded.is_set()
+        late = home.homes.issue_ticket()
+        again = await home.homes.submit(
+            Submission(
+                submission_id=late,
+                tenant="kwabena",
+                caller="test",
+                method=ORDER,
+                payloads=tuple(DECKS),
+                deadline_s=5.0,
+            )
+        )
+        assert again.outcome is Outcome.UNKNOWN
+        assert not fleet.starts_by_task()
--- a/src/cassiaturn/standins/_runner.py
+++ b/src/cassiaturn/standins/_runner.py
@@ -148,6 +148,7 @@
             begun=[task.to_message() for task in begun],
             exhaustive=self.table.is_exhaustive_for(request.home),
             uptime_ms=int((time.monotonic() - self._began_at) * 1000),
+            remembers_ms=self.table.keep_acknowledged_ms,
         )
         await stream.send_message(reply)
 
--- a/src/cassiaturn/standins/_task_table.py
+++ b/src/cassiaturn/standins/_task_table.py
@@ -82,6 +82,7 @@
             result=self.result,
             detail=self.detail,
             run_ms=max(0, self.ended_at_ms - self.begun_at_ms),
+            result_dropped=bool(self.forget_at_ms),
         )
 
 
--- a/src/cassiaturn/submission/_table.py
+++ b/src/cassiaturn/submission/_table.py
@@ -40,9 +40,16 @@
     ticket only if it names this incarnation.
     """
 
-    def __init__(self, *, incarnation: str, settings: SubmissionSettings) -> None:
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        settings: SubmissionSettings,
+        booted_at: float = 0.0,
+    ) -> None:
         self._incarnation = incarnation
         self._settings = settings
+        self._booted_at = booted_at
         self._records_by_id: dict[str, SubmissionRecord] = {}
         self._settled_by_id: dict[str, SubmissionRecord] = {}
         self._retained = RetainedResults(incarnation=incarnation, settings=settings)
@@ -105,7 +112,7 @@
             opened_at=now,
             issued_ms=None if ticket is None else ticket.issued_ms,
         )
-        return self._admit(record, now)
+        return self._admit(record, now, succeeded=succeeded)
 
     def begin(self, submission_id: str) -> bool:
         """Ask, directly before a start is sent, whether it may be.
@@ -230,7 +237,7 @@
                 return ticket
 
     def _expired(self, ticket: Ticket, now: float) -> Answer | None:
-        age_s = now - ticket.issued_ms / _MS_PER_S
+        age_s = now - self._booted_at - ticket.issued_ms / _MS_PER_S
         in_time = 0 <= age_s <= self._settings.ticket_valid_s
         lost_row = ticket.issued_ms <= self._forgotten_ms
         refused_row = ticket.issued_ms <= self._refused_ms
@@ -243,14 +250,18 @@
             return self._refusal(ticket.submission_id, Reason.EXPIRED, retry_ms=0)
         return self.forgotten_answer(ticket.submission_id)
 
-    def _admit(self, record: SubmissionRecord, now: float) -> Opening:
+    def _admit(
+        self, record: SubmissionRecord, now: float, *, succeeded: bool
+    ) -> Opening:
         self._make_room()
         self._records_by_id[record.submission_id] = record
         full = (
             len(self._records_by_id) > self._settings.max_records
             or self._retained.is_full
         )
-        if not full:
+        # A dead home may have begun it, so a full table must not say "not run" of
+        # it; max_adopted bounds these.
+        if succeeded or not full:
             return Opened(record=record)
         refusal = self._refusal(
             record.submission_id, Reason.OVERLOAD, retry_ms=_FULL_RETRY_MS
--- a/src/cassiaturn/submission/_ticket.py
+++ b/src/cassiaturn/submission/_ticket.py
@@ -30,7 +30,7 @@
     """Position among the tickets of its home, from 0."""
 
     issued_ms: int
-    """Time of issue on the home's own monotonic clock, in milliseconds."""
+    """Time of issue since the start of the home, in milliseconds."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,10 +51,19 @@
     clocks of hosts are never compared.
     """
 
-    def __init__(self, *, incarnation: str, valid_for_s: float) -> None:
+    def __init__(
+        self, *, incarnation: str, valid_for_s: float, booted_at: float = 0.0
+    ) -> None:
+        """Issue for one incarnation.
+
+        :param valid_for_s: how long a ticket may open a submission, in seconds.
+        :param booted_at: monotonic time of its start, in seconds; tickets carry
+            the time since, which a successor can place on the wall clock.
+        """
         self._prefix = f"{TICKET_PREFIX}{incarnation}."
         self._incarnation = incarnation
         self._valid_for_s = valid_for_s
+        self._booted_at = booted_at
         self._next_sequence = 0
 
     def issue(self, now: float) -> str:
@@ -64,7 +73,7 @@
         """
         sequence = self._next_sequence
         self._next_sequence += 1
-        return f"{self._prefix}{sequence}.{int(now * _MS_PER_S)}"
+        return f"{self._prefix}{sequence}.{int((now - self._booted_at) * _MS_PER_S)}"
 
     def valid(self, ticket: Ticket, now: float) -> bool:
         """Whether this incarnation issued a ticket and may still open it.
@@ -75,7 +84,7 @@
             return False
         if ticket.sequence >= self._next_sequence:
             return False
-        age_s = now - ticket.issued_ms / _MS_PER_S
+        age_s = now - self._booted_at - ticket.issued_ms / _MS_PER_S
         return 0 <= age_s <= self._valid_for_s
 
 
--- a/src/cassiaturn/submission/tests/test_table.py
+++ b/src/cassiaturn/submission/tests/test_table.py
@@ -264,6 +264,20 @@
     assert opening.answer.ran is Ran.MAYBE
 
 
+def test_a_full_successor_does_not_call_begun_work_not_run() -> None:
+    """
+    A home dies with one task of a job done. Its successor is full; a refusal as
+    "not run" would tell the caller to order again what has been shipped.
+    """
+    rows = table()
+    for sequence in range(3):
+        open_one(rows, ticket(sequence))
+
+    other = "t1.osu-2~18c0000000011223344.0.0"
+
+    assert isinstance(open_one(rows, other, succeeded=True), Opened)
+
+
 def test_fingerprints_tell_the_borders_of_tasks() -> None:
     prints = {
         fingerprint_of(method="m", tasks=[b"ab"]),
