Eject a target on probation at once, and healthy ones less often

Cause: on an instance of three targets the one on probation took all the room of the cap, so it was never ejected again and failed some 20 tasks a second; non-repeatable tasks on trial failed their jobs. Few results in a window made healthy targets look slow. Change: probation ends after two bad results and needs no room; only repeatable tasks put a target to trial; missing results count as good. The record of a target is a module of its own.

--- a/src/cassiaturn/policy/__init__.py
+++ b/src/cassiaturn/policy/__init__.py
@@ -9,7 +9,8 @@
 )
 from cassiaturn.policy._failure_pause import failure_pause_s
 from cassiaturn.policy._fair_queue import FairQueue
-from cassiaturn.policy._health import HealthChange, HealthState, TargetHealth
+from cassiaturn.policy._handover import choose_successor
+from cassiaturn.policy._health import HealthChange, TargetHealth
 from cassiaturn.policy._placement import PeerRow, Placement
 from cassiaturn.policy._queued_task import QueuedTask
 from cassiaturn.policy._quota import next_quota_part, split_quota
@@ -22,6 +23,7 @@
     PolicySettings,
     RetrySettings,
 )
+from cassiaturn.policy._target_record import HealthState
 from cassiaturn.policy._targets import TargetRow, choose_target
 
 __all__ = [
@@ -48,6 +50,7 @@
     "RetrySettings",
     "TargetHealth",
     "TargetRow",
+    "choose_successor",
     "choose_target",
     "failure_pause_s",
     "next_quota_part",
--- a/src/cassiaturn/policy/_settings.py
+++ b/src/cassiaturn/policy/_settings.py
@@ -143,7 +143,7 @@
     """How far the share must be above the peers' median; a share."""
 
     min_samples: int = 4
-    """Slow or failed tasks before a target is judged, in tasks."""
+    """Failed tasks before a target is judged, in tasks."""
 
     window: int = 8
     """Results a target is judged by, in tasks, besides what it is running."""
@@ -160,6 +160,9 @@
     probation_successes: int = 4
     """Good results in a row that end probation, in tasks."""
 
+    probation_failures: int = 2
+    """Failed or slow tasks in a row that end it by another ejection, in tasks."""
+
     tick_s: float = 0.1
     """Least time between two judgements, in seconds."""
 
--- a/src/cassiaturn/policy/_targets.py
+++ b/src/cassiaturn/policy/_targets.py
@@ -75,6 +75,10 @@
             return False
         if self.leaving or not self.connected:
             return False
+        # A target on probation may still fail what it is given. A task that may
+        # not be repeated would then fail its job, so only others put it to trial.
+        if self.allowance < self.slots and not task.repeatable:
+            return False
         if self.connections_in_use >= self.connections:
             return False
         if self.methods is not None and task.method not in self.methods:
--- a/src/cassiaturn/policy/tests/test_health.py
+++ b/src/cassiaturn/policy/tests/test_health.py
@@ -1,3 +1,4 @@
+from collections import Counter
 from collections.abc import Callable
 
 import pytest
@@ -5,17 +6,17 @@
 from cassiaturn.entities import TaskKey
 from cassiaturn.policy import HealthSettings, HealthState, TargetHealth
 
-TARGETS = [f"r{index}" for index in range(8)]
-
 
 class Pool:
-    """Runs tasks on eight targets, every 50 ms, in virtual time."""
+    """Runs a task on each target every 50 ms, in virtual time."""
 
-    def __init__(self) -> None:
+    def __init__(self, targets: int = 8) -> None:
+        self.targets = [f"r{index}" for index in range(targets)]
+        self.finished_by_target: Counter[str] = Counter()
         self.health = TargetHealth(settings=HealthSettings())
         self.now = 0.0
         self.number = 0
-        for target in TARGETS:
+        for target in self.targets:
             self.health.add(target, 8)
 
     def run(
@@ -27,7 +28,7 @@
     ) -> None:
         end = self.now + seconds
         while self.now < end:
-            for target in TARGETS:
+            for target in self.targets:
                 ejected = self.health.state_of(target) is HealthState.EJECTED
                 if not ejected and target != stuck:
                     self._finish(target, run_s(target), ok(target))
@@ -36,12 +37,13 @@
 
     def _finish(self, target: str, run_s: float, ok: bool) -> None:
         self.number += 1
+        self.finished_by_target[target] += 1
         key = TaskKey("s", self.number)
         self.health.started(target, key, "price", self.now)
         self.health.finished(target, key, "price", run_s, ok, self.now)
 
     def states(self) -> list[HealthState]:
-        return [self.health.state_of(target) for target in TARGETS]
+        return [self.health.state_of(target) for target in self.targets]
 
 
 def test_a_slow_target_is_ejected_and_comes_back_once_it_is_well() -> None:
@@ -93,6 +95,25 @@
     assert pool.states().count(HealthState.HEALTHY) >= 6
 
 
+@pytest.mark.parametrize("targets", [2, 3, 8])
+def test_a_target_that_keeps_failing_goes_from_probation_back_at_once(
+    targets: int,
+) -> None:
+    """A worker fails everything for half a minute.
+
+    Each trial costs the callers of the tasks that it gets. With two or three
+    targets it takes all the room of the cap itself, which must not keep it on
+    probation; its trials get rarer and end after two failures.
+    """
+    pool = Pool(targets=targets)
+    pool.run(1.0)
+    pool.run(30.0, ok=lambda target: target != "r0")
+    assert pool.states()[0] is HealthState.EJECTED
+    assert pool.finished_by_target["r0"] < 60
+    pool.run(60.0)
+    assert set(pool.states()) == {HealthState.HEALTHY}
+
+
 def test_failures_of_all_targets_eject_none() -> None:
     pool = Pool()
     pool.run(1.0)
--- a/src/cassiaturn/policy/tests/test_placement.py
+++ b/src/cassiaturn/policy/tests/test_placement.py
@@ -39,6 +39,19 @@
     assert chosen is (target if fits else None)
 
 
+@pytest.mark.parametrize(("repeatable", "fits"), [(True, True), (False, False)])
+def test_only_repeatable_tasks_put_a_target_to_trial(
+    repeatable: bool, fits: bool
+) -> None:
+    """A target on probation, with an allowance below its slots, is offered work.
+
+    It may still fail it. A deck order that may run only once would fail its
+    whole job, so it goes elsewhere.
+    """
+    task = make_task(repeatable=repeatable)
+    assert (choose_target(task, [make_target(allowance=1)]) is not None) is fits
+
+
 def test_accelerators_are_counted_whole() -> None:
     task = make_task(resources=Resources(accelerators=1))
     target = make_target()
