--- a/src/cassiaturn/bench/_instance.py
+++ b/src/cassiaturn/bench/_instance.py
@@ -20,7 +20,9 @@
     FairQueue,
     FirstRun,
     LoadView,
+    PeerRow,
     Placement,
+    QueuedTask,
     Refuse,
     Retry,
     RetryBudget,
@@ -180,8 +182,8 @@
     def _dispatch(self) -> None:
         if len(self._queue):
             self._start_own()
-        if len(self._queue) and self._modules.spill:
-            self._spill()
+        while len(self._queue) and self._modules.spill and self._spill():
+            self._start_own()
 
     def _start_own(self) -> None:
         now = self._world.loop.now
@@ -201,19 +203,21 @@
             return frozenset()
         return self._quotas.used_up(self._running_by_tenant)
 
-    def _spill(self) -> None:
+    def _spill(self) -> bool:
+        """Give tasks to peers.
+
+        :returns: whether the next task may now use spare slots here.
+        """
         now = self._world.loop.now
         peers = self.links.rows()
         while True:
             task = self._queue.peek(now=now)
-            if task is None or self._held_by_key[task.key].home is not self:
-                # A task that came from a peer is not passed on, or two instances
-                # with old reports would hand it back and forth.
-                return
-            wait_s = self._expected_wait_s()
-            peer = self._placement.choose_peer(task, wait_s, peers, now)
+            if task is None:
+                return False
+            might_use_spare = task.may_use_spare
+            peer = self._choose_peer(task, peers)
             if peer is None:
-                return
+                return task.may_use_spare and not might_use_spare
             if self._queue.pop(now=now) is not task:
                 raise AssertionError(f"{task.key} was next and is no longer")
             peer.send()
@@ -221,6 +225,18 @@
             held.holder = other = self.links.instance(peer.instance_id)
             self._send(MessageKind.FORWARD, other, other._on_spilled, held)
 
+    def _choose_peer(
+        self, task: QueuedTask, peers: Sequence[PeerRow]
+    ) -> PeerRow | None:
+        if self._held_by_key[task.key].home is not self:
+            # A task that came from a peer is not passed on, or two instances
+            # with old reports would hand it back and forth.
+            task.may_use_spare = True
+            return None
+        wait_s = self._expected_wait_s()
+        now = self._world.loop.now
+        return self._placement.choose_peer(task, wait_s, peers, now)
+
     def _on_spilled(self, held: Held) -> None:
         if held.start.run.outcome is not None:
             return
--- a/src/cassiaturn/bench/_ours.py
+++ b/src/cassiaturn/bench/_ours.py
@@ -8,6 +8,10 @@
 from cassiaturn.bench._modules import Modules
 from cassiaturn.bench._runner import FakeRunner, JobRun
 from cassiaturn.bench._world import World
+from cassiaturn.policy import PlacementSettings, PolicySettings
+
+WITHOUT_SPARE = PolicySettings(placement=PlacementSettings(spare_share_by_class={}))
+"""No slots are kept for higher classes."""
 
 
 @dispatcher("cassiaturn")
@@ -69,6 +73,7 @@
     """The same decisions in one queue that sees every slot without a message."""
 
     is_one_place = True
+    modules = Modules(settings=WITHOUT_SPARE)
 
     def _runners_by_instance(self) -> Sequence[Sequence[FakeRunner]]:
         return [self.world.runners]
@@ -90,9 +95,16 @@
 
 @dispatcher("without-spill")
 class WithoutSpill(Cassiaturn):
-    """Runs tasks on their own instance's targets only."""
+    """Runs tasks on their own instance's targets only, spare slots included."""
+
+    modules = Modules(spill=False, settings=WITHOUT_SPARE)
+
+
+@dispatcher("without-spare")
+class WithoutSpare(Cassiaturn):
+    """Lets any class take the last free slots."""
 
-    modules = Modules(spill=False)
+    modules = Modules(settings=WITHOUT_SPARE)
 
 
 @dispatcher("without-health")
--- a/src/cassiaturn/bench/_own_targets.py
+++ b/src/cassiaturn/bench/_own_targets.py
@@ -72,7 +72,12 @@
 
     def fits(self, task: QueuedTask) -> bool:
         """Return whether a target is free for a task, and note which."""
-        self._chosen = choose_target(task, self._rows)
+        placement = self._modules.settings.placement
+        self._chosen = choose_target(
+            task,
+            self._rows,
+            spare_share_by_class=placement.spare_share_by_class,
+        )
         return self._chosen is not None
 
     def start(self, held: Held) -> None:
