Cut failure domains off from each other and from the platform

Cause: no scenario could cause a partition. Change: relays between failure domains that hold bytes back and deliver them late; a fault that names the domains; the settings documents of a run stand in a module of their own. Before: no partition. Conclusion: bytes that arrive after the healing are the case that fences and start-by times are for.

--- a/src/cassiaturn/load/__init__.py
+++ b/src/cassiaturn/load/__init__.py
@@ -2,6 +2,7 @@
 
 from cassiaturn.load._answers import CallerAnswer
 from cassiaturn.load._plan import PlannedJob, plan_jobs
+from cassiaturn.load._relay import Relay, RelayPlace
 from cassiaturn.load._scenario import Scenario
 from cassiaturn.load._scenario_file import DEMO_SCENARIO, load_scenario
 from cassiaturn.load._verdict import Verdict, judge
@@ -10,6 +11,8 @@
     "DEMO_SCENARIO",
     "CallerAnswer",
     "PlannedJob",
+    "Relay",
+    "RelayPlace",
     "Scenario",
     "Verdict",
     "judge",
--- a/src/cassiaturn/load/_faults.py
+++ b/src/cassiaturn/load/_faults.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from cassiaturn.load._layout import RunnerPlace
+from cassiaturn.load._relay import Relay
 from cassiaturn.load._scenario import Fault, FaultKind
 from cassiaturn.load._site import Site
 from cassiaturn.standins import FaultRequest, PlatformFault, RunnerFault
@@ -168,6 +169,26 @@
     await site.control_platform(PlatformFault())
 
 
+@_begins(FaultKind.PARTITION)
+async def _cut(site: Site, fault: Fault) -> None:
+    for relay in _relays(site, fault):
+        relay.cut()
+
+
+@_ends(FaultKind.PARTITION)
+async def _heal(site: Site, fault: Fault) -> None:
+    for relay in _relays(site, fault):
+        relay.heal()
+
+
+def _relays(site: Site, fault: Fault) -> Sequence[Relay]:
+    return [
+        relay
+        for relay in site.relays
+        if relay.place.crosses(fault.domains, from_platform=fault.from_platform)
+    ]
+
+
 def _runner(site: Site, fault: Fault) -> RunnerPlace:
     return site.layout.runners[fault.index]
 
--- a/src/cassiaturn/load/_layout.py
+++ b/src/cassiaturn/load/_layout.py
@@ -1,26 +1,13 @@
-"""Which process of a run is what, listens where and is told what."""
+"""Which process of a run is what, and where it listens."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from importlib.resources import files
 from pathlib import Path
-from typing import Any
-
-import yaml
-from pydantic import TypeAdapter
 
 from cassiaturn.entities import Address
 from cassiaturn.load._ports import LOOPBACK, free_ports
+from cassiaturn.load._relay import RelayPlace
 from cassiaturn.load._scenario import Scenario
-from cassiaturn.standins import RunTime
-
-_RUN_TIME = TypeAdapter(RunTime)
-
-SCHEMAS = (
-    files("cassiaturn_examples") / "kwabena" / "props.binpb",
-    files("cassiaturn_examples") / "registre" / "register.binpb",
-)
-"""Descriptor sets of both example schemas."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,8 +63,23 @@
     control_ports: Sequence[int]
     """Control port of each process that hosts runners."""
 
-    platform_port: int
-    """Port of the platform stand-in."""
+    platform: Address
+    """Where the platform stand-in listens."""
+
+    relays: Sequence[RelayPlace]
+    """Relays between failure domains; none where no partition comes."""
+
+    def route(self, source_domain: str, destination: Address) -> Address:
+        """Return the address that a failure domain is told of a process.
+
+        :param source_domain: the failure domain that connects.
+        :param destination: where the process listens.
+        """
+        for relay in self.relays:
+            is_source = relay.source_domain == source_domain
+            if is_source and relay.destination == destination:
+                return relay.listen
+        return destination
 
     def settings_of(self, name: str) -> Path:
         """Return the settings file of a process."""
@@ -99,15 +101,17 @@
     :param directory: an empty directory for the files of the run.
     """
     deployment = scenario.deployment
-    hosts = -(-deployment.runners // deployment.runners_per_process)
-    ports = iter(free_ports(2 * deployment.instances + deployment.runners + hosts + 1))
     domains = deployment.failure_domains
+    hosts = -(-deployment.runners // deployment.runners_per_process)
+    processes = deployment.instances + deployment.runners + 1
+    own_ports = 2 * deployment.instances + deployment.runners + hosts + 1
+    addresses = _addresses(own_ports + len(domains) * processes)
     instances = [
         InstancePlace(
             instance_id=f"{domains[index % len(domains)]}-{index}",
             failure_domain=domains[index % len(domains)],
-            address=Address(host=LOOPBACK, port=next(ports)),
-            http=Address(host=LOOPBACK, port=next(ports)),
+            address=next(addresses),
+            http=next(addresses),
         )
         for index in range(deployment.instances)
     ]
@@ -115,115 +119,55 @@
         RunnerPlace(
             target_id=f"runner-{index}",
             failure_domain=domains[index % len(domains)],
-            address=Address(host=LOOPBACK, port=next(ports)),
+            address=next(addresses),
             host=index // deployment.runners_per_process,
             journal=directory / f"runner-{index}.jsonl",
         )
         for index in range(deployment.runners)
     ]
+    platform = next(addresses)
+    places = [_Destination(place.address, place.failure_domain) for place in instances]
+    places += [_Destination(place.address, place.failure_domain) for place in runners]
+    places.append(_Destination(platform, ""))
     return Layout(
         directory=directory,
         instances=instances,
         runners=runners,
-        control_ports=[next(ports) for _ in range(hosts)],
-        platform_port=next(ports),
+        control_ports=[next(addresses).port for _ in range(hosts)],
+        platform=platform,
+        relays=list(_plan_relays(scenario, places, addresses)),
     )
 
 
-def write_settings(scenario: Scenario, layout: Layout) -> None:
-    """Write the settings files of every process.
+@dataclass(frozen=True, slots=True)
+class _Destination:
+    """A process that others connect to."""
 
-    :param scenario: what to tell them.
-    :param layout: where they stand.
-    """
-    deployment = scenario.deployment
-    _write(layout, "platform", _platform_document(scenario, layout))
-    for host in range(len(layout.control_ports)):
-        _write(layout, f"runners-{host}", _host_document(scenario, layout, host))
-    slots = deployment.runners * deployment.slots
-    tenants = [{"name": name, "quota_slots": slots} for name in scenario.tenants]
-    _write(layout, "configuration", {"tenants": tenants})
-    for place in layout.instances:
-        _write(layout, place.instance_id, _instance_document(scenario, layout, place))
-
-
-def _write(layout: Layout, name: str, document: Mapping[str, Any]) -> None:
-    layout.settings_of(name).write_text(yaml.safe_dump(document, sort_keys=False))
-
-
-def _platform_document(scenario: Scenario, layout: Layout) -> Mapping[str, Any]:
-    return {
-        "port": layout.platform_port,
-        "writes_per_s": scenario.deployment.store_writes_per_s,
-        "reads_per_s": scenario.deployment.store_reads_per_s,
-        "seed": scenario.seed,
-        "hosts": [
-            {
-                "host_id": place.instance_id,
-                "host": place.address.host,
-                "port": place.address.port,
-                "failure_domain": place.failure_domain,
-                "state": "live",
-            }
-            for place in layout.instances
-        ],
-    }
-
-
-def _host_document(scenario: Scenario, layout: Layout, host: int) -> Mapping[str, Any]:
-    return {
-        "control_port": layout.control_ports[host],
-        "seed": scenario.seed,
-        "run_times_by_method": {
-            flow.method: _RUN_TIME.dump_python(flow.run_time, mode="json")
-            for flow in scenario.flows
-        },
-        "runners": [
-            {
-                "target_id": runner.target_id,
-                "port": runner.address.port,
-                "slots": scenario.deployment.slots,
-                "journal": str(runner.journal),
-            }
-            for runner in layout.hosted_by(host)
-        ],
-    }
-
-
-def _instance_document(
-    scenario: Scenario, layout: Layout, place: InstancePlace
-) -> Mapping[str, Any]:
-    platform_url = f"http://{LOOPBACK}:{layout.platform_port}"
-    return {
-        "instance_id": place.instance_id,
-        "failure_domain": place.failure_domain,
-        "listen": str(place.address),
-        "http": str(place.http),
-        "schemas": [str(schema) for schema in SCHEMAS],
-        "configuration_file": str(layout.settings_of("configuration")),
-        "platform": {
-            "table_url": platform_url,
-            "objects_url": platform_url,
-            "hosts_url": platform_url,
-        },
-        "timings": dict(scenario.deployment.timings),
-        "peers": [
-            {
-                "instance_id": other.instance_id,
-                "address": str(other.address),
-                "failure_domain": other.failure_domain,
-            }
-            for other in layout.instances
-            if other is not place
-        ],
-        "targets": [
-            {
-                "target_id": runner.target_id,
-                "address": str(runner.address),
-                "failure_domain": runner.failure_domain,
-                "worker": f"worker-{number}",
-                "slots": scenario.deployment.slots,
-            }
-            for number, runner in enumerate(layout.runners)
-        ],
-    }
+    address: Address
+    """Where it listens."""
+
+    failure_domain: str
+    """The failure domain that it is in; empty: the platform."""
+
+
+def _addresses(count: int) -> Iterator[Address]:
+    for port in free_ports(count):
+        yield Address(host=LOOPBACK, port=port)
+
+
+def _plan_relays(
+    scenario: Scenario,
+    destinations: Sequence[_Destination],
+    addresses: Iterator[Address],
+) -> Iterator[RelayPlace]:
+    if not scenario.has_partition:
+        return
+    for domain in scenario.deployment.failure_domains:
+        for destination in destinations:
+            if destination.failure_domain != domain:
+                yield RelayPlace(
+                    listen=next(addresses),
+                    destination=destination.address,
+                    source_domain=domain,
+                    destination_domain=destination.failure_domain,
+                )
--- a/src/cassiaturn/load/_run.py
+++ b/src/cassiaturn/load/_run.py
@@ -8,8 +8,9 @@
 from cassiaturn.entities import Schema
 from cassiaturn.load._answers import write_answers
 from cassiaturn.load._callers import Callers
+from cassiaturn.load._documents import SCHEMAS, write_settings
 from cassiaturn.load._faults import run_faults
-from cassiaturn.load._layout import SCHEMAS, Layout, plan_layout, write_settings
+from cassiaturn.load._layout import Layout, plan_layout
 from cassiaturn.load._plan import plan_jobs
 from cassiaturn.load._report import Figures, measure
 from cassiaturn.load._scenario import Scenario
--- a/src/cassiaturn/load/_scenario.py
+++ b/src/cassiaturn/load/_scenario.py
@@ -134,6 +134,7 @@
     STORE_HANGING = "store_hanging"
     STORE_SLOW = "store_slow"
     STORE_ANSWER_LOST = "store_answer_lost"
+    PARTITION = "partition"
 
 
 @with_config(CLOSED)
@@ -153,6 +154,12 @@
     for_s: Seconds = 0.0
     """How long; 0: for good."""
 
+    domains: tuple[Identifier, ...] = ()
+    """Partition: failure domains that are cut off from all others together."""
+
+    from_platform: bool = False
+    """Partition: whether they are cut off from the platform too."""
+
     amount: Annotated[float, Field(ge=0.0)] = 0.0
     """Slow: factor on run times. Store slow: milliseconds for each call. Store
     answer lost: share of the writes."""
@@ -190,6 +197,11 @@
     faults: tuple[Fault, ...] = ()
     """What fails, in any order."""
 
+    @property
+    def has_partition(self) -> bool:
+        """Whether connections between failure domains go through relays."""
+        return any(fault.kind is FaultKind.PARTITION for fault in self.faults)
+
     def __post_init__(self) -> None:
         """Refuse what each value alone does not show.
 
@@ -210,6 +222,11 @@
             self._check_fault(number, fault)
 
     def _check_fault(self, number: int, fault: Fault) -> None:
+        unknown = sorted(set(fault.domains) - set(self.deployment.failure_domains))
+        if unknown:
+            raise ValueError(f"faults.{number}.domains names unknown {unknown}")
+        if fault.kind is FaultKind.PARTITION and not fault.domains:
+            raise ValueError(f"faults.{number}.domains must name at least one")
         count = count_of(fault.kind, self.deployment)
         if count is not None and fault.index >= count:
             raise ValueError(f"faults.{number}.index must be below {count}")
@@ -229,15 +246,16 @@
 )
 """Faults whose index is that of an instance."""
 
-STORE_FAULTS = frozenset(
+SITE_FAULTS = frozenset(
     {
+        FaultKind.PARTITION,
         FaultKind.STORE_DOWN,
         FaultKind.STORE_HANGING,
         FaultKind.STORE_SLOW,
         FaultKind.STORE_ANSWER_LOST,
     }
 )
-"""Faults of the platform, which have no index."""
+"""Faults of the platform and the network, which have no index."""
 
 
 def count_of(kind: FaultKind, deployment: Deployment) -> int | None:
@@ -249,6 +267,6 @@
     """
     if kind in INSTANCE_FAULTS:
         return deployment.instances
-    if kind in STORE_FAULTS:
+    if kind in SITE_FAULTS:
         return None
     return deployment.runners
--- a/src/cassiaturn/load/_site.py
+++ b/src/cassiaturn/load/_site.py
@@ -11,6 +11,7 @@
 from cassiaturn.load._layout import Layout
 from cassiaturn.load._ports import LOOPBACK
 from cassiaturn.load._process import DRAIN_TIMEOUT_S, ChildProcess
+from cassiaturn.load._relay import Relay
 
 READY_TIMEOUT_S = 30.0
 """Longest wait for every process to be ready."""
@@ -46,6 +47,7 @@
         :param program: the dispatcher, to which ``serve`` is added.
         """
         self.layout = layout
+        self.relays = [Relay(place=place) for place in layout.relays]
         self.platform = self._stand_in("platform", "platform")
         self.runner_hosts = [
             self._stand_in("runners", f"runners-{host}")
@@ -63,6 +65,8 @@
 
         :raises SiteError: a process ended or is not ready in time.
         """
+        for relay in self.relays:
+            await relay.start()
         for child in [self.platform, *self.runner_hosts]:
             await child.start()
         await asyncio.sleep(HEAD_START_S)
@@ -98,6 +102,8 @@
         """End everything, instances first, and note how these ended."""
         running = [child for child in self.instances if child.is_running]
         self.exit_codes += await asyncio.gather(*(child.stop() for child in running))
+        for relay in self.relays:
+            await relay.close()
         others = [self.platform, *self.runner_hosts]
         await asyncio.gather(*(child.stop() for child in others))
         self._http.close()
@@ -115,7 +121,7 @@
 
         :param request: body of ``POST /fault``.
         """
-        await self._post_fault(self.layout.platform_port, request)
+        await self._post_fault(self.layout.platform.port, request)
 
     def killed_at_us_by_target(self) -> Mapping[str, Sequence[int]]:
         """Return the wall clock of each kill of a runner's process."""
--- a/src/cassiaturn/load/_starts.py
+++ b/src/cassiaturn/load/_starts.py
@@ -13,7 +13,8 @@
 
 from cassiaturn.client import Client
 from cassiaturn.entities import Address, Outcome
-from cassiaturn.load._layout import Layout, plan_layout, write_settings
+from cassiaturn.load._documents import write_settings
+from cassiaturn.load._layout import Layout, plan_layout
 from cassiaturn.load._run import THIS_PROGRAM
 from cassiaturn.load._scenario import Scenario
 from cassiaturn.load._site import Site
--- a/src/cassiaturn/load/tests/test_scenario_file.py
+++ b/src/cassiaturn/load/tests/test_scenario_file.py
@@ -61,6 +61,10 @@
             "faults: [{at_s: 1, kind: leave, index: 99}]",
             ["faults.0.index", "below 8"],
         ),
+        (
+            "faults: [{at_s: 1, kind: partition, domains: [moon]}]",
+            ["faults.0.domains", "moon"],
+        ),
         ("faults: [{at_s: 1, kind: slow}]", ["faults.0.amount", "above 0"]),
         (
             "flows: [{method: kwabena.v1.Props/OrderDeck, jobs_per_s: 1,"
