Keep the tie break of tenants that a search passes over

Cause: a tenant set aside came back behind others of equal service, so that pop could return another task than peek. Change: its entry goes back as it was. A test that relied on the changed tie break now asks for the order of arrival, over one more task.

--- a/src/cassiaturn/policy/_fair_queue.py
+++ b/src/cassiaturn/policy/_fair_queue.py
@@ -87,7 +87,8 @@
 
         :param now: present time, in seconds.
         :param fits: whether a target is free for a task's method. One refusal
-            stands for the method; the last call is the one for the task returned.
+            stands for the method, so it must not depend on more of the task; the
+            last call is the one for the task returned.
         :param blocked_tenants: tenants that may start nothing now.
         :returns: the task, or None if none may start.
         """
--- a/src/cassiaturn/policy/_ranking.py
+++ b/src/cassiaturn/policy/_ranking.py
@@ -2,7 +2,7 @@
 
 from heapq import heapify, heappop, heappush, heapreplace
 from itertools import count
-from typing import Generic, TypeVar
+from typing import Generic, TypeAlias, TypeVar
 
 _COMPACT_SLACK = 64
 """Stale entries tolerated before a heap is rebuilt."""
@@ -32,6 +32,9 @@
 
 M = TypeVar("M", bound=Member)
 
+Entry: TypeAlias = tuple[float, int, M]
+"""Key, order of entry, member: what the heap compares."""
+
 
 class Ranking(Generic[M]):
     """Members with queued tasks, least virtual time first.
@@ -44,7 +47,7 @@
     __slots__ = ("_heap", "_live", "_numbers")
 
     def __init__(self) -> None:
-        self._heap: list[tuple[float, int, M]] = []
+        self._heap: list[Entry[M]] = []
         self._numbers = count()
         self._live = 0
 
@@ -73,7 +76,9 @@
             if member.entry_key != key:
                 heappop(heap)
             elif not member.queued:
-                self._remove_first(member)
+                heappop(heap)
+                member.entry_key = None
+                self._live -= 1
             else:
                 current = member.account.virtual_time
                 if current <= key:
@@ -82,14 +87,16 @@
                 heapreplace(heap, (current, number, member))
         return None
 
-    def set_aside(self) -> None:
-        """Remove the member that :meth:`first` returned, until refreshed."""
-        self._remove_first(self._heap[0][2])
+    def set_aside(self) -> "Entry[M]":
+        """Take the entry of the member that :meth:`first` returned out.
+
+        :returns: the entry, for :meth:`put_back`.
+        """
+        return heappop(self._heap)
 
-    def _remove_first(self, member: M) -> None:
-        heappop(self._heap)
-        member.entry_key = None
-        self._live -= 1
+    def put_back(self, entry: "Entry[M]") -> None:
+        """Put an entry that was set aside back into its place."""
+        heappush(self._heap, entry)
 
     def _compact(self) -> None:
         self._heap = [entry for entry in self._heap if entry[2].entry_key == entry[0]]
--- a/src/cassiaturn/policy/_selection.py
+++ b/src/cassiaturn/policy/_selection.py
@@ -5,7 +5,7 @@
 
 from cassiaturn.policy._queue_tables import Job, Lane, Leaf, Tenant
 from cassiaturn.policy._queued_task import QueuedTask
-from cassiaturn.policy._ranking import Ranking
+from cassiaturn.policy._ranking import Entry, Ranking
 
 Fits: TypeAlias = Callable[[QueuedTask], bool]
 
@@ -34,7 +34,7 @@
         self, lane: Lane, now: float, fits: Fits | None, blocked_tenants: Set[str]
     ) -> Job | None:
         """Return the job of a class whose first task goes next and fits."""
-        aside: list[Tenant] = []
+        aside: list[Entry[Tenant]] = []
         found: Job | None = None
         ranking = lane.ranking
         self._is_owed = lane.is_owed
@@ -44,10 +44,9 @@
                 if found is not None:
                     break
             if tenant.queued:
-                ranking.set_aside()
-                aside.append(tenant)
-        for tenant in aside:
-            ranking.refresh(tenant)
+                aside.append(ranking.set_aside())
+        for entry in aside:
+            ranking.put_back(entry)
         return found
 
     def _fitting_job(self, tenant: Tenant, now: float, fits: Fits | None) -> Job | None:
