Time changes of the configuration until they are in force everywhere

Cause: no scenario changed the configuration. Change: a fault that drains and activates a runner by a new version and asks every instance's status page until all have it. Before: not measured.

--- a/src/cassiaturn/load/_faults.py
+++ b/src/cassiaturn/load/_faults.py
@@ -181,6 +181,22 @@
         relay.heal()
 
 
+@_begins(FaultKind.CONFIGURATION_CHANGE)
+async def _drain(site: Site, fault: Fault) -> None:
+    await _set_drained(site, fault, drained=True)
+
+
+@_ends(FaultKind.CONFIGURATION_CHANGE)
+async def _activate(site: Site, fault: Fault) -> None:
+    await _set_drained(site, fault, drained=False)
+
+
+async def _set_drained(site: Site, fault: Fault, *, drained: bool) -> None:
+    await site.configuration.drain(
+        _runner(site, fault).target_id, drained=drained, pages=site.running_pages()
+    )
+
+
 def _relays(site: Site, fault: Fault) -> Sequence[Relay]:
     return [
         relay
--- a/src/cassiaturn/load/_report.py
+++ b/src/cassiaturn/load/_report.py
@@ -75,6 +75,9 @@
     exit_codes: Sequence[int | None]
     """Exit codes of the instances that were asked to end; None: it took too long."""
 
+    configuration_in_force_s: Sequence[float]
+    """Time until each new configuration was in force at every instance."""
+
     answers_by_reason: Mapping[tuple[Outcome, Reason], int]
     """Answers that are not complete, by outcome and reason."""
 
@@ -94,6 +97,7 @@
     round_trip_s: float,
     resubmissions: int,
     exit_codes: Sequence[int | None],
+    configuration_in_force_s: Sequence[float],
 ) -> Figures:
     """Return the figures of a run.
 
@@ -108,6 +112,7 @@
     :param round_trip_s: idle round trip, in seconds.
     :param resubmissions: sendings that callers were forced to repeat.
     :param exit_codes: how the instances ended that were asked to.
+    :param configuration_in_force_s: how long each change took, in seconds.
     """
     response_s = Histogram(scale=US_PER_S)
     ideal_ratio = Histogram(scale=RATIO_SCALE)
@@ -127,6 +132,7 @@
         response_s_by_class=by_class,
         resubmissions=resubmissions,
         exit_codes=exit_codes,
+        configuration_in_force_s=configuration_in_force_s,
         answers_by_reason=Counter(
             (answer.answer.outcome, answer.answer.reason)
             for answer in answers
@@ -181,6 +187,10 @@
     )
     codes = ",".join(str(code) for code in figures.exit_codes)
     yield f"event=instances_ended exit_codes={codes}"
+    if figures.configuration_in_force_s:
+        longest_s = max(figures.configuration_in_force_s)
+        changes = len(figures.configuration_in_force_s)
+        yield f"event=configuration changes={changes} longest_s={longest_s:.2f}"
     for violation in figures.verdict.violations:
         yield f"event=violation detail={violation!r}"
 
--- a/src/cassiaturn/load/_run.py
+++ b/src/cassiaturn/load/_run.py
@@ -76,6 +76,7 @@
         round_trip_s=round_trip_s,
         resubmissions=callers.resubmissions,
         exit_codes=site.exit_codes,
+        configuration_in_force_s=site.configuration.in_force_s,
     )
 
 
--- a/src/cassiaturn/load/_scenario.py
+++ b/src/cassiaturn/load/_scenario.py
@@ -135,6 +135,7 @@
     STORE_SLOW = "store_slow"
     STORE_ANSWER_LOST = "store_answer_lost"
     PARTITION = "partition"
+    CONFIGURATION_CHANGE = "configuration_change"
 
 
 @with_config(CLOSED)
@@ -149,7 +150,8 @@
     """What fails."""
 
     index: Annotated[int, Field(ge=0)] = 0
-    """Which instance or runner, from 0; without meaning for the store."""
+    """Which instance or runner, from 0; without meaning for the store.
+    Configuration change: the runner that is drained."""
 
     for_s: Seconds = 0.0
     """How long; 0: for good."""
--- a/src/cassiaturn/load/_site.py
+++ b/src/cassiaturn/load/_site.py
@@ -8,6 +8,8 @@
 from pydantic import BaseModel
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
+from cassiaturn.entities import Address
+from cassiaturn.load._configuration import ConfigurationChanger
 from cassiaturn.load._layout import Layout
 from cassiaturn.load._ports import LOOPBACK
 from cassiaturn.load._process import DRAIN_TIMEOUT_S, ChildProcess
@@ -57,6 +59,9 @@
             self._child(place.instance_id, [*program, "serve"])
             for place in layout.instances
         ]
+        self.configuration = ConfigurationChanger(
+            platform=layout.platform, initial=layout.settings_of("configuration")
+        )
         self.exit_codes: list[int | None] = []
         self._http = AsyncHTTPClient(force_instance=True)
 
@@ -90,6 +95,11 @@
                 raise SiteError(f"{child.name} has ended:\n{log}")
             await asyncio.sleep(READY_POLL_S)
 
+    def running_pages(self) -> Sequence[Address]:
+        """Return where the instances that run serve their pages."""
+        pairs = zip(self.instances, self.layout.instances, strict=True)
+        return [place.http for child, place in pairs if child.is_running]
+
     async def stop_instance(self, index: int) -> None:
         """Ask an instance to end gracefully and note how it ended.
 
@@ -102,6 +112,7 @@
         """End everything, instances first, and note how these ended."""
         running = [child for child in self.instances if child.is_running]
         self.exit_codes += await asyncio.gather(*(child.stop() for child in running))
+        self.configuration.close()
         for relay in self.relays:
             await relay.close()
         others = [self.platform, *self.runner_hosts]
