Hand over a leaver's queue, read the host list, keep answers to their tenant

Cause: with every peer full an instance that leaves had no peer to give its queue to, since its targets are others' at once; results moved to the object store never came back; any tenant could collect or cancel by id; new hosts of the platform's list were not met. Change: a choice by shortest backlog where no slot is left here, results fetched whole or answered unknown, an owner for each record, the list as hints, heartbeats alone only to neighbours. Conclusion: holds on one machine.

--- a/src/cassiaturn/engine/_dispatch.py
+++ b/src/cassiaturn/engine/_dispatch.py
@@ -9,7 +9,13 @@
 from cassiaturn.engine._returns import return_refusal
 from cassiaturn.engine._state import State
 from cassiaturn.engine._tables import TaskRecord, TaskState
-from cassiaturn.policy import PeerRow, QueuedTask, TargetRow, choose_target
+from cassiaturn.policy import (
+    PeerRow,
+    QueuedTask,
+    TargetRow,
+    choose_successor,
+    choose_target,
+)
 from cassiaturn.v1 import runner_pb2
 
 MILLISECONDS = 1000
@@ -152,6 +158,8 @@
         peer = None
         if _is_own(state, task):
             peer = state.placement.choose_peer(task, own_wait_s, peers, now)
+            if peer is None and state.usable_slots() == 0:
+                peer = choose_successor(peers)
         else:
             task.may_use_spare = True
         if peer is None:
--- a/src/cassiaturn/engine/_intake.py
+++ b/src/cassiaturn/engine/_intake.py
@@ -35,6 +35,7 @@
         tasks_total=len(submission.payloads),
         now=now,
         succeeded=submission.resumed,
+        owner=submission.tenant,
     )
     match opening:
         case Settled():
--- a/src/cassiaturn/server/_homes.py
+++ b/src/cassiaturn/server/_homes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 
 from cassiaturn.engine import State, Submission, cancel, dispatch, pending, submit
@@ -50,6 +50,14 @@
     """Caller within the tenant."""
 
 
+FetchResults = Callable[[str], Awaitable[Sequence[bytes] | None]]
+"""Returns results by their key in the object store; None: not to be had now."""
+
+
+async def _fetch_nothing(_: str) -> Sequence[bytes] | None:
+    return None
+
+
 class Homes:
     """Routes by submission id: served here, forwarded, or taken over."""
 
@@ -73,6 +81,8 @@
         self._successor = successor
         self._me = state.settings.incarnation
         self.ticket_valid_ms = ticket_valid_ms
+        self.fetch_results: FetchResults = _fetch_nothing
+        """Set once the object store's user stands."""
         self._openings: set[asyncio.Task[str | Answer]] = set()
 
     @property
@@ -126,7 +136,7 @@
         if isinstance(home, Answer):
             return home
         if home == self._me:
-            return self._collect_here(submission_id)
+            return await self._collect_here(submission_id, identity)
         owner = await self._successor.owner_of(home)
         if owner == self._me:
             return await self._successor.collect(home, submission_id)
@@ -154,9 +164,12 @@
         if isinstance(home, Answer):
             return False, home
         if home == self._me:
-            cancelled = cancel(self._state, submission_id, time.monotonic())
-            dispatch(self._state, time.monotonic())
-            return cancelled, self._collect_here(submission_id)
+            cancelled = False
+            record = self._state.submissions.get(submission_id)
+            if record is not None and record.owner == identity.tenant:
+                cancelled = cancel(self._state, submission_id, time.monotonic())
+                dispatch(self._state, time.monotonic())
+            return cancelled, await self._collect_here(submission_id, identity)
         owner = await self._successor.owner_of(home)
         request = peer_pb2.ForwardRequest(
             tenant=identity.tenant,
@@ -265,15 +278,25 @@
     async def _submit_here(self, submission: Submission) -> Answer:
         answer = self._open(submission)
         if answer.outcome is not Outcome.PENDING:
-            return answer
+            return await self._with_results(answer)
         return await self._ports.wait(submission.submission_id)
 
-    def _collect_here(self, submission_id: str) -> Answer:
+    async def _with_results(self, answer: Answer) -> Answer:
+        """Return an answer whole, with the results that were moved away."""
+        if not answer.result_object or answer.results:
+            return answer
+        results = await self.fetch_results(answer.result_object)
+        if results is None:
+            # Complete without its results would be a partial answer.
+            return _results_unreachable(answer)
+        return replace(answer, results=results, result_object="")
+
+    async def _collect_here(self, submission_id: str, identity: Identity) -> Answer:
         record = self._state.submissions.get(submission_id)
-        if record is None:
+        if record is None or record.owner != identity.tenant:
             return self._state.submissions.forgotten_answer(submission_id)
         if record.answer is not None:
-            return record.answer
+            return await self._with_results(record.answer)
         return pending(self._state, submission_id, record.tasks_total)
 
     async def _resume(self, home: str, submission: Submission) -> Answer:
@@ -313,6 +336,19 @@
     )
 
 
+def _results_unreachable(answer: Answer) -> Answer:
+    return Answer(
+        submission_id=answer.submission_id,
+        outcome=Outcome.UNKNOWN,
+        ran=Ran.EVERYTHING,
+        reason=Reason.STORE_UNREACHABLE,
+        detail="it is complete, but the object store with its results is silent",
+        retry_after_ms=UNKNOWN_RETRY_MS,
+        tasks_done=answer.tasks_done,
+        tasks_total=answer.tasks_total,
+    )
+
+
 def _invalid(submission_id: str, problem: str) -> Answer:
     # No instance opens such an id, so nothing ever runs under it.
     return Answer(
--- /dev/null
+++ b/src/cassiaturn/server/_hosts.py
@@ -0,0 +1,69 @@
+"""Reads the platform's list of hosts, which names new instances and leavers."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from returns.result import Success
+
+from cassiaturn.membership import HostHint, MembershipTable
+from cassiaturn.platform import Host, HostList, HostState
+from cassiaturn.server._peers import PeerBook
+from cassiaturn.server._targets import TargetBook
+
+JITTER = 0.25
+"""Share of the period by which a read may come earlier or later, so that
+instances which started together do not read together."""
+
+
+class HostListReader:
+    """Passes the list on as hints; it lags, so it removes nobody."""
+
+    def __init__(
+        self,
+        *,
+        hosts: HostList | None,
+        period_s: float,
+        membership: MembershipTable,
+        peers: PeerBook,
+        targets: TargetBook,
+        rng: random.Random,
+    ) -> None:
+        """Read for one instance; None: the settings name no list."""
+        self._hosts = hosts
+        self._period_s = period_s
+        self._membership = membership
+        self._peers = peers
+        self._targets = targets
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        if self._hosts is None:
+            return
+        while True:
+            match await self._hosts.hosts():
+                case Success(hosts):
+                    self._take(hosts)
+                case _:
+                    # What is known stays: an outage of the list moves nothing.
+                    pass
+            factor = self._rng.uniform(1 - JITTER, 1 + JITTER)
+            await asyncio.sleep(self._period_s * factor)
+
+    def _take(self, hosts: Sequence[Host]) -> None:
+        hints = []
+        for host in hosts:
+            leaving = host.state is HostState.LEAVING
+            if host.host_id in self._targets.settings_by_target:
+                self._targets.note_leaving(host.host_id, leaving=leaving)
+                continue
+            self._peers.know(host.host_id, host.address)
+            hints.append(
+                HostHint(
+                    instance_id=host.host_id,
+                    failure_domain=host.failure_domain,
+                    leaving=leaving,
+                )
+            )
+        self._membership.hint(hints)
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -39,6 +39,7 @@
 from cassiaturn.server._claims import ClaimWriter
 from cassiaturn.server._holders import targets_to_hold
 from cassiaturn.server._homes import Homes
+from cassiaturn.server._hosts import HostListReader
 from cassiaturn.server._link import Link
 from cassiaturn.server._offload import Offloader
 from cassiaturn.server._operator_service import OperatorService
@@ -121,6 +122,7 @@
         self._build_engine(schema)
         self._build_membership()
         self._build_homes()
+        self._build_host_list()
         self.configuration = ConfigurationKeeper(
             table=self.platform.table,
             budget=self.budget,
@@ -155,6 +157,7 @@
         for job in (self._run_ticks(), self.claims.run(), self.configuration.run()):
             self._run(job)
         self._run(self.offloader.run())
+        self._run(self.host_list.run())
 
     async def stop(self) -> None:
         """Stop without cutting anything: drain, tell the peers, close."""
@@ -325,14 +328,27 @@
             successor=self.successor,
         )
         self.offloader = Offloader(
-            submissions=self.state.submissions, objects=self.platform.objects
+            submissions=self.state.submissions,
+            objects=self.platform.objects,
+            kept_s=limits.result_retention_ms / MILLISECONDS,
         )
+        self.homes.fetch_results = self.offloader.fetch
 
     def configuration_json(self) -> str:
         """Return the shared configuration in force, for a peer; empty: none."""
         current = self.configuration.view.current
         return to_json(current) if current is not None else ""
 
+    def _build_host_list(self) -> None:
+        self.host_list = HostListReader(
+            hosts=self.platform.hosts,
+            period_s=self.settings.timings.host_list_poll_ms / MILLISECONDS,
+            membership=self.membership,
+            peers=self.peers,
+            targets=self.targets,
+            rng=self._rng,
+        )
+
     def _facts(self) -> MemberFacts:
         slots, free_slots, queued, wait_ms = load_of(self.state)
         configuration = getattr(self, "configuration", None)
@@ -423,6 +439,7 @@
         )
         if self.member_state is MemberState.STARTING:
             self.member_state = MemberState.READY
+            self.peers.announce()
             log_event(Event.INSTANCE_READY, incarnation=self.incarnation)
 
     def _on_settled(self, answer: Answer, job: Job | None) -> None:
--- a/src/cassiaturn/server/_offload.py
+++ b/src/cassiaturn/server/_offload.py
@@ -1,8 +1,11 @@
-"""Moves results that are too large to keep to the object store."""
+"""Moves results that are too large to keep to the object store, and back."""
 
 import asyncio
 import time
+from collections import deque
+from collections.abc import Sequence
 
+from google.protobuf.message import DecodeError
 from returns.result import Success
 
 from cassiaturn.platform import ObjectStore
@@ -12,29 +15,61 @@
 RETRY_PAUSE_S = 1.0
 """Pause after the object store took nothing, in seconds."""
 
+SWEEP_S = 1.0
+"""Time between two looks for objects that are too old, in seconds."""
+
 
 class Offloader:
-    """Writes what the table of submissions hands out."""
+    """Writes what the table of submissions hands out, reads and deletes it."""
 
     def __init__(
-        self, *, submissions: SubmissionTable, objects: ObjectStore | None
+        self,
+        *,
+        submissions: SubmissionTable,
+        objects: ObjectStore | None,
+        kept_s: float,
     ) -> None:
-        """Write for one instance; None: results stay in memory."""
+        """Write for one instance.
+
+        :param objects: None where the settings name no store: results stay in
+            memory.
+        :param kept_s: how long an object is kept, in seconds.
+        """
         self._submissions = submissions
         self._objects = objects
+        self._kept_s = kept_s
+        self._written: deque[tuple[float, str]] = deque()
         self._wake = asyncio.Event()
 
     def wake(self) -> None:
         """Say that an answer was settled."""
         self._wake.set()
 
+    async def fetch(self, object_key: str) -> Sequence[bytes] | None:
+        """Return results that were moved; None if they cannot be had now."""
+        if self._objects is None:
+            return None
+        match await self._objects.get(object_key):
+            case Success(content):
+                try:
+                    message = dispatcher_pb2.Answer.FromString(content)
+                except DecodeError:
+                    return None
+                return tuple(message.results)
+            case _:
+                return None
+
     async def run(self) -> None:
         """Move results until cancelled."""
+        if self._objects is None:
+            return
         while True:
-            await self._wake.wait()
-            self._wake.clear()
-            if self._objects is None:
+            try:
+                await asyncio.wait_for(self._wake.wait(), SWEEP_S)
+            except TimeoutError:
+                await self._delete_old(self._objects)
                 continue
+            self._wake.clear()
             for offload in self._submissions.to_offload(time.monotonic()):
                 await self._move(self._objects, offload)
 
@@ -45,7 +80,17 @@
         match await objects.put(offload.object_key, content):
             case Success(_):
                 self._submissions.offloaded(offload.submission_id, offload.object_key)
+                self._written.append((time.monotonic(), offload.object_key))
             case _:
                 self._submissions.offload_failed(offload.submission_id)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 self._wake.set()
+
+    async def _delete_old(self, objects: ObjectStore) -> None:
+        oldest = time.monotonic() - self._kept_s
+        while self._written and self._written[0][0] < oldest:
+            match await objects.delete(self._written[0][1]):
+                case Success(_):
+                    self._written.popleft()
+                case _:
+                    return
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -80,7 +80,8 @@
     def know(self, instance_id: str, address: Address) -> None:
         """Take an instance's present address."""
         known = self._addresses_by_instance.get(instance_id)
-        if known == address:
+        is_me = instance_id == self._membership.me.facts.instance_id
+        if known == address or is_me:
             return
         self._addresses_by_instance[instance_id] = address
         dialer = self._dialers_by_instance.pop(instance_id, None)
@@ -191,9 +192,13 @@
         if changes:
             self._on_change(changes)
         self._dial(now)
+        neighbours = self._membership.neighbours()
         for link in self.links_by_incarnation.values():
+            # A link to another instance carries work and the load that rides on
+            # it; heartbeats alone go to neighbours, so their number is bounded.
             instance_id = instance_of(link.incarnation) or ""
-            if self._membership.heartbeat_due(instance_id, now):
+            is_neighbour = instance_id in neighbours
+            if is_neighbour and self._membership.heartbeat_due(instance_id, now):
                 self._send_heartbeat(link)
         self._membership.refuted()
 
--- a/src/cassiaturn/server/_targets.py
+++ b/src/cassiaturn/server/_targets.py
@@ -37,6 +37,7 @@
         self._drained: set[str] = set()
         self._drained_by_all: frozenset[str] = frozenset()
         self._told_leaving: set[str] = set()
+        self._listed_leaving: set[str] = set()
         self._closing: set[asyncio.Task[None]] = set()
         self.sessions_by_target: dict[str, RunnerSession] = {}
 
@@ -76,6 +77,14 @@
         for target_id in self._state.targets_by_id:
             self._set_leaving(target_id)
 
+    def note_leaving(self, target_id: str, *, leaving: bool) -> None:
+        """Take what the platform's list says of a target's host."""
+        if leaving:
+            self._listed_leaving.add(target_id)
+        else:
+            self._listed_leaving.discard(target_id)
+        self._set_leaving(target_id)
+
     def close_idle(self) -> None:
         """Close the streams of released targets that run nothing of ours."""
         for target_id in list(self._released):
@@ -130,6 +139,7 @@
                 or target_id in self._drained
                 or target_id in self._drained_by_all
                 or target_id in self._told_leaving
+                or target_id in self._listed_leaving
             )
 
     def _on_welcome(self, target_id: str, welcome: runner_pb2.Welcome) -> None:
--- a/src/cassiaturn/server/tests/fleet.py
+++ b/src/cassiaturn/server/tests/fleet.py
@@ -234,6 +234,8 @@
             targets=tuple(self.targets),
             schemas=SCHEMAS,
             timings=TIMINGS,
-            platform=PlatformSettings(table_url=self.table_url),
+            platform=PlatformSettings(
+                table_url=self.table_url, objects_url=self.table_url
+            ),
             configuration_file=self.directory / "shared.yaml",
         )
--- a/src/cassiaturn/server/tests/test_failures.py
+++ b/src/cassiaturn/server/tests/test_failures.py
@@ -1,5 +1,6 @@
 import asyncio
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -9,6 +10,7 @@
 from cassiaturn.engine import Submission
 from cassiaturn.entities import Answer, Outcome, Ran, Reason
 from cassiaturn.platform import HttpCaller, HttpTableService
+from cassiaturn.server._homes import Identity
 from cassiaturn.server.tests.fleet import (
     CHECK,
     ORDER,
@@ -24,6 +26,7 @@
     PlatformStandIn,
     RunnerFault,
 )
+from cassiaturn.v1 import dispatcher_pb2
 
 DECKS = [order(f"deck-{number}") for number in range(4)]
 PROPS = [availability(f"prop-{number}") for number in range(4)]
@@ -358,3 +361,62 @@
         )
         assert again.outcome is Outcome.UNKNOWN
         assert not fleet.starts_by_task()
+
+
+async def test_results_in_the_object_store_come_back_whole_or_not_at_all(
+    tmp_path: Path, platform: PlatformStandIn
+) -> None:
+    """A caller collects a job whose results were moved to the object store.
+
+    While the store is silent the answer is "unknown" and not a complete one
+    without results; once it answers, the results are whole. Another tenant is
+    told nothing of the job.
+    """
+    async with fleet_with(platform, tmp_path) as fleet, fleet.client() as client:
+        home = fleet.instances[0]
+        ticket = await ticket_of(client, fleet, 0)
+        first = await submit(client, fleet, ticket, DECKS, index=0)
+        key = "result/test"
+        content = dispatcher_pb2.Answer(results=first.results).SerializeToString()
+        platform.state.objects_by_key[key] = content
+        record = home.state.submissions.get(ticket)
+        assert record is not None
+        record.answer = replace(first, results=(), result_object=key)
+        platform.state.fault = PlatformFault(down=True)
+        silent = await client.collect(ticket)
+        assert silent.outcome is Outcome.UNKNOWN
+        platform.state.fault = PlatformFault()
+        whole = await client.collect(ticket)
+        assert whole.results == first.results, whole
+        stranger = Identity(tenant="guild", caller="x")
+        told = await home.homes.collect(ticket, stranger)
+        assert told.outcome is Outcome.UNKNOWN
+        assert not told.results
+
+
+async def test_a_full_fleet_takes_the_queue_of_an_instance_that_leaves(
+    tmp_path: Path, platform: PlatformStandIn
+) -> None:
+    """An instance leaves with a long queue while every peer is full too.
+
+    Its targets go to the others at once, so it hands its queue to them although
+    none reports a free slot; every caller gets its whole answer.
+    """
+    async with fleet_with(platform, tmp_path, run_ms=150) as fleet:
+        async with fleet.client() as client:
+            jobs = [
+                submit(
+                    client,
+                    fleet,
+                    await ticket_of(client, fleet, index),
+                    [order(f"deck-{number}") for number in range(100)],
+                    index=index,
+                )
+                for index in range(3)
+            ]
+            states = [instance.state for instance in fleet.instances]
+            await eventually(lambda: all(len(state.queue) > 20 for state in states))
+            await fleet.instances[0].stop()
+            answers = await asyncio.gather(*jobs)
+        assert {answer.outcome for answer in answers} == {Outcome.COMPLETE}
+        assert set(fleet.starts_by_task().values()) == {1}
--- a/src/cassiaturn/submission/_record.py
+++ b/src/cassiaturn/submission/_record.py
@@ -27,6 +27,9 @@
     issued_ms: int | None
     """Issue time of its ticket, in milliseconds; None for a caller's own id."""
 
+    owner: str = ""
+    """Tenant that submitted it; nobody else may collect or cancel it."""
+
     answer: Answer | None = None
     """What callers are told; None while it runs."""
 
--- a/src/cassiaturn/submission/_table.py
+++ b/src/cassiaturn/submission/_table.py
@@ -84,6 +84,7 @@
         tasks_total: int,
         now: float,
         succeeded: bool = False,
+        owner: str = "",
     ) -> Opening:
         """Accept a submission, or say what stands in its place.
 
@@ -91,6 +92,7 @@
         :param fingerprint: see :func:`fingerprint_of`.
         :param tasks_total: tasks of the submission.
         :param now: monotonic time, in seconds.
+        :param owner: tenant that submits it.
         :param succeeded: whether its home ended and this incarnation is the
             successor; the ticket's age is on the dead home's clock then.
         :raises InvariantError: the ticket is another incarnation's.
@@ -108,6 +110,7 @@
         record = SubmissionRecord(
             submission_id=submission_id,
             fingerprint=fingerprint,
+            owner=owner,
             tasks_total=tasks_total,
             opened_at=now,
             issued_ms=None if ticket is None else ticket.issued_ms,
