Drive the real tables through the model's events in random order

Cause: the model checks the protocol, not the code. Change: a seeded scheduler in virtual time runs the real tables against a store and targets that fail.

--- a/src/cassiaturn/model/__init__.py
+++ b/src/cassiaturn/model/__init__.py
@@ -4,6 +4,7 @@
 drive the real tables in random order by :class:`Schedule`.
 """
 
+from cassiaturn.model._checks import Finding
 from cassiaturn.model._explore import Exploration, explore
 from cassiaturn.model._promises import broken_promise, promises_by_name
 from cassiaturn.model._scenarios import (
@@ -11,6 +12,7 @@
     MUTATIONS_BY_NAME,
     SCENARIOS_BY_NAME,
 )
+from cassiaturn.model._scheduler import Schedule
 from cassiaturn.model._state import Budget, Record, Rules, Scenario, State
 
 __all__ = [
@@ -19,9 +21,11 @@
     "SCENARIOS_BY_NAME",
     "Budget",
     "Exploration",
+    "Finding",
     "Record",
     "Rules",
     "Scenario",
+    "Schedule",
     "State",
     "broken_promise",
     "explore",
