Trust a peer's report for two seconds and claim a third of it

Cause: with reports trusted for 0.5 s and one heartbeat a second, idle peers looked full half of the time, and urgent tasks waited beside free slots.

--- a/src/cassiaturn/policy/_settings.py
+++ b/src/cassiaturn/policy/_settings.py
@@ -113,10 +113,13 @@
     Twice the one-way latency between domains of the slower deployment (0.9 ms).
     """
 
-    report_trust_s: float = 0.5
-    """Age at which a peer's report counts for nothing, in seconds."""
+    report_trust_s: float = 2.0
+    """Age at which a peer's report counts for nothing, in seconds.
 
-    claim_share: float = 0.5
+    Twice the longest silence between two instances.
+    """
+
+    claim_share: float = 0.35
     """Share of a peer's reported free slots that one sender may claim; a ratio."""
 
     hysteresis: float = 0.7
