--- a/src/cassiaturn/observability/_metrics.py
+++ b/src/cassiaturn/observability/_metrics.py
@@ -5,10 +5,9 @@
 from enum import Enum
 from typing import NamedTuple, TypeVar
 
-from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
-from opentelemetry.sdk.metrics.export import Metric, MetricReader
+from opentelemetry.sdk.metrics.export import Metric, MetricExporter, MetricReader
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
@@ -156,11 +155,10 @@
             ScrapedReader(tallies=self._collect_tallies, registry=self._registry)
         ]
         if otlp_endpoint is not None:
-            exporter = OTLPMetricExporter(f"{otlp_endpoint.rstrip('/')}/v1/metrics")
             readers.append(
                 PushedReader(
                     tallies=self._collect_tallies,
-                    exporter=exporter,
+                    exporter=_exporter_to(otlp_endpoint),
                     period_ms=PUSH_PERIOD_MS,
                 )
             )
@@ -270,6 +268,15 @@
                     yield Observation(count.value, labels)
 
 
+def _exporter_to(endpoint: str) -> MetricExporter:
+    # The exporter brings an HTTP client of 2 MB that most instances never use.
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+        OTLPMetricExporter,
+    )
+
+    return OTLPMetricExporter(f"{endpoint.rstrip('/')}/v1/metrics")
+
+
 def _request_families() -> Sequence[TallyFamily[RequestKey]]:
     return (
         TallyFamily(
