--- a/src/cassiaturn/load/__init__.py
+++ b/src/cassiaturn/load/__init__.py
@@ -3,6 +3,7 @@
 from cassiaturn.load._answers import CallerAnswer
 from cassiaturn.load._plan import PlannedJob, plan_jobs
 from cassiaturn.load._relay import Relay, RelayPlace
+from cassiaturn.load._run import run_scenario
 from cassiaturn.load._scenario import Scenario
 from cassiaturn.load._scenario_file import DEMO_SCENARIO, load_scenario
 from cassiaturn.load._verdict import Verdict, judge
@@ -18,4 +19,5 @@
     "judge",
     "load_scenario",
     "plan_jobs",
+    "run_scenario",
 ]
--- a/src/cassiaturn/standins/_commands.py
+++ b/src/cassiaturn/standins/_commands.py
@@ -6,6 +6,7 @@
 from typing import Annotated, Protocol
 
 import typer
+import uvloop
 import yaml
 
 from cassiaturn.standins._platform import PlatformStandIn
@@ -50,7 +51,7 @@
     """Run the runners of one process."""
     document = yaml.safe_load(settings.read_text())
     host = RunnerHost(settings=RunnerHostSettings.model_validate(document))
-    asyncio.run(run_until_signal(host))
+    uvloop.run(run_until_signal(host))
 
 
 @app.command()
@@ -58,4 +59,4 @@
     """Run the table service, object store and list of hosts."""
     document = yaml.safe_load(settings.read_text()) or {}
     stand_in = PlatformStandIn(settings=PlatformSettings.model_validate(document))
-    asyncio.run(run_until_signal(stand_in))
+    uvloop.run(run_until_signal(stand_in))
