--- a/src/cassiaturn/cli/_status.py
+++ b/src/cassiaturn/cli/_status.py
@@ -58,10 +58,10 @@
                 t.target_id,
                 t.failure_domain,
                 t.worker,
-                t.holder,
-                "yes" if t.connected else "no",
+                t.holder or "(a peer)",
+                "yes" if t.connected else "no" if t.holder else "",
                 "leaving" if t.leaving else t.health,
-                f"{t.slots_in_use}/{t.slots}",
+                f"{t.slots_in_use}/{t.slots}" if t.holder else "",
             ]
             for t in document.targets
         ],
--- a/src/cassiaturn/observability/_status.py
+++ b/src/cassiaturn/observability/_status.py
@@ -108,7 +108,7 @@
     """The worker that it runs on."""
 
     holder: str
-    """The instance that sends it starts."""
+    """The instance that sends it starts; empty: a peer, not this instance."""
 
     connected: bool
     """Whether the stream to it is up, on its holder."""
@@ -117,7 +117,7 @@
     """Whether it gets no new start."""
 
     health: str
-    """Its health by comparison with its peers."""
+    """Its health by comparison with its peers; empty where a peer holds it."""
 
     slots: int
     """Slots that it has."""
--- a/src/cassiaturn/observability/tests/test_http.py
+++ b/src/cassiaturn/observability/tests/test_http.py
@@ -46,7 +46,17 @@
             health="healthy",
             slots=8,
             slots_in_use=3,
-        )
+        ),
+        TargetStatus(
+            target_id="runner-2",
+            failure_domain="osu",
+            worker="worker-2",
+            holder="",
+            connected=False,
+            leaving=False,
+            health="",
+            slots=8,
+        ),
     ],
     tenants=[TenantStatus(name="counters", weight=2.0, quota_slots=96)],
     queues=[QueueStatus(request_class="urgent", queued=4, expected_wait_ms=1500)],
@@ -123,6 +133,9 @@
     for text in ("osu-1", "runner-1", "tema-1", "counters", "3 of 8", "version 17"):
         assert text in page
     assert "not confirmed" in page
+    assert "held by a peer" in page
+    assert "not connected" in page.partition("<h2>Peers")[2]
+    assert "not connected" not in page.partition("<h2>Peers")[0]
     assert '<meta http-equiv="refresh" content="5">' in page
     assert "width=device-width" in page
     assert "<script" not in page
