Close the log output when an instance ends

Cause: serve left its handler in place; run in one process with other tests, it wrote to a closed stream, and the test of library warnings failed. Change: the output is closed whatever the end; the test of wrong settings now reads the two lines.

--- a/src/cassiaturn/cli/_serve.py
+++ b/src/cassiaturn/cli/_serve.py
@@ -23,13 +23,23 @@
     Exit codes: 0 stopped as planned, 2 a file is wrong, 6 an address cannot be
     listened at, 70 a fault of the program.
     """
+    from cassiaturn.observability import configure_logging
+
+    output = configure_logging(debug=debug)
+    try:
+        code = _run(settings)
+    finally:
+        output.close()
+    raise typer.Exit(code)
+
+
+def _run(path: Path) -> int:
     from returns.pipeline import is_successful
 
-    from cassiaturn.observability import Event, configure_logging, log_event
+    from cassiaturn.observability import Event, log_event
     from cassiaturn.settings import load_instance_settings
 
-    configure_logging(debug=debug)
-    loaded = load_instance_settings(settings)
+    loaded = load_instance_settings(path)
     if not is_successful(loaded):
         for error in loaded.failure().errors:
             log_event(
@@ -39,8 +49,8 @@
                 value=error.value,
                 allowed=error.allowed,
             )
-        raise typer.Exit(ExitCode.USAGE)
+        return ExitCode.USAGE
 
     from cassiaturn.server import run
 
-    raise typer.Exit(run(loaded.unwrap()))
+    return run(loaded.unwrap())
--- a/src/cassiaturn/cli/tests/test_operators.py
+++ b/src/cassiaturn/cli/tests/test_operators.py
@@ -168,6 +168,10 @@
     path.write_text(SETTINGS + "limits: {max_tasks_per_job: 0}\nunknown: 1\n")
     result = await run("serve", "--settings", path)
     assert result.exit_code == ExitCode.USAGE
+    lines = result.stderr.splitlines()
+    assert all("level=error event=settings_invalid" in line for line in lines)
+    assert "key=limits.max_tasks_per_job value=0" in lines[0]
+    assert "key=unknown value=1" in lines[1]
 
 
 @pytest.mark.parametrize(
