Judge silences only when one is due, and measure what the parts cost

Change: a tick judges when something changed or the next silence is due; 'python -m cassiaturn.model measure' prints the costs of tickets, claims, links and holders.

--- a/src/cassiaturn/membership/_rows.py
+++ b/src/cassiaturn/membership/_rows.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cassiaturn.submission import booted_ms
 from cassiaturn.v1 import peer_pb2 as pb
 
 
@@ -158,6 +159,17 @@
     """Later life of the same instance, which proves that this one has ended."""
 
 
+def replaces(incarnation: str, row: MemberRow) -> bool:
+    """Whether another life of an instance takes the place of the known one.
+
+    A late frame of an earlier life must not: the living one would be taken for
+    dead, and its submissions taken over. After a clock that went back the later
+    life has the lower start time, and is accepted once the known one is gone.
+    """
+    known = row.facts.incarnation
+    return row.gone_at is not None or booted_ms(incarnation) > booted_ms(known)
+
+
 _STATES_BY_NUMBER = {
     int(pb.INSTANCE_STATE_STARTING): MemberState.STARTING,
     int(pb.INSTANCE_STATE_READY): MemberState.READY,
--- a/src/cassiaturn/membership/_table.py
+++ b/src/cassiaturn/membership/_table.py
@@ -6,6 +6,7 @@
 costs refused starts or a takeover of a living instance, which fences keep safe.
 """
 
+import math
 import random
 from collections.abc import Collection, Mapping, Sequence
 from types import MappingProxyType
@@ -17,8 +18,16 @@
     MemberFacts,
     MemberRow,
     MemberState,
+    replaces,
 )
 from cassiaturn.membership._settings import MembershipSettings
+from cassiaturn.membership._silence import (
+    forgive,
+    is_stale,
+    judge,
+    note_link,
+    suspect,
+)
 from cassiaturn.submission import booted_ms, instance_of
 
 
@@ -36,6 +45,8 @@
         self._believed_by_id: dict[str, MemberState] = {}
         self._changes: list[MemberChange] = []
         self._links: Collection[str] | None = None
+        self._neighbours: Collection[str] | None = None
+        self._judge_at = 0.0
         self._refutes = False
         self._ticked_at: float | None = None
 
@@ -66,12 +77,16 @@
             row = MemberRow(facts=facts)
             self._members_by_id[facts.instance_id] = row
             self._links = None
+            self._look_again()
         elif row.facts.incarnation != facts.incarnation:
-            if not _replaces(facts.incarnation, row):
+            if not replaces(facts.incarnation, row):
                 return
             self._replace(row, facts)
         elif row.facts.failure_domain != facts.failure_domain:
             self._links = None
+            self._look_again()
+        if row.facts.state is not facts.state:
+            self._look_again()
         row.facts = facts
         self._ids_by_incarnation[facts.incarnation] = facts.instance_id
         self._clear(row, now)
@@ -96,7 +111,8 @@
         """
         row = self._row_of(incarnation)
         if row is not None and not row.suspected:
-            self._suspect(row, row.heard_at or now)
+            suspect(row, row.heard_at or now)
+            self._look_again()
 
     def hint(self, hosts: Sequence[HostHint]) -> None:
         """Take in the platform's list, which lags and is believed in nothing else.
@@ -111,6 +127,7 @@
             if row is None:
                 row = self._add_hinted(host)
             row.listed_leaving = host.leaving
+        self._look_again()
         listed = {host.instance_id for host in hosts}
         for instance_id, row in list(self._members_by_id.items()):
             if row.heard_at is None and instance_id not in listed:
@@ -122,12 +139,22 @@
         :param now: monotonic time, in seconds.
         """
         self._forgive_own_pause(now)
+        if now < self._judge_at:
+            return []
         links = self.neighbours()
+        self._judge_at = math.inf
         for instance_id, row in list(self._members_by_id.items()):
-            self._note_link(row, now, linked=instance_id in links)
-            self._judge(row, now)
-            if self._is_stale(row, now):
+            note_link(row, now, linked=instance_id in links)
+            was_gone = row.gone_at is not None
+            due = judge(row, now, self._settings)
+            self._judge_at = min(self._judge_at, due)
+            if is_stale(row, now, self._settings):
                 self._forget(instance_id)
+            elif row.gone_at is not None and not was_gone:
+                self._links = None
+                self._neighbours = None
+        if self._links is None:
+            self._judge_at = now
         for instance_id, row in self._members_by_id.items():
             self._note_state(instance_id, row)
         changes = self._changes
@@ -142,12 +169,7 @@
         if gap_s <= self._settings.heartbeat_s:
             return
         for row in self._members_by_id.values():
-            if row.heard_at is not None:
-                row.heard_at += gap_s
-            if row.probed_since is not None:
-                row.probed_since += gap_s
-            if row.linked_at is not None:
-                row.linked_at += gap_s
+            forgive(row, gap_s)
 
     def neighbours(self) -> Collection[str]:
         """Return ids of the instances to exchange heartbeats with.
@@ -155,25 +177,31 @@
         Links of :func:`links_of` over members that are not gone, and members
         under probe.
         """
-        if self._links is None:
-            domains = {
-                instance_id: row.facts.failure_domain
+        if self._neighbours is None or self._links is None:
+            self._links = self._find_links()
+            probed = {
+                instance_id
                 for instance_id, row in self._members_by_id.items()
-                if row.gone_at is None
+                if row.probed_since is not None and row.gone_at is None
             }
-            me = self._me.facts
-            domains[me.instance_id] = me.failure_domain
-            self._links = links_of(
-                instance_id=me.instance_id,
-                domains_by_instance=domains,
-                near_links=self._settings.near_links,
-            )
-        probed = {
-            instance_id
+            self._neighbours = probed.union(self._links)
+        return self._neighbours
+
+    def _find_links(self) -> Collection[str]:
+        if self._links is not None:
+            return self._links
+        me = self._me.facts
+        domains = {
+            instance_id: row.facts.failure_domain
             for instance_id, row in self._members_by_id.items()
-            if row.probed_since is not None and row.gone_at is None
+            if row.gone_at is None
         }
-        return probed.union(self._links)
+        domains[me.instance_id] = me.failure_domain
+        return links_of(
+            instance_id=me.instance_id,
+            domains_by_instance=domains,
+            near_links=self._settings.near_links,
+        )
 
     def heartbeat_due(self, instance_id: str, now: float) -> bool:
         """Whether a heartbeat has to be sent to a neighbour by itself.
@@ -210,12 +238,11 @@
         Only what this instance saw itself is passed on, never hearsay, so that a
         rumour dies out as soon as its subject is heard.
         """
+        rows = self._members_by_id.values()
         suspected = [
-            row.facts.incarnation
-            for row in self._members_by_id.values()
-            if row.state is MemberState.SUSPECTED and row.facts.incarnation
+            row.facts.incarnation for row in rows if row.state is MemberState.SUSPECTED
         ]
-        return suspected[: self._settings.max_rumours]
+        return [one for one in suspected if one][: self._settings.max_rumours]
 
     def live(self, failure_domain: str) -> Sequence[str]:
         """Return instances that may hold targets of a failure domain, sorted.
@@ -248,19 +275,19 @@
         return row
 
     def _clear(self, row: MemberRow, now: float) -> None:
+        row.heard_at = now
         if row.gone_at is not None:
             self._links = None
-        row.heard_at = now
-        row.suspected = False
-        row.probed_since = None
-        row.gone_at = None
+        if row.suspected or row.probed_since is not None or row.gone_at is not None:
+            row.suspected = False
+            row.probed_since = None
+            row.gone_at = None
+            self._look_again()
 
-    def _suspect(self, row: MemberRow, silent_since: float) -> None:
-        if row.gone_at is not None:
-            return
-        row.suspected = True
-        if row.probed_since is None:
-            row.probed_since = silent_since
+    def _look_again(self) -> None:
+        """Let the next tick judge every member, since something changed."""
+        self._neighbours = None
+        self._judge_at = 0.0
 
     def _hear_rumour(self, incarnation: str, now: float) -> None:
         if incarnation == self._me.facts.incarnation:
@@ -278,34 +305,14 @@
             return
         row.probed_since = now
         row.sent_at = None
-
-    def _note_link(self, row: MemberRow, now: float, *, linked: bool) -> None:
-        if not linked:
-            row.linked_at = None
-        elif row.linked_at is None:
-            row.linked_at = now
-
-    def _judge(self, row: MemberRow, now: float) -> None:
-        since = _silent_since(row)
-        if row.gone_at is not None or since is None:
-            return
-        silent_s = now - since
-        if silent_s >= self._settings.suspect_after_s:
-            self._suspect(row, since)
-        if row.suspected and silent_s >= self._settings.gone_after_s:
-            row.gone_at = now
-            self._links = None
-
-    def _is_stale(self, row: MemberRow, now: float) -> bool:
-        if row.gone_at is None:
-            return False
-        return now - row.gone_at >= self._settings.forget_after_s
+        self._look_again()
 
     def _replace(self, row: MemberRow, facts: MemberFacts) -> None:
         old = row.facts.incarnation
         later = booted_ms(facts.incarnation) > booted_ms(old)
         self._ids_by_incarnation.pop(old, None)
         self._links = None
+        self._look_again()
         row.sent_at = None
         before = self._believed_by_id.pop(facts.instance_id, None)
         if not old:
@@ -337,6 +344,7 @@
         self._ids_by_incarnation.pop(row.facts.incarnation, None)
         self._believed_by_id.pop(instance_id, None)
         self._links = None
+        self._neighbours = None
 
     def _note_state(self, instance_id: str, row: MemberRow) -> None:
         before = self._believed_by_id.get(instance_id)
@@ -354,23 +362,4 @@
         )
 
 
-def _replaces(incarnation: str, row: MemberRow) -> bool:
-    """Whether another life of an instance takes the place of the known one.
-
-    A late frame of an earlier life must not: the living one would be taken for
-    dead, and its submissions taken over. After a clock that went back the later
-    life has the lower start time, and is accepted once the known one is gone.
-    """
-    known = row.facts.incarnation
-    return row.gone_at is not None or booted_ms(incarnation) > booted_ms(known)
-
-
-def _silent_since(row: MemberRow) -> float | None:
-    """Return since when silence counts, for those who are expected to speak."""
-    asked_at = row.linked_at if row.linked_at is not None else row.probed_since
-    if asked_at is None or row.heard_at is None:
-        return asked_at
-    return max(asked_at, row.heard_at)
-
-
 _HOLDING = frozenset({MemberState.READY, MemberState.SUSPECTED})
--- a/src/cassiaturn/membership/tests/test_table.py
+++ b/src/cassiaturn/membership/tests/test_table.py
@@ -256,3 +256,27 @@
     table.observe(facts("a3", version=5), 0.0)
 
     assert table.highest_version() == 7
+
+
+def test_a_gone_member_is_no_rumour_any_more() -> None:
+    table = members()
+    table.observe(facts("a2"), 0.0)
+    run(table, 0.0, 3.0)
+    assert table.rumours() == [facts("a2").incarnation]
+
+    run(table, 3.1, 4.5)
+
+    assert table.rumours() == []
+
+
+def test_a_gone_member_is_forgotten_in_the_end() -> None:
+    table = members()
+    table.observe(facts("a2"), 0.0)
+    run(table, 0.0, 4.5)
+    for second in range(5, 604):
+        table.tick(float(second))
+    assert "a2" in table.members_by_id
+
+    table.tick(604.5)
+
+    assert table.members_by_id == {}
--- a/src/cassiaturn/model/__main__.py
+++ b/src/cassiaturn/model/__main__.py
@@ -1,5 +1,6 @@
-"""Explore the model from the command line."""
+"""Explore the model, and measure its costs, from the command line."""
 
+from collections.abc import Mapping
 from typing import Annotated
 
 import typer
@@ -12,6 +13,18 @@
     Rules,
     explore,
 )
+from cassiaturn.model._costs import (
+    claim_load,
+    holder_shares,
+    links_per_instance,
+    ticket_costs,
+)
+from cassiaturn.submission import StoreSettings
+
+_JOB_RATES = (1, 10, 100, 1_000, 5_000)
+_WRITE_S = 0.005
+_FLEETS = (9, 27, 90, 350)
+_DOMAINS = ((6, 2), (8, 2), (6, 3), (8, 3), (280, 70))
 
 _MAX_STATES = 1_000_000
 _EXIT_BROKEN = 1
@@ -49,6 +62,34 @@
         raise typer.Exit(_EXIT_BROKEN)
 
 
+@app.command("measure")
+def measure() -> None:
+    """Measure what tickets, claims, links and holders cost."""
+    _line("ticket", ticket_costs())
+    full = StoreSettings(writes_per_s=200, write_burst=10)
+    share = StoreSettings()
+    for name, budget in (("whole_store", full), ("share_of_350", share)):
+        for jobs_per_s in _JOB_RATES:
+            load = claim_load(jobs_per_s=jobs_per_s, write_s=_WRITE_S, budget=budget)
+            typer.echo(
+                f"event=claims budget={name} jobs_per_s={load.jobs_per_s}"
+                f" writes_per_job={load.writes_per_job:.4f}"
+                f" wait_p50_ms={load.wait_p50_ms:.0f}"
+                f" wait_p99_ms={load.wait_p99_ms:.0f}"
+            )
+    for instances in _FLEETS:
+        found = links_per_instance(domains=5, instances=instances)
+        _line("links", {"instances": instances, **found})
+    for targets, instances in _DOMAINS:
+        found = holder_shares(targets=targets, instances=instances, domains=200)
+        _line("holders", {"targets": targets, "instances": instances, **found})
+
+
+def _line(event: str, figures: Mapping[str, float]) -> None:
+    pairs = " ".join(f"{name}={value:.4g}" for name, value in figures.items())
+    typer.echo(f"event={event} {pairs}")
+
+
 def _print(found: Exploration) -> None:
     typer.echo(
         f"event=explored scenario={found.scenario} states={found.states}"
