Tell callers at once when their claim would be given up

Cause: with a small share of the store (0.85 writes/s) and 1,000 own ids a second, 74% of the claims were given up, each after its caller had waited 2 s; with the store known to be down every caller waited as long. Change: a claim that cannot be written in time is undetermined at once; while the store is down one claim waits as the probe. Conclusion: the share stays the limit; a larger batch or tickets raise it, waiting does not.

--- a/src/cassiaturn/model/__main__.py
+++ b/src/cassiaturn/model/__main__.py
@@ -1,6 +1,7 @@
 """Explore the model, and measure its costs, from the command line."""
 
 from collections.abc import Mapping
+from dataclasses import asdict
 from typing import Annotated
 
 import typer
@@ -21,6 +22,7 @@
 )
 from cassiaturn.submission import StoreSettings
 
+_WRITE_RATES = (200, 20, 0.85)
 _JOB_RATES = (1, 10, 100, 1_000, 5_000)
 _WRITE_S = 0.005
 _FLEETS = (9, 27, 90, 350)
@@ -66,17 +68,12 @@
 def measure() -> None:
     """Measure what tickets, claims, links and holders cost."""
     _line("ticket", ticket_costs())
-    full = StoreSettings(writes_per_s=200, write_burst=10)
-    share = StoreSettings()
-    for name, budget in (("whole_store", full), ("share_of_350", share)):
+    for writes_per_s in _WRITE_RATES:
+        budget = StoreSettings(writes_per_s=writes_per_s)
         for jobs_per_s in _JOB_RATES:
             load = claim_load(jobs_per_s=jobs_per_s, write_s=_WRITE_S, budget=budget)
-            typer.echo(
-                f"event=claims budget={name} jobs_per_s={load.jobs_per_s}"
-                f" writes_per_job={load.writes_per_job:.4f}"
-                f" wait_p50_ms={load.wait_p50_ms:.0f}"
-                f" wait_p99_ms={load.wait_p99_ms:.0f}"
-            )
+            figures = {"budget_writes_per_s": writes_per_s, **asdict(load)}
+            _line("claims", figures)
     for instances in _FLEETS:
         found = links_per_instance(domains=5, instances=instances)
         _line("links", {"instances": instances, **found})
--- a/src/cassiaturn/model/_costs.py
+++ b/src/cassiaturn/model/_costs.py
@@ -18,6 +18,7 @@
 from cassiaturn.submission import (
     ClaimLedger,
     ClaimSettings,
+    ClaimUndetermined,
     StoreBudget,
     StoreSettings,
     SubmissionSettings,
@@ -51,6 +52,9 @@
     wait_p99_ms: float
     """The same, exceeded by one job in a hundred."""
 
+    undetermined_share: float
+    """Part of the jobs whose claim was given up."""
+
 
 def ticket_costs() -> Mapping[str, float]:
     """Return microseconds for each step of a submission with a ticket."""
@@ -101,7 +105,7 @@
     )
     wanted_at: dict[str, float] = {}
     waits: list[float] = []
-    writes = 0
+    writes = undetermined = 0
     in_flight = None
     answer_at = 0.0
     for tick in range(10_000):
@@ -109,11 +113,12 @@
         for _ in range(_arrivals(rng, jobs_per_s * _TICK_S)):
             name = f"order-{len(wanted_at)}"
             wanted_at[name] = now
-            ledger.want(name, now)
+            undetermined += ledger.want(name, now) is not None
         if in_flight is not None and now >= answer_at:
             ledger.committed(in_flight)
             in_flight = None
         for resolution in ledger.resolved():
+            undetermined += isinstance(resolution, ClaimUndetermined)
             waits.append(now - wanted_at[resolution.submission_id])
         batch = ledger.next_batch(now)
         if batch is not None:
@@ -123,9 +128,10 @@
     waits.sort()
     return ClaimLoad(
         jobs_per_s=jobs_per_s,
-        writes_per_job=writes / len(waits),
+        writes_per_job=writes / len(wanted_at),
         wait_p50_ms=waits[len(waits) // 2] * 1000,
         wait_p99_ms=waits[len(waits) * 99 // 100] * 1000,
+        undetermined_share=undetermined / len(wanted_at),
     )
 
 
--- a/src/cassiaturn/submission/_budget.py
+++ b/src/cassiaturn/submission/_budget.py
@@ -73,6 +73,19 @@
         """What is believed of the store now."""
         return self._state
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the store failed repeatedly and has not answered since."""
+        return self._failures >= self._settings.open_after_failures
+
+    def write_wait_s(self, writes: int) -> float:
+        """Return how long a number of writes takes at the sustained rate.
+
+        :param writes: writes to be made, one after the other.
+        :returns: seconds.
+        """
+        return writes / self._settings.writes_per_s
+
     def may_write(self, now: float) -> bool:
         """Take the right to one write, if there is one.
 
--- a/src/cassiaturn/submission/_claims.py
+++ b/src/cassiaturn/submission/_claims.py
@@ -81,6 +81,8 @@
         if taken is not None:
             return taken
         if submission_id not in self._wanted_at_by_id:
+            if self._is_hopeless():
+                return ClaimUndetermined(submission_id=submission_id)
             self._wanted_at_by_id[submission_id] = now
             self._waiting_by_id[submission_id] = None
         return None
@@ -164,6 +166,18 @@
         self._resolved_by_id.clear()
         return resolutions
 
+    def _is_hopeless(self) -> bool:
+        """Whether a claim made now would be given up in the end.
+
+        Its caller is told at once: held back until then it would only wait, and
+        take the place of others. While the store is down one claim waits, as the
+        probe that notices its return.
+        """
+        if self._budget.is_down and self._wanted_at_by_id:
+            return True
+        batches = len(self._wanted_at_by_id) // self._settings.max_rows
+        return self._budget.write_wait_s(batches) > self._settings.give_up_s
+
     def _row(self, submission_id: str) -> ClaimRow:
         token = self._tokens_by_id.get(submission_id)
         if token is None:
--- a/src/cassiaturn/submission/tests/test_claims.py
+++ b/src/cassiaturn/submission/tests/test_claims.py
@@ -175,6 +175,43 @@
     assert claims.resolved() == [ClaimMine(submission_id="a")]
 
 
+def test_a_claim_that_would_be_given_up_is_not_kept_waiting() -> None:
+    """
+    Own ids arrive faster than the instance's share of the store can claim them.
+    Those that would wait past the limit are told at once that nobody can say.
+    """
+    rng = random.Random(1)
+    settings = StoreSettings(writes_per_s=1.0, write_burst=1)
+    claims = ClaimLedger(
+        incarnation=ME,
+        settings=ClaimSettings(max_rows=4, give_up_s=2.0),
+        budget=StoreBudget(settings=settings, rng=rng),
+        rng=rng,
+    )
+    told = [claims.want(f"order-{number}", 0.0) for number in range(20)]
+
+    assert told[:12] == [None] * 12
+    assert all(isinstance(one, ClaimUndetermined) for one in told[12:])
+
+
+def test_one_claim_probes_a_store_that_is_down() -> None:
+    rng = random.Random(1)
+    budget = StoreBudget(settings=StoreSettings(), rng=rng)
+    claims = ClaimLedger(
+        incarnation=ME, settings=ClaimSettings(), budget=budget, rng=rng
+    )
+    for _ in range(5):
+        budget.failed(0.0)
+
+    assert claims.want("a", 0.0) is None
+    assert claims.want("b", 0.0) == ClaimUndetermined(submission_id="b")
+    batch = claims.next_batch(1.0)
+    assert batch is not None
+    claims.committed(batch)
+    budget.succeeded(1.0)
+    assert claims.want("b", 1.0) is None
+
+
 def test_an_answer_to_another_batch_stops_the_process() -> None:
     claims = ledger()
     claims.want("a", 0.0)
