Settle tasks of a vanished holder by what its targets tell

A paused instance woke, was fenced and ended while it held tasks of a peer, and the peer waited out the longest run that leases allow. Found beside it, by reading: a spilled task read late by a paused peer could begin after its home had given it up. Change: a spill's time limit is on the receiver's clock; an instance that ends gives queued tasks back; the home of a task whose holder is gone asks the holder's targets. Large fleets link to neighbours and ask a silent home's neighbours. Conclusion: a lost holder no longer fails what may not be repeated.

--- a/src/cassiaturn/engine/__init__.py
+++ b/src/cassiaturn/engine/__init__.py
@@ -6,7 +6,7 @@
 
 from cassiaturn.engine._dispatch import dispatch, expected_wait_s
 from cassiaturn.engine._intake import fingerprint, pending, submit
-from cassiaturn.engine._peers import on_cancel, on_peer_gone, on_spilled
+from cassiaturn.engine._peers import give_back_all, on_cancel, on_peer_gone, on_spilled
 from cassiaturn.engine._ports import Ports
 from cassiaturn.engine._quotas import share_quotas
 from cassiaturn.engine._results import (
@@ -15,6 +15,8 @@
     on_spill_outcome,
     on_target_lost,
     on_welcome,
+    take_back,
+    take_ended,
 )
 from cassiaturn.engine._returns import resend
 from cassiaturn.engine._settle import cancel, supersede_all
@@ -44,6 +46,7 @@
     "dispatch",
     "expected_wait_s",
     "fingerprint",
+    "give_back_all",
     "on_cancel",
     "on_peer_gone",
     "on_refusal",
@@ -57,5 +60,7 @@
     "share_quotas",
     "submit",
     "supersede_all",
+    "take_back",
+    "take_ended",
     "tick",
 ]
--- a/src/cassiaturn/engine/_peers.py
+++ b/src/cassiaturn/engine/_peers.py
@@ -1,11 +1,11 @@
 """Tasks that peers give to this instance, as the holder of its targets."""
 
-from cassiaturn.engine._returns import was_returned
+from cassiaturn.engine._returns import return_refusal, was_returned
 from cassiaturn.engine._state import State
 from cassiaturn.engine._tables import TaskRecord, TaskState
 from cassiaturn.entities import Method, RequestClass, Resources, TaskKey
 from cassiaturn.policy import QueuedTask
-from cassiaturn.v1 import peer_pb2
+from cassiaturn.v1 import peer_pb2, runner_pb2
 
 
 def on_spilled(
@@ -19,6 +19,10 @@
         # the first record stands, and its outcome answers for both.
         return
     record = _to_record(peer, spilled, key, now)
+    if state.draining or state.superseded or record.task.start_by <= now:
+        reason = runner_pb2.REFUSAL_REASON_LEAVING
+        return_refusal(state, record, reason, now)
+        return
     state.records_by_key[key] = record
     state.enqueue(record)
 
@@ -53,6 +57,17 @@
             state.records_by_key.pop(record.key, None)
 
 
+def give_back_all(state: State, now: float) -> None:
+    """Give every queued task of the peers back, since this instance ends.
+
+    Kept, they would wait here for a slot that never comes, and their homes would
+    have to wait until no run of them can be under way.
+    """
+    for record in list(state.records_by_key.values()):
+        if record.origin is not None and record.state is TaskState.QUEUED:
+            return_refusal(state, record, runner_pb2.REFUSAL_REASON_LEAVING, now)
+
+
 def _await_end(state: State, incarnation: str, now: float) -> None:
     # The peer may live on behind a partition and renew the leases of our tasks
     # until it misses our frames, so a rerun now could overlap the first run.
@@ -81,7 +96,7 @@
         repeatable=spilled.repeatable,
         request_class=request_class,
         expected_run_ms=spilled.expected_run_ms,
-        deadline_ms=spilled.start_within_ms,
+        deadline_ms=0,
         resources=resources,
     )
     task = QueuedTask(
@@ -92,7 +107,7 @@
         method=start.method,
         resources=resources,
         enqueued_at=now,
-        start_by=now + spilled.start_within_ms / 1000,
+        start_by=spilled.start_by_ms / 1000,
         job_remaining=spilled.job_remaining,
         attempt=start.ref.attempt,
         repeatable=spilled.repeatable,
--- a/src/cassiaturn/engine/_results.py
+++ b/src/cassiaturn/engine/_results.py
@@ -174,6 +174,43 @@
     settle_incomplete(state, job, Reason.TARGET_LOST, detail, now, maybe=(record,))
 
 
+def take_ended(
+    state: State,
+    record: TaskRecord,
+    result: bytes | None,
+    run_s: float,
+    now: float,
+    *,
+    detail: str = "",
+) -> None:
+    """Take the end of a spilled task that its target told after its holder was lost.
+
+    :param result: serialized reply; None: the task failed.
+    :param run_s: time that it ran, in seconds.
+    """
+    state.in_flight_by_key.pop(record.key, None)
+    _charge(state, record, run_s)
+    status = pb.TASK_STATUS_FAILED if result is None else pb.TASK_STATUS_DONE
+    message = pb.TaskResult(
+        status=status, result=result or b"", detail=detail, run_ms=int(run_s * 1000)
+    )
+    _take_result(state, record, message, now)
+
+
+def take_back(
+    state: State, record: TaskRecord, *, never_begun: bool, now: float
+) -> None:
+    """Take a spilled task back that does not run with its lost holder.
+
+    :param never_begun: whether no run of it ever began; otherwise its run is over.
+    """
+    state.in_flight_by_key.pop(record.key, None)
+    if never_begun:
+        take_refusal(state, record, pb.REFUSAL_REASON_LATE, now)
+    else:
+        take_lost(state, record, now)
+
+
 def _take_result(
     state: State, record: TaskRecord, result: pb.TaskResult, now: float
 ) -> None:
--- a/src/cassiaturn/engine/_returns.py
+++ b/src/cassiaturn/engine/_returns.py
@@ -85,6 +85,7 @@
         raise AssertionError(f"task {record.key} has no peer to return it to")
     record.state = TaskState.DONE
     state.records_by_key.pop(record.key, None)
+    state.in_flight_by_key.pop(record.key, None)
     if peer not in state.peers_by_incarnation:
         return
     returned_by_key = state.returned_by_peer.setdefault(peer, OrderedDict())
--- a/src/cassiaturn/server/_homes.py
+++ b/src/cassiaturn/server/_homes.py
@@ -26,6 +26,9 @@
 MAX_HOPS = 2
 """Forwards of one call: to the home, and once more to a home's successor."""
 
+MONITORS_ASKED = 2
+"""Neighbours of a silent home that are asked, one after the other."""
+
 WATCH_PERIOD_S = 0.2
 """Time between two progress events of a watched job, in seconds."""
 
@@ -124,10 +127,26 @@
         )
         wait_s = submission.deadline_s or LONGEST_WAIT_S
         reply = await self._peers.forward(owner, request, timeout_s=wait_s)
+        if reply is None:
+            reply = await self._ask_monitors(owner, request, wait_s)
         if reply is None:
             return unreachable(submission.submission_id, owner)
         return Answer.from_message(reply.answer)
 
+    async def _ask_monitors(
+        self, owner: str, request: peer_pb2.ForwardRequest, wait_s: float
+    ) -> peer_pb2.ForwardReply | None:
+        """Send a submission to those who can tell whether its home is gone."""
+        if request.hops >= MAX_HOPS or self._peers.hears(owner):
+            return None
+        for instance_id in self._peers.monitors_of(owner)[:MONITORS_ASKED]:
+            reply = await self._peers.forward_to(
+                instance_id, owner, request, timeout_s=wait_s
+            )
+            if reply is not None:
+                return reply
+        return None
+
     async def collect(
         self, submission_id: str, identity: Identity, *, hops: int = 0
     ) -> Answer:
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -15,12 +15,14 @@
     Job,
     State,
     Tenant,
+    give_back_all,
     share_quotas,
     supersede_all,
     tick,
 )
 from cassiaturn.entities import Address, Answer, Schema
 from cassiaturn.membership import (
+    HostHint,
     MemberChange,
     MemberFacts,
     MemberRow,
@@ -47,6 +49,7 @@
 from cassiaturn.server._peers import PeerBook, load_of
 from cassiaturn.server._platform import Platform
 from cassiaturn.server._ports import ServerPorts
+from cassiaturn.server._reclaim import Reclaimer
 from cassiaturn.server._status import status_of
 from cassiaturn.server._successor import Successor
 from cassiaturn.server._targets import TargetBook
@@ -54,6 +57,7 @@
 from cassiaturn.submission import (
     ClaimLedger,
     ClaimSettings,
+    InvariantError,
     StoreBudget,
     StoreSettings,
     SubmissionSettings,
@@ -123,6 +127,7 @@
         self._build_membership()
         self._build_homes()
         self._build_host_list()
+        self.reclaimer = Reclaimer(state=self.state, addresses_in=self._targets_of)
         self.configuration = ConfigurationKeeper(
             table=self.platform.table,
             budget=self.budget,
@@ -158,6 +163,7 @@
             self._run(job)
         self._run(self.offloader.run())
         self._run(self.host_list.run())
+        self._run(self.reclaimer.run())
 
     async def stop(self) -> None:
         """Stop without cutting anything: drain, tell the peers, close."""
@@ -168,6 +174,7 @@
         """Take nothing new and wait until everything in flight has ended."""
         log_event(Event.INSTANCE_DRAINING, incarnation=self.incarnation)
         self.state.draining = True
+        give_back_all(self.state, time.monotonic())
         self.member_state = MemberState.LEAVING
         self.peers.announce()
         limit_s = self.settings.timings.drain_timeout_ms / MILLISECONDS
@@ -272,6 +279,15 @@
             describe=self._facts,
             on_change=self._on_member_change,
             connect_timeout_s=timings.connect_timeout_ms / MILLISECONDS,
+            full_links=self.settings.limits.full_links,
+        )
+        self.membership.hint(
+            [
+                HostHint(
+                    instance_id=peer.instance_id, failure_domain=peer.failure_domain
+                )
+                for peer in self.settings.peers
+            ]
         )
         self.pauses = PauseDetector(
             suspicion_timeout_s=timings.suspect_after_ms / MILLISECONDS
@@ -339,6 +355,15 @@
         current = self.configuration.view.current
         return to_json(current) if current is not None else ""
 
+    def _targets_of(self, incarnation: str) -> dict[str, Address]:
+        """Return the targets that another instance may have started tasks at."""
+        domains = self.peers.domains_by_incarnation.get(incarnation, set())
+        return {
+            target_id: target.address
+            for target_id, target in self.targets.settings_by_target.items()
+            if target.failure_domain in domains
+        }
+
     def _build_host_list(self) -> None:
         self.host_list = HostListReader(
             hosts=self.platform.hosts,
@@ -474,7 +499,7 @@
     # nothing; a broken invariant has to stop the process instead.
     if task.cancelled() or task.exception() is None:
         return
-    log_event(Event.INVARIANT_BROKEN, detail=repr(task.exception()))
+    failure = InvariantError(f"a loop of the instance ended: {task.exception()!r}")
     asyncio.get_running_loop().call_exception_handler(
-        {"message": "a loop of the instance failed", "exception": task.exception()}
+        {"message": str(failure), "exception": failure}
     )
--- a/src/cassiaturn/server/_link.py
+++ b/src/cassiaturn/server/_link.py
@@ -13,6 +13,8 @@
 from cassiaturn.v1.peer_grpc import PeerStub
 from cassiaturn.v1.peer_pb2 import PeerFrame
 
+MILLISECONDS = 1000
+
 RECONNECT_PAUSE_S = 0.5
 """Pause after a link was lost; half a heartbeat period."""
 
@@ -48,6 +50,23 @@
         self.frames_received = 0
         self.bytes_sent = 0
         self.closed = asyncio.Event()
+        self._clock_ms = 0
+        self._clock_seen_at = 0.0
+
+    def peer_clock(self, now: float) -> int:
+        """Return a lower bound of the peer's own clock, in milliseconds.
+
+        The peer stamped its latest frame before it was read here, so the stamp
+        plus the time since never passes the peer's clock. A time limit built on
+        it can only be too early: a frame that waits in the peer's buffer while
+        its process is stopped is then late when it is read.
+        """
+        return self._clock_ms + int((now - self._clock_seen_at) * MILLISECONDS)
+
+    def _note(self, frame: PeerFrame) -> None:
+        self.heard_at = time.monotonic()
+        self._clock_ms = frame.clock_ms
+        self._clock_seen_at = self.heard_at
 
     async def run(
         self,
@@ -66,10 +85,12 @@
 
         async def send(frame: PeerFrame) -> None:
             stamp(self, frame)
+            frame.clock_ms = int(time.monotonic() * MILLISECONDS)
             self.sent_at = time.monotonic()
             self.bytes_sent += frame.ByteSize()
             await stream.send_message(frame)
 
+        self._note(first)
         on_frame(self, first)
         jobs = [
             asyncio.ensure_future(self.outbox.pump(send)),
@@ -89,7 +110,7 @@
         self, stream: FrameStream, on_frame: Callable[["Link", PeerFrame], None]
     ) -> None:
         while (frame := await stream.recv_message()) is not None:
-            self.heard_at = time.monotonic()
+            self._note(frame)
             self.frames_received += 1
             on_frame(self, frame)
 
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -22,8 +22,10 @@
 from cassiaturn.membership import (
     MemberChange,
     MemberFacts,
+    MembershipSettings,
     MembershipTable,
     MemberState,
+    links_of,
 )
 from cassiaturn.observability import Event, log_event
 from cassiaturn.policy import PeerRow
@@ -57,11 +59,13 @@
         describe: Callable[[], MemberFacts],
         on_change: Callable[[Sequence[MemberChange]], None],
         connect_timeout_s: float,
+        full_links: int,
     ) -> None:
         """Start without links.
 
         :param describe: makes what this instance tells about itself now.
         :param on_change: takes the changes of every tick that had some.
+        :param full_links: instances up to which all are linked to each other.
         """
         self._state = state
         self._membership = membership
@@ -70,11 +74,15 @@
         self._describe = describe
         self._on_change = on_change
         self._connect_timeout_s = connect_timeout_s
+        self._full_links = full_links
+        self._near_links = MembershipSettings().near_links
         self._dialers_by_instance: dict[str, asyncio.Task[None]] = {}
         self._channels_by_instance: dict[str, Channel] = {}
         self._calls_by_incarnation: dict[
             str, set[asyncio.Task[peer_pb2.ForwardReply]]
         ] = {}
+        self.domains_by_incarnation: dict[str, set[str]] = {}
+        """Failure domains where an incarnation ever held targets."""
         self._ended: set[str] = set()
 
     def know(self, instance_id: str, address: Address) -> None:
@@ -116,7 +124,22 @@
         self, incarnation: str, request: peer_pb2.ForwardRequest, *, timeout_s: float
     ) -> peer_pb2.ForwardReply | None:
         """Return the reply of another instance; None if it was not had."""
-        instance_id = instance_of(incarnation) or ""
+        return await self.forward_to(
+            instance_of(incarnation) or "", incarnation, request, timeout_s=timeout_s
+        )
+
+    async def forward_to(
+        self,
+        instance_id: str,
+        incarnation: str,
+        request: peer_pb2.ForwardRequest,
+        *,
+        timeout_s: float,
+    ) -> peer_pb2.ForwardReply | None:
+        """Return the reply of an instance; None if it was not had.
+
+        :param incarnation: the call ends when this one is given up.
+        """
         channel = self._channel_to(instance_id)
         if channel is None:
             return None
@@ -231,26 +254,54 @@
         return channel
 
     def _dial(self, now: float) -> None:
+        # One side opens a link, the lower id, so that there is one a pair.
         me = self._membership.me.facts.instance_id
-        wanted = self._wanted()
-        for instance_id in wanted:
-            # One side opens the link: the lower id, unless it is not heard.
-            if me < instance_id and instance_id not in self._dialers_by_instance:
-                address = self._addresses_by_instance[instance_id]
-                dialer = LinkDialer(
-                    address=address,
-                    hello=self.hello,
-                    serve=self.serve,
-                    connect_timeout_s=self._connect_timeout_s,
-                )
-                self._dialers_by_instance[instance_id] = asyncio.create_task(
-                    dialer.run(), name=f"link-{instance_id}"
-                )
+        wanted = {instance_id for instance_id in self._wanted() if me < instance_id}
+        for instance_id in wanted - self._dialers_by_instance.keys():
+            dialer = LinkDialer(
+                address=self._addresses_by_instance[instance_id],
+                hello=self.hello,
+                serve=self.serve,
+                connect_timeout_s=self._connect_timeout_s,
+            )
+            self._dialers_by_instance[instance_id] = asyncio.create_task(
+                dialer.run(), name=f"link-{instance_id}"
+            )
+        for instance_id in self._dialers_by_instance.keys() - wanted:
+            self._dialers_by_instance.pop(instance_id).cancel()
 
     def _wanted(self) -> Collection[str]:
-        # The links of the settings are the seeds, from which the rest is heard.
-        # With the few hosts of today all of them are neighbours.
-        return self._addresses_by_instance.keys()
+        known = self._addresses_by_instance.keys()
+        if len(known) < self._full_links:
+            return known
+        return known & set(self._membership.neighbours())
+
+    def hears(self, incarnation: str) -> bool:
+        """Whether this instance exchanges heartbeats with an incarnation."""
+        instance_id = instance_of(incarnation) or ""
+        return instance_id in self._membership.neighbours()
+
+    def monitors_of(self, incarnation: str) -> Sequence[str]:
+        """Return the instances that hear the heartbeats of another, but for us.
+
+        In a large fleet an instance hears few others, so it cannot tell whether
+        any other one is gone; these can.
+        """
+        subject = instance_of(incarnation) or ""
+        domains = {
+            instance_id: row.facts.failure_domain
+            for instance_id, row in self._membership.members_by_id.items()
+        }
+        me = self._membership.me.facts
+        domains[me.instance_id] = me.failure_domain
+        if subject not in domains:
+            return ()
+        links = links_of(
+            instance_id=subject,
+            domains_by_instance=domains,
+            near_links=self._near_links,
+        )
+        return sorted(link for link in links if link != me.instance_id)
 
     def _take_change(self, change: MemberChange, now: float) -> None:
         log_event(
@@ -324,6 +375,9 @@
             expected_wait_s=facts.expected_wait_ms / MILLISECONDS,
             now=now,
         )
+        self.domains_by_incarnation.setdefault(
+            facts.incarnation, {facts.failure_domain}
+        ).update(beat.held_domains)
         if beat.tenants:
             self._state.tenant_loads_by_peer[facts.incarnation] = {
                 load.tenant: load.running + load.queued for load in beat.tenants
@@ -353,10 +407,15 @@
             slots=facts.slots,
         )
         if full:
+            beat.held_domains.extend(self._held_domains())
             beat.suspected.extend(self._membership.rumours())
             self._add_tenants(beat)
         return beat
 
+    def _held_domains(self) -> Collection[str]:
+        rows = self._state.targets_by_id.values()
+        return sorted({row.failure_domain for row in rows})
+
     def _add_tenants(self, beat: peer_pb2.Heartbeat) -> None:
         state = self._state
         queued_by_tenant = state.queue.queued_by_tenant()
--- a/src/cassiaturn/server/_ports.py
+++ b/src/cassiaturn/server/_ports.py
@@ -95,7 +95,8 @@
             caller=task.caller,
             request_class=int(task.request_class),
             repeatable=record.method.repeatable,
-            start_within_ms=int(within_s * MILLISECONDS),
+            start_by_ms=link.peer_clock(time.monotonic())
+            + int(within_s * MILLISECONDS),
             expected_run_ms=int(task.expected_run_s * MILLISECONDS),
             job_remaining=job_remaining,
         )
--- a/src/cassiaturn/server/tests/test_failures.py
+++ b/src/cassiaturn/server/tests/test_failures.py
@@ -337,7 +337,7 @@
     async with fleet_with(platform, tmp_path) as fleet, fleet.client() as client:
         home = fleet.instances[0]
         for runner in fleet.runners.runners_by_id.values():
-            runner.table.fence(home.incarnation, lease_ms=0, now_ms=0)
+            runner.table.fence(home.incarnation)
         ticket = await ticket_of(client, fleet, 0)
         answer = await client.submit(
             ORDER,
@@ -420,3 +420,32 @@
             answers = await asyncio.gather(*jobs)
         assert {answer.outcome for answer in answers} == {Outcome.COMPLETE}
         assert set(fleet.starts_by_task().values()) == {1}
+
+
+async def test_an_order_given_to_a_peer_that_dies_is_settled_by_its_targets(
+    tmp_path: Path, platform: PlatformStandIn
+) -> None:
+    """A home has given orders to a peer, some running and some waiting there.
+
+    The peer dies. The home asks the peer's targets: what they run is kept alive
+    and its result taken, what none of them began is started elsewhere. The
+    caller gets a complete answer and no order is started twice.
+    """
+    async with fleet_with(platform, tmp_path, run_ms=2_500) as fleet:
+        async with fleet.client() as client:
+            ticket = await ticket_of(client, fleet, 0)
+            decks = [order(f"deck-{number}") for number in range(40)]
+            job = submit(client, fleet, ticket, decks, index=0)
+            lost = fleet.instances[2].incarnation
+            state = fleet.instances[0].state
+
+            def is_spilled() -> bool:
+                given = [r.peer for r in state.in_flight_by_key.values()]
+                return lost in given
+
+            await eventually(is_spilled)
+            await eventually(lambda: len(fleet.starts_by_task()) >= 40)
+            await fleet.kill(2)
+            answer = await job
+        assert answer.outcome is Outcome.COMPLETE, answer
+        assert set(fleet.starts_by_task().values()) == {1}
--- a/src/cassiaturn/settings/_limits.py
+++ b/src/cassiaturn/settings/_limits.py
@@ -45,6 +45,11 @@
     store_reads_per_s: Rate = 100.0
     """Table reads a second: about half of 2,000 shared by nine instances."""
 
+    full_links: Positive = 16
+    """Instances up to which each is linked to every other, so that work may go
+    from any to any. Above, each links to its neighbours only: 350 instances
+    would otherwise keep 61,000 links."""
+
     max_clock_skew_ms: Positive = 500
     """By how much the wall clocks of two hosts differ at most, in milliseconds.
     Used only to tell whether a runner's process is older than a dead home."""
--- a/src/cassiaturn/standins/_runner.py
+++ b/src/cassiaturn/standins/_runner.py
@@ -136,13 +136,12 @@
         if request is None or not request.home:
             raise GRPCError(Status.INVALID_ARGUMENT, "no home given")
         await self._thawed.wait()
-        begun = self.table.fence(
-            request.home, lease_ms=request.lease_ms, now_ms=clock_ms()
+        if not request.only_tell:
+            self.table.fence(request.home)
+        about = frozenset(key_of(ref) for ref in request.about)
+        begun = self.table.begun_of(
+            request.home, about=about, lease_ms=request.lease_ms, now_ms=clock_ms()
         )
-        for task in begun:
-            task.lease_until_ms = max(
-                task.lease_until_ms, clock_ms() + request.lease_ms
-            )
         reply = pb.FenceReply(
             target_id=self.settings.target_id,
             begun=[task.to_message() for task in begun],
--- a/src/cassiaturn/standins/_task_table.py
+++ b/src/cassiaturn/standins/_task_table.py
@@ -1,7 +1,7 @@
 """The tasks that a runner has begun, and the rules by which it begins them."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from cassiaturn.entities import TaskKey
@@ -233,16 +233,27 @@
             if task.holder == holder and not task.forget_at_ms:
                 yield task
 
-    def fence(self, home: str, *, lease_ms: int, now_ms: int) -> list[BegunTask]:
-        """Refuse later starts of a home, and list what it began here.
+    def fence(self, home: str) -> None:
+        """Refuse later starts of a home.
 
         :param home: incarnation that is dead or given up.
+        """
+        self.fenced_homes.add(home)
+
+    def begun_of(
+        self, home: str, *, about: Collection[TaskKey], lease_ms: int, now_ms: int
+    ) -> list[BegunTask]:
+        """List what a home began here.
+
+        :param home: incarnation of the home.
+        :param about: tasks that are asked for; empty: all.
         :param lease_ms: how long its running tasks may go on at least.
         :param now_ms: the runner's clock.
-        :returns: every task of that home that is still known.
+        :returns: every such task that is still known.
         """
-        self.fenced_homes.add(home)
         begun = [task for task in self._all_tasks() if task.home == home]
+        if about:
+            begun = [task for task in begun if task.key in about]
         for task in begun:
             # Nobody renews the leases of a dead home; its successor may want
             # the result of what still runs.
--- a/src/cassiaturn/standins/tests/test_task_table.py
+++ b/src/cassiaturn/standins/tests/test_task_table.py
@@ -93,7 +93,8 @@
     run_to_end(table, start(key=TaskKey("ended", 0)))
     begin(table, start(key=TaskKey("running", 0)))
     begin(table, start(key=TaskKey("other", 0), home="other"))
-    fenced = table.fence("home", lease_ms=2 * LEASE_MS, now_ms=NOW_MS)
+    table.fence("home")
+    fenced = table.begun_of("home", about=(), lease_ms=2 * LEASE_MS, now_ms=NOW_MS)
     begun = {task.key.submission_id: task.status for task in fenced}
     assert begun == {"ended": RunStatus.DONE, "running": RunStatus.RUNNING}
     assert table.is_exhaustive_for("home")
