--- a/src/cassiaturn/model/_faults.py
+++ b/src/cassiaturn/model/_faults.py
@@ -135,10 +135,10 @@
         if rules.expiry and instance.forgot:
             continue
         tasks = range(scenario.tasks)
-        decided = [_decide(state, instance, task, scenario) for task in tasks]
+        decided = [_decide(state, instance, task, scenario, rules) for task in tasks]
         any_begun = any(any(seen.begun) for seen in instance.seen if seen is not None)
         if not any_begun and rules.unbegun_not_resumed:
-            if _all_denied(state, instance):
+            if _all_denied(instance, rules):
                 record = Record.NOT_RUN
                 settled = instance._replace(record=record, asked=False)
                 after = say(put_instance(state, number, settled), record)
@@ -205,15 +205,21 @@
     return tuple(line)
 
 
-def _all_denied(state: State, instance: Instance) -> bool:
+def _all_denied(instance: Instance, rules: Rules) -> bool:
+    return _all_told(instance, rules) and not any(
+        seen is not None and any(seen.begun) for seen in instance.seen
+    )
+
+
+def _all_told(instance: Instance, rules: Rules) -> bool:
     return all(
-        seen is not None and seen.exhaustive and not any(seen.begun)
+        not rules.silent_targets_wait if seen is None else seen.exhaustive
         for seen in instance.seen
     )
 
 
 def _decide(
-    state: State, instance: Instance, task: int, scenario: Scenario
+    state: State, instance: Instance, task: int, scenario: Scenario, rules: Rules
 ) -> Sent | Record | None:
     """Decide a task as the truth table of ``cassiaturn.recovery`` does.
 
@@ -232,8 +238,7 @@
             return Record.FAILED
     if scenario.repeatable:
         return Sent.UNSENT if _ruled_out(state, instance) else None
-    told = all(seen is not None and seen.exhaustive for seen in instance.seen)
-    return Sent.UNSENT if told else None
+    return Sent.UNSENT if _all_told(instance, rules) else None
 
 
 def _ruled_out(state: State, instance: Instance) -> bool:
--- a/src/cassiaturn/model/_state.py
+++ b/src/cassiaturn/model/_state.py
@@ -249,5 +249,8 @@
     unbegun_not_resumed: bool = True
     """A successor does not run a submission of which no task is seen begun."""
 
+    silent_targets_wait: bool = True
+    """A successor concludes nothing while a target has not answered its fence."""
+
     expiry: bool = True
     """A home that forgot a ticket's row does not open it again."""
--- a/src/cassiaturn/model/tests/test_explore.py
+++ b/src/cassiaturn/model/tests/test_explore.py
@@ -33,6 +33,7 @@
     "not_run_binding_off": ("two_instances", "not_run_is_true"),
     "takeover_row_off": ("two_successors", "begins_at_most_once"),
     "unbegun_not_resumed_off": ("two_instances", "not_run_is_true"),
+    "silent_targets_wait_off": ("two_instances", "not_run_is_true"),
     "expiry_off": ("home_forgets", "not_run_is_true"),
 }
 
