--- a/src/cassiaturn/load/_callers.py
+++ b/src/cassiaturn/load/_callers.py
@@ -105,6 +105,7 @@
         self._clients_by_caller: dict[tuple[str, str], Client] = {}
         self._stores_by_caller: dict[tuple[str, str, int], TicketStore] = {}
         self.answers: list[CallerAnswer] = []
+        self.late_s: list[float] = []
 
     @property
     def resubmissions(self) -> int:
@@ -143,6 +144,7 @@
                 pause_s = begun_at + job.at_s - time.monotonic()
                 if pause_s > 0:
                     await asyncio.sleep(pause_s)
+                self.late_s.append(time.monotonic() - begun_at - job.at_s)
                 group.create_task(self._send_job(job))
 
     async def _send_job(self, job: PlannedJob) -> None:
--- a/src/cassiaturn/load/_report.py
+++ b/src/cassiaturn/load/_report.py
@@ -78,6 +78,10 @@
     configuration_in_force_s: Sequence[float]
     """Time until each new configuration was in force at every instance."""
 
+    late_s: Histogram
+    """How much later than planned jobs were sent; above a few milliseconds the
+    load tool itself was too slow, and response times are too long."""
+
     answers_by_reason: Mapping[tuple[Outcome, Reason], int]
     """Answers that are not complete, by outcome and reason."""
 
@@ -98,6 +102,7 @@
     resubmissions: int,
     exit_codes: Sequence[int | None],
     configuration_in_force_s: Sequence[float],
+    late_s: Iterable[float],
 ) -> Figures:
     """Return the figures of a run.
 
@@ -113,9 +118,13 @@
     :param resubmissions: sendings that callers were forced to repeat.
     :param exit_codes: how the instances ended that were asked to.
     :param configuration_in_force_s: how long each change took, in seconds.
+    :param late_s: how much later than planned each job was sent, in seconds.
     """
     response_s = Histogram(scale=US_PER_S)
     ideal_ratio = Histogram(scale=RATIO_SCALE)
+    lateness = Histogram(scale=US_PER_S)
+    for late in late_s:
+        lateness.record(late)
     by_class: dict[RequestClass, Histogram] = {}
     for answer in _timed(answers):
         request_class = schema.methods_by_name[answer.job.method].request_class
@@ -133,6 +142,7 @@
         resubmissions=resubmissions,
         exit_codes=exit_codes,
         configuration_in_force_s=configuration_in_force_s,
+        late_s=lateness,
         answers_by_reason=Counter(
             (answer.answer.outcome, answer.answer.reason)
             for answer in answers
@@ -185,6 +195,10 @@
         f"event=wasted refused_starts={figures.verdict.refused_starts}"
         f" resubmissions={figures.resubmissions}"
     )
+    yield (
+        f"event=load_tool late_p50_ms={_ms(figures.late_s, 50.0)}"
+        f" late_p99_ms={_ms(figures.late_s, 99.0)}"
+    )
     codes = ",".join(str(code) for code in figures.exit_codes)
     yield f"event=instances_ended exit_codes={codes}"
     if figures.configuration_in_force_s:
--- a/src/cassiaturn/load/_run.py
+++ b/src/cassiaturn/load/_run.py
@@ -77,6 +77,7 @@
         resubmissions=callers.resubmissions,
         exit_codes=site.exit_codes,
         configuration_in_force_s=site.configuration.in_force_s,
+        late_s=callers.late_s,
     )
 
 
