--- a/src/cassiaturn/bench/__main__.py
+++ b/src/cassiaturn/bench/__main__.py
@@ -1,5 +1,6 @@
 """Command line of the decision benchmarks: ``python -m cassiaturn.bench``."""
 
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated, NoReturn
 
@@ -12,6 +13,7 @@
     ratios_of,
     regressions,
     save_baseline,
+    spread_lines,
 )
 from cassiaturn.bench._cost import costs, slope_line
 from cassiaturn.bench._deployment import DEPLOYMENTS_BY_USER
@@ -109,6 +111,22 @@
         typer.echo(f"event=bench_plot_written path={path}")
 
 
+@app.command()
+def spread(
+    scenario: Annotated[str, typer.Option(help="the scenario")] = "steady-80",
+    seeds: Annotated[int, typer.Option(min=2, help="how many seeds, from 1")] = 6,
+) -> None:
+    """Print mean and standard deviation of each ratio over seeds."""
+    _scenarios(scenario)
+    ratios_by_seed = []
+    for seed in range(1, seeds + 1):
+        names = names_of(DEPLOYMENTS_BY_USER, [scenario], (OURS, EXACT, REFERENCE))
+        seeded = [replace(name, seed=seed) for name in names]
+        ratios_by_seed.append(ratios_of(run_all(seeded)))
+    for line in spread_lines(ratios_by_seed):
+        typer.echo(line)
+
+
 @app.command()
 def cost() -> None:
     """Print nanoseconds for each decision, and its slope."""
--- a/src/cassiaturn/bench/_instance.py
+++ b/src/cassiaturn/bench/_instance.py
@@ -343,7 +343,10 @@
     def _tick(self) -> None:
         now = self._world.loop.now
         for task in self._queue.expire(now):
-            self._on_expired(self._held_by_key.pop(task.key))
+            held = self._held_by_key.pop(task.key, None)
+            if held is not None:
+                # The first expired task of a job withdraws the others with it.
+                self._on_expired(held)
         if self._modules.health:
             self._targets.update_health()
         if now - self._demand_counted_at >= DEMAND_STEP_S:
--- a/src/cassiaturn/bench/_result.py
+++ b/src/cassiaturn/bench/_result.py
@@ -5,6 +5,7 @@
 
 from cassiaturn.bench._message import MessageKind
 from cassiaturn.bench._tally import P50, P99, ClassTally, Tally
+from cassiaturn.bench._workload import SEED
 
 DIGITS = 4
 
@@ -22,6 +23,9 @@
     dispatcher: str
     """Name of the dispatcher."""
 
+    seed: int = SEED
+    """Seed of the jobs."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BenchResult:
--- a/src/cassiaturn/bench/_suite.py
+++ b/src/cassiaturn/bench/_suite.py
@@ -30,6 +30,7 @@
         scenario,
         DEPLOYMENTS_BY_USER[name.user],
         dispatchers_by_name()[dispatcher],
+        seed=name.seed,
     )
     return result_of(name, tally)
 
