--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -83,6 +83,9 @@
 DRAIN_STEP_S = 0.02
 """Pause between two looks at whether everything has ended, in seconds."""
 
+HOLDERS_PERIOD_S = 1.0
+"""Longest time until a changed list of targets is shared out anew, in seconds."""
+
 QUOTA_PERIOD_S = 0.5
 """Period in which a tenant's quota is split anew: twice a heartbeat."""
 
@@ -120,6 +123,7 @@
         self._links_by_incarnation: dict[str, Link] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._quotas_at = 0.0
+        self._holders_due_at = 0.0
         self._server: Server | None = None
         self._superseded = False
         self.platform = Platform(settings=settings.platform, timings=settings.timings)
@@ -176,6 +180,7 @@
         self.state.draining = True
         give_back_all(self.state, time.monotonic())
         self.member_state = MemberState.LEAVING
+        self._holders_due_at = 0.0
         self.peers.announce()
         limit_s = self.settings.timings.drain_timeout_ms / MILLISECONDS
         give_up = time.monotonic() + limit_s
@@ -276,6 +281,7 @@
                 peer.instance_id: peer.address for peer in self.settings.peers
             },
             links_by_incarnation=self._links_by_incarnation,
+            metrics=self.metrics,
             describe=self._facts,
             on_change=self._on_member_change,
             connect_timeout_s=timings.connect_timeout_ms / MILLISECONDS,
@@ -427,8 +433,12 @@
             self.state.starts_held = not self.pauses.may_start
 
     def _hold_targets(self) -> None:
-        if self.member_state is MemberState.STARTING:
+        # The shares of all targets are worked out again only when something may
+        # have changed: at 1,400 targets it takes longer than a tick.
+        now = time.monotonic()
+        if self.member_state is MemberState.STARTING or now < self._holders_due_at:
             return
+        self._holders_due_at = now + HOLDERS_PERIOD_S
         held = targets_to_hold(
             instance_id=self.settings.instance_id,
             membership=self.membership,
@@ -443,6 +453,7 @@
 
     def _on_member_change(self, changes: Sequence[MemberChange]) -> None:
         now = time.monotonic()
+        self._holders_due_at = now
         for change in changes:
             if change.superseded_by:
                 self.successor.proved_dead(change.incarnation, now)
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -27,7 +27,7 @@
     MemberState,
     links_of,
 )
-from cassiaturn.observability import Event, log_event
+from cassiaturn.observability import Direction, Event, Metrics, WastedMessage, log_event
 from cassiaturn.policy import PeerRow
 from cassiaturn.server._link import FrameStream, Link, LinkDialer
 from cassiaturn.submission import booted_ms, instance_of
@@ -56,6 +56,7 @@
         membership: MembershipTable,
         addresses_by_instance: Mapping[str, Address],
         links_by_incarnation: dict[str, Link],
+        metrics: Metrics,
         describe: Callable[[], MemberFacts],
         on_change: Callable[[Sequence[MemberChange]], None],
         connect_timeout_s: float,
@@ -71,6 +72,7 @@
         self._membership = membership
         self._addresses_by_instance = dict(addresses_by_instance)
         self.links_by_incarnation = links_by_incarnation
+        self._metrics = metrics
         self._describe = describe
         self._on_change = on_change
         self._connect_timeout_s = connect_timeout_s
@@ -329,6 +331,7 @@
         now = time.monotonic()
         state = self._state
         peer = link.incarnation
+        self._count(frame, Direction.RECEIVED)
         if frame.HasField("heartbeat"):
             self._observe(link, frame.heartbeat, now)
         else:
@@ -392,6 +395,7 @@
         if not frame.HasField("heartbeat"):
             frame.heartbeat.CopyFrom(self._heartbeat(full=False))
         self._membership.sent(instance_of(link.incarnation) or "", now)
+        self._count(frame, Direction.SENT)
 
     def _heartbeat(self, *, full: bool) -> peer_pb2.Heartbeat:
         facts = self._describe()
@@ -412,6 +416,15 @@
             self._add_tenants(beat)
         return beat
 
+    def _count(self, frame: peer_pb2.PeerFrame, direction: Direction) -> None:
+        metrics = self._metrics
+        metrics.peer_frames_by_direction[direction].value += 1
+        metrics.peer_bytes_by_direction[direction].value += frame.ByteSize()
+        if direction is Direction.SENT and not (
+            frame.spills or frame.outcomes or frame.cancels
+        ):
+            metrics.wasted_by_kind[WastedMessage.CONTROL].value += 1
+
     def _held_domains(self) -> Collection[str]:
         rows = self._state.targets_by_id.values()
         return sorted({row.failure_domain for row in rows})
