--- a/src/cassiaturn/engine/_results.py
+++ b/src/cassiaturn/engine/_results.py
@@ -86,6 +86,7 @@
         state.ports.superseded()
         return
     if reason == pb.REFUSAL_REASON_DUPLICATE:
+        _close(state, record)
         detail = f"a target began task {record.key.task_index} before"
         settle_incomplete(state, job, Reason.TARGET_LOST, detail, now, maybe=(record,))
         return
@@ -170,6 +171,7 @@
     if record.method.repeatable:
         _try_again(state, record, FirstRun.OVER, Reason.TARGET_LOST, now)
         return
+    _close(state, record)
     detail = f"the target of task {record.key.task_index} was lost"
     settle_incomplete(state, job, Reason.TARGET_LOST, detail, now, maybe=(record,))
 
@@ -223,10 +225,18 @@
     if record.method.repeatable:
         _try_again(state, record, FirstRun.OVER, Reason.TASK_FAILED, now)
         return
+    _close(state, record)
     detail = f"task {record.key.task_index} failed: {result.detail}"
     settle_incomplete(state, job, Reason.TASK_FAILED, detail, now)
 
 
+def _close(state: State, record: TaskRecord) -> None:
+    # Its slot is given back already. Left as running, the end of its job would
+    # ask its target to stop it and wait for a second end of the same run.
+    record.state = TaskState.CANCELLED
+    state.records_by_key.pop(record.key, None)
+
+
 def _complete_task(
     state: State, job: Job, record: TaskRecord, result: bytes, now: float
 ) -> None:
