Count and log what an instance sees of the table service

Cause: store_unreachable and its kin were documented events that nothing logged, and the store's counter never moved. Change: an observer around any table service: calls by operation, one event at the begin and one at the end of an outage, others as they come. Conclusion: the instance has to put it around its table.

--- a/src/cassiaturn/observability/__init__.py
+++ b/src/cassiaturn/observability/__init__.py
@@ -28,6 +28,7 @@
     TargetStatus,
     TenantStatus,
 )
+from cassiaturn.observability._table import ObservedTable
 
 __all__ = [
     "BreakerState",
@@ -40,6 +41,7 @@
     "Level",
     "LogOutput",
     "Metrics",
+    "ObservedTable",
     "PeerStatus",
     "QueueStatus",
     "Ready",
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -97,6 +97,9 @@
     STORE_ANSWER_LOST = _warning(
         "store_answer_lost", "A write may have taken effect; a re-read settles it."
     )
+    STORE_THROTTLED = _warning(
+        "store_throttled", "The table service is at its limit; others use it, too."
+    )
     STORE_MISUSED = _error(
         "store_misused", "The platform's service refuses what was asked; see `detail`."
     )
