--- a/src/cassiaturn/policy/_targets.py
+++ b/src/cassiaturn/policy/_targets.py
@@ -125,6 +125,9 @@
     :param spare_share_by_class: share of the slots that a class leaves to higher
         ones, unless the task may use them.
     """
+    spare_share = spare_share_by_class.get(task.request_class, 0.0)
+    if spare_share == 0.0 or task.may_use_spare:
+        return _least_loaded(task, targets)
     best: TargetRow | None = None
     best_share = 1.0
     slots = 0
@@ -142,7 +145,17 @@
         if share < best_share and row.fits(task):
             best = row
             best_share = share
-    if best is None or task.may_use_spare:
-        return best
-    spare = round(spare_share_by_class.get(task.request_class, 0.0) * slots)
-    return best if free > spare else None
+    return best if free > round(spare_share * slots) else None
+
+
+def _least_loaded(task: QueuedTask, targets: Iterable[TargetRow]) -> TargetRow | None:
+    best: TargetRow | None = None
+    best_share = 1.0
+    for row in targets:
+        share = row.in_use / row.slots if row.slots else 1.0
+        if share < best_share and row.fits(task):
+            if share == 0.0:
+                return row
+            best = row
+            best_share = share
+    return best
