Draw one picture a scenario for both users

Cause: a picture for each scenario and user makes 28 to look through. Change: a row a user, a column a percentile; pictures of every scenario.

--- a/src/cassiaturn/bench/__main__.py
+++ b/src/cassiaturn/bench/__main__.py
@@ -100,14 +100,11 @@
     scenario: ScenarioOption = None,
     user: UserOption = None,
 ) -> None:
-    """Write one picture a scenario and user, ours against bound and baselines."""
+    """Write one picture a scenario, ours against bound and baselines."""
     shown = (OURS, EXACT, *BASELINES)
-    names = names_of(_users(user), _scenarios(scenario), shown)
-    results = list(run_all(names))
-    for first in range(0, len(results), len(shown)):
-        group = results[first : first + len(shown)]
-        name = group[0].name
-        path = plot_scenario(name.user, name.scenario, group, directory)
+    for name in _scenarios(scenario):
+        results = list(run_all(names_of(_users(user), [name], shown)))
+        path = plot_scenario(name, results, directory)
         typer.echo(f"event=bench_plot_written path={path}")
 
 
