Count a second result of a task as a wasted message

Cause: the kind was defined and never counted, so zero said nothing. Change: the world counts it; a test sends one result twice.

--- a/src/cassiaturn/bench/_world.py
+++ b/src/cassiaturn/bench/_world.py
@@ -82,7 +82,10 @@
         :returns: whether it was the job's last one; the answer is then sent.
         """
         run = start.run
-        if run.outcome is not None or start.index in run.results:
+        if start.index in run.results:
+            self.tally.messages_by_kind[MessageKind.DUPLICATE_ANSWER] += 1
+            return False
+        if run.outcome is not None:
             return False
         run.results.add(start.index)
         run.useful_s += self._within_arrivals(start.begun_at, run_s)
--- a/src/cassiaturn/bench/tests/test_driver.py
+++ b/src/cassiaturn/bench/tests/test_driver.py
@@ -11,10 +11,11 @@
 from cassiaturn.bench._dispatcher import dispatchers_by_name
 from cassiaturn.bench._message import MessageKind
 from cassiaturn.bench._run import run_jobs, run_scenario
-from cassiaturn.bench._runner import FakeRunner, Start
+from cassiaturn.bench._runner import FakeRunner, JobRun, Start
 from cassiaturn.bench._scenario import Flow, Scenario, TargetFault, scenarios_by_name
 from cassiaturn.bench._traffic import Job, RequestKind, default_tenants
 from cassiaturn.bench._workload import jobs_of
+from cassiaturn.bench._world import World
 from cassiaturn.entities import Outcome, RequestClass
 
 SLOTS = 8
@@ -123,6 +124,23 @@
     assert first.ratios_by_tenant == second.ratios_by_tenant
 
 
+def test_a_second_result_of_a_task_is_counted_as_wasted() -> None:
+    job = replace(exponential_jobs(0.5, count=1)[0], run_s=(0.1, 0.1))
+    flow = Flow(name="all", load=0.1, until_s=1.0)
+    world = World(
+        deployment=KWABENA,
+        tenants=default_tenants(),
+        scenario=Scenario(name="two-results", summary="", flows=(flow,)),
+        jobs=[job],
+    )
+    start = Start(run=JobRun(job=job), index=0, begun_at=0.0)
+    for _ in range(2):
+        assert not world.has_result(start, 0.1)
+    world.tally.tasks_begun = 1
+    assert world.tally.wasted_per_task == 1.0
+    assert world.tally.outcomes[Outcome.COMPLETE] == 0
+
+
 def test_power_of_two_counts_four_probe_messages_a_task() -> None:
     scenario = Scenario(
         name="light",
