Name the checker's parts by the field's terms

Cause: the checker spoke of verdicts, courts and promises. Change: names only (RunCounts, count_run, invariants_hold, RunStatus in _run_status).

--- a/src/cassiaturn/load/_answers.py
+++ b/src/cassiaturn/load/_answers.py
@@ -30,7 +30,7 @@
 
     @property
     def is_lost(self) -> bool:
-        """Whether no instance said anything in time.
+        """Whether no instance answered in time.
 
         Instances say ``UNKNOWN`` with what may have run; the client that was
         told nothing leaves that open.
--- a/src/cassiaturn/load/_commands.py
+++ b/src/cassiaturn/load/_commands.py
@@ -20,7 +20,7 @@
 IN_FLIGHT = [1, 8, 64, 512, 2048]
 """Starts in flight that are measured one after another."""
 
-EXIT_BROKEN_PROMISE = 1
+EXIT_BROKEN_INVARIANT = 1
 EXIT_INVALID_SCENARIO = 2
 
 app = typer.Typer(help="Run scenarios against real processes on loopback.")
@@ -42,7 +42,7 @@
     keep: KeepOption = None,
     program: ProgramOption = None,
 ) -> None:
-    """Run one scenario; exit code 1: a promise was broken, 2: invalid file."""
+    """Run one scenario; exit code 1: an invariant was violated, 2: invalid file."""
     _run_file(scenario, keep, program, "scenario_done")
 
 
@@ -93,8 +93,8 @@
     for line in to_lines(figures):
         print(line)
     print(to_line(event, figures))
-    if not figures.verdict.holds:
-        raise typer.Exit(EXIT_BROKEN_PROMISE)
+    if not figures.counts.invariants_hold:
+        raise typer.Exit(EXIT_BROKEN_INVARIANT)
 
 
 def _load(path: Path) -> Scenario:
--- a/src/cassiaturn/load/_verdict.py
+++ b/src/cassiaturn/load/_counts.py
@@ -1,4 +1,4 @@
-"""What the runners' journals and the callers' answers prove together."""
+"""Counts of a run, from the runners' journals and the callers' answers."""
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
@@ -11,8 +11,8 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Verdict:
-    """Counts of a run; every count of a broken promise has to be 0."""
+class RunCounts:
+    """Counts of a run; every count of a violated invariant has to be 0."""
 
     jobs: int = 0
     """Submissions, however often sent."""
@@ -33,7 +33,7 @@
     """Submissions of which an instance could not say truthfully what ran."""
 
     lost: int = 0
-    """Submissions of which nobody said anything until their deadline."""
+    """Submissions without any answer until their deadline."""
 
     started_twice: int = 0
     """Tasks begun again though not repeatable, or before the run was over."""
@@ -57,11 +57,11 @@
     """Starts that a runner refused."""
 
     violations: list[str] = field(default_factory=list)
-    """A line for each broken promise, the first few of each kind."""
+    """A line for each violation, the first few of each kind."""
 
     @property
-    def holds(self) -> bool:
-        """Whether every promise held."""
+    def invariants_hold(self) -> bool:
+        """Whether no invariant was violated."""
         return not (
             self.started_twice
             or self.lost
@@ -76,14 +76,14 @@
 """Lines of each kind kept for people; the counts are complete."""
 
 
-def judge(
+def count_run(
     answers: Sequence[CallerAnswer],
     entries: Iterable[JournalEntry],
     *,
     repeatable_by_method: Mapping[str, bool],
     killed_at_us_by_target: Mapping[str, Sequence[int]],
-) -> Verdict:
-    """Check every promise that callers and runners can witness.
+) -> RunCounts:
+    """Check the invariants against journals and answers.
 
     :param answers: every answer that a caller got.
     :param entries: the journals of all runners.
@@ -91,18 +91,18 @@
     :param killed_at_us_by_target: wall clock of each kill of a runner, which
         ended the runs that its journal leaves open.
     """
-    court = _Court(
+    counter = _RunCounter(
         answers=answers,
         repeatable_by_method=repeatable_by_method,
         killed_at_us_by_target=killed_at_us_by_target,
     )
-    court.hear_runners(entries)
-    court.hear_callers()
-    return court.verdict
+    counter.add_journals(entries)
+    counter.add_answers()
+    return counter.counts
 
 
-class _Court:
-    """Holds what the two sides said until the verdict is reached."""
+class _RunCounter:
+    """Relates the entries of all journals to the answers of all callers."""
 
     def __init__(
         self,
@@ -111,7 +111,7 @@
         repeatable_by_method: Mapping[str, bool],
         killed_at_us_by_target: Mapping[str, Sequence[int]],
     ) -> None:
-        self.verdict = Verdict()
+        self.counts = RunCounts()
         self._answers_by_id: defaultdict[str, list[CallerAnswer]] = defaultdict(list)
         for answer in answers:
             self._answers_by_id[answer.submission_id].append(answer)
@@ -120,27 +120,27 @@
         self._begun_ids: set[str] = set()
         self._reported: Counter[str] = Counter()
 
-    def hear_runners(self, entries: Iterable[JournalEntry]) -> None:
+    def add_journals(self, entries: Iterable[JournalEntry]) -> None:
         entries_by_key: defaultdict[TaskKey, list[JournalEntry]] = defaultdict(list)
         for entry in entries:
             if entry.event is JournalEvent.REFUSED:
-                self.verdict.refused_starts += 1
+                self.counts.refused_starts += 1
                 continue
             entries_by_key[entry.key].append(entry)
             self._begun_ids.add(entry.submission_id)
         for key, history in entries_by_key.items():
             # The order of a journal stands where two entries share a moment.
-            self._judge_history(key, sorted(history, key=attrgetter("at_us")))
+            self._check_history(key, sorted(history, key=attrgetter("at_us")))
 
-    def hear_callers(self) -> None:
+    def add_answers(self) -> None:
         for submission_id, sendings in self._answers_by_id.items():
-            self.verdict.jobs += 1
-            self.verdict.tasks += len(sendings[0].job.payloads)
+            self.counts.jobs += 1
+            self.counts.tasks += len(sendings[0].job.payloads)
             self._count_outcome(sendings)
             for sending in sendings:
-                self._judge_answer(submission_id, sending)
+                self._check_answer(submission_id, sending)
 
-    def _judge_history(self, key: TaskKey, history: Sequence[JournalEntry]) -> None:
+    def _check_history(self, key: TaskKey, history: Sequence[JournalEntry]) -> None:
         latest: JournalEntry | None = None
         for entry in history:
             if entry.event is JournalEvent.ENDED:
@@ -148,17 +148,17 @@
                     latest = None
                 continue
             if entry is not history[0]:
-                self._judge_second_start(key, latest, entry)
+                self._check_second_start(key, latest, entry)
             latest = entry
 
-    def _judge_second_start(
+    def _check_second_start(
         self, key: TaskKey, running: JournalEntry | None, again: JournalEntry
     ) -> None:
         is_over = running is None or self._was_killed(running, again)
         if is_over and self._is_repeatable(key):
-            self.verdict.restarted += 1
+            self.counts.restarted += 1
             return
-        self.verdict.started_twice += 1
+        self.counts.started_twice += 1
         self._report("started twice", f"{key} on {again.target_id}")
 
     def _was_killed(self, running: JournalEntry, again: JournalEntry) -> bool:
@@ -177,39 +177,39 @@
             sending.answer.outcome for sending in sendings if sending.answer.is_final
         }
         if len(finals) > 1:
-            self.verdict.contradictory += 1
+            self.counts.contradictory += 1
             self._report("contradictory", f"{sendings[0].submission_id} {finals}")
         if Outcome.COMPLETE in outcomes:
-            self.verdict.complete += 1
+            self.counts.complete += 1
         elif Outcome.FAILED in outcomes:
-            self.verdict.failed += 1
+            self.counts.failed += 1
         elif Outcome.NOT_RUN in outcomes:
-            self.verdict.not_run += 1
+            self.counts.not_run += 1
         elif all(sending.is_lost for sending in sendings):
-            self.verdict.lost += 1
+            self.counts.lost += 1
             self._report("lost", f"{sendings[0].submission_id}")
         else:
-            self.verdict.unknown += 1
+            self.counts.unknown += 1
 
-    def _judge_answer(self, submission_id: str, sending: CallerAnswer) -> None:
+    def _check_answer(self, submission_id: str, sending: CallerAnswer) -> None:
         answer = sending.answer
         if answer.outcome is Outcome.NOT_RUN and submission_id in self._begun_ids:
-            self.verdict.false_not_run += 1
+            self.counts.false_not_run += 1
             self._report("false not run", f"{submission_id}")
         if answer.submission_id != submission_id:
-            self.verdict.foreign += 1
+            self.counts.foreign += 1
             self._report("foreign", f"{submission_id} got {answer.submission_id}")
         if answer.outcome is Outcome.COMPLETE:
-            self._judge_results(submission_id, sending)
+            self._check_results(submission_id, sending)
         elif answer.results:
-            self.verdict.partial += 1
+            self.counts.partial += 1
             self._report("results without completion", f"{submission_id}")
 
-    def _judge_results(self, submission_id: str, sending: CallerAnswer) -> None:
+    def _check_results(self, submission_id: str, sending: CallerAnswer) -> None:
         results = sending.answer.results
         payloads = sending.job.payloads
         if len(results) != len(payloads) and not sending.answer.result_object:
-            self.verdict.partial += 1
+            self.counts.partial += 1
             self._report("partial", f"{submission_id}")
             return
         expected = [
@@ -221,13 +221,13 @@
             for index, payload in enumerate(payloads)
         ]
         if results and list(results) != expected:
-            self.verdict.foreign += 1
+            self.counts.foreign += 1
             self._report("foreign result", f"{submission_id}")
 
     def _report(self, kind: str, detail: str) -> None:
         self._reported[kind] += 1
         if self._reported[kind] <= SHOWN_VIOLATIONS:
-            self.verdict.violations.append(f"{kind}: {detail}")
+            self.counts.violations.append(f"{kind}: {detail}")
 
 
 def longest_run_s_by_id(entries: Iterable[JournalEntry]) -> Mapping[str, float]:
--- a/src/cassiaturn/load/_faults.py
+++ b/src/cassiaturn/load/_faults.py
@@ -18,7 +18,7 @@
 async def run_faults(site: Site, faults: Sequence[Fault]) -> None:
     """Cause every fault of a scenario at its time, and end it at its time.
 
-    :param site: what is hurt.
+    :param site: where the faults are caused.
     :param faults: in any order; the load begins now.
     """
     async with asyncio.TaskGroup() as group:
@@ -135,7 +135,7 @@
     FaultKind.FREEZE_ANSWERS,
     FaultKind.REFUSE_CONNECTIONS,
 )
-async def _mend_runner(site: Site, fault: Fault) -> None:
+async def _clear_runner_fault(site: Site, fault: Fault) -> None:
     await _set_runner_fault(site, fault, RunnerFault())
 
 
@@ -165,7 +165,7 @@
     FaultKind.STORE_SLOW,
     FaultKind.STORE_ANSWER_LOST,
 )
-async def _mend_store(site: Site, fault: Fault) -> None:
+async def _clear_store_fault(site: Site, fault: Fault) -> None:
     await site.control_platform(PlatformFault())
 
 
--- a/src/cassiaturn/load/_report.py
+++ b/src/cassiaturn/load/_report.py
@@ -8,7 +8,7 @@
 
 from cassiaturn.entities import Outcome, Reason, RequestClass, Schema
 from cassiaturn.load._answers import CallerAnswer
-from cassiaturn.load._verdict import Verdict
+from cassiaturn.load._counts import RunCounts
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
@@ -57,7 +57,7 @@
 class Figures:
     """Everything that a run measured."""
 
-    verdict: Verdict
+    counts: RunCounts
     """Counts of both sides."""
 
     response_s: Histogram
@@ -88,13 +88,13 @@
     @property
     def wasted_messages_per_task(self) -> float:
         """Wasted messages over tasks."""
-        wasted = self.verdict.refused_starts + self.resubmissions
-        return wasted / max(1, self.verdict.tasks)
+        wasted = self.counts.refused_starts + self.resubmissions
+        return wasted / max(1, self.counts.tasks)
 
 
 def measure(
     answers: Sequence[CallerAnswer],
-    verdict: Verdict,
+    counts: RunCounts,
     *,
     schema: Schema,
     longest_run_s_by_id: Mapping[str, float],
@@ -111,7 +111,7 @@
     finds the job under way.
 
     :param answers: every answer that a caller got.
-    :param verdict: what they and the journals prove.
+    :param counts: what they and the journals prove.
     :param schema: the classes of the methods.
     :param longest_run_s_by_id: longest real run of each submission's tasks.
     :param round_trip_s: idle round trip, in seconds.
@@ -135,7 +135,7 @@
         if longest_s is not None:
             ideal_ratio.record(answer.response_s / (longest_s + round_trip_s))
     return Figures(
-        verdict=verdict,
+        counts=counts,
         response_s=response_s,
         ideal_ratio=ideal_ratio,
         response_s_by_class=by_class,
@@ -157,20 +157,20 @@
     :param event: name of the event.
     :param figures: the run.
     """
-    verdict = figures.verdict
+    counts = figures.counts
     return (
-        f"event={event} jobs={verdict.jobs} tasks={verdict.tasks}"
-        f" complete={verdict.complete} failed={verdict.failed}"
-        f" not_run={verdict.not_run} unknown={verdict.unknown}"
-        f" started_twice={verdict.started_twice} lost={verdict.lost}"
+        f"event={event} jobs={counts.jobs} tasks={counts.tasks}"
+        f" complete={counts.complete} failed={counts.failed}"
+        f" not_run={counts.not_run} unknown={counts.unknown}"
+        f" started_twice={counts.started_twice} lost={counts.lost}"
         f" p50_ms={_ms(figures.response_s, 50.0)}"
         f" p99_ms={_ms(figures.response_s, 99.0)}"
         f" ideal_ratio_p50={figures.ideal_ratio.percentile(50.0):.3f}"
         f" ideal_ratio_p99={figures.ideal_ratio.percentile(99.0):.3f}"
         f" wasted_messages_per_task={figures.wasted_messages_per_task:.4f}"
-        f" false_not_run={verdict.false_not_run} partial={verdict.partial}"
-        f" foreign={verdict.foreign} contradictory={verdict.contradictory}"
-        f" restarted={verdict.restarted}"
+        f" false_not_run={counts.false_not_run} partial={counts.partial}"
+        f" foreign={counts.foreign} contradictory={counts.contradictory}"
+        f" restarted={counts.restarted}"
     )
 
 
@@ -192,7 +192,7 @@
             f" reason={reason.name.lower()} answers={count}"
         )
     yield (
-        f"event=wasted refused_starts={figures.verdict.refused_starts}"
+        f"event=wasted refused_starts={figures.counts.refused_starts}"
         f" resubmissions={figures.resubmissions}"
     )
     yield (
@@ -205,7 +205,7 @@
         longest_s = max(figures.configuration_in_force_s)
         changes = len(figures.configuration_in_force_s)
         yield f"event=configuration changes={changes} longest_s={longest_s:.2f}"
-    for violation in figures.verdict.violations:
+    for violation in figures.counts.violations:
         yield f"event=violation detail={violation!r}"
 
 
--- a/src/cassiaturn/load/_run.py
+++ b/src/cassiaturn/load/_run.py
@@ -8,6 +8,7 @@
 from cassiaturn.entities import Schema
 from cassiaturn.load._answers import write_answers
 from cassiaturn.load._callers import Callers
+from cassiaturn.load._counts import count_run, longest_run_s_by_id
 from cassiaturn.load._documents import SCHEMAS, write_settings
 from cassiaturn.load._faults import run_faults
 from cassiaturn.load._layout import Layout, plan_layout
@@ -15,20 +16,19 @@
 from cassiaturn.load._report import Figures, measure
 from cassiaturn.load._scenario import Scenario
 from cassiaturn.load._site import Site
-from cassiaturn.load._verdict import judge, longest_run_s_by_id
 from cassiaturn.standins import JournalEntry, read_journal
 
 THIS_PROGRAM = (sys.executable, "-m", "cassiaturn")
 """The dispatcher of this installation."""
 
 SETTLING_S = 1.0
-"""Pause after the last answer: a start that comes after it is witnessed too."""
+"""Pause after the last answer: a start that comes after it is counted too."""
 
 
 async def run_scenario(
     scenario: Scenario, directory: Path, *, program: Sequence[str] = THIS_PROGRAM
 ) -> Figures:
-    """Start everything, send the load, cause the faults, end everything, judge.
+    """Start everything, send the load, cause the faults, end everything, count.
 
     :param scenario: a checked scenario.
     :param directory: an empty directory for settings, logs and journals.
@@ -60,7 +60,7 @@
 ) -> Figures:
     schema = Schema.load([Path(str(schema)) for schema in SCHEMAS]).unwrap()
     entries = _read_journals(layout)
-    verdict = judge(
+    counts = count_run(
         callers.answers,
         entries,
         repeatable_by_method={
@@ -70,7 +70,7 @@
     )
     return measure(
         callers.answers,
-        verdict,
+        counts,
         schema=schema,
         longest_run_s_by_id=longest_run_s_by_id(entries),
         round_trip_s=round_trip_s,
--- a/src/cassiaturn/load/_site.py
+++ b/src/cassiaturn/load/_site.py
@@ -1,4 +1,4 @@
-"""A deployment on loopback: its processes, started, hurt and ended."""
+"""A deployment on loopback: its processes and their control."""
 
 import asyncio
 import sys
--- a/src/cassiaturn/load/tests/test_verdict.py
+++ b/src/cassiaturn/load/tests/test_counts.py
@@ -1,7 +1,7 @@
 import pytest
 
 from cassiaturn.entities import Answer, Outcome, Ran, TaskKey
-from cassiaturn.load import CallerAnswer, PlannedJob, Verdict, judge
+from cassiaturn.load import CallerAnswer, PlannedJob, RunCounts, count_run
 from cassiaturn.standins import JournalEntry, JournalEvent, reply_to
 
 ONCE = "kwabena.v1.Props/OrderDeck"
@@ -64,12 +64,12 @@
     )
 
 
-def verdict_of(
+def counts_of(
     answers: list[CallerAnswer],
     entries: list[JournalEntry],
     killed: dict[str, list[int]] | None = None,
-) -> Verdict:
-    return judge(
+) -> RunCounts:
+    return count_run(
         answers,
         entries,
         repeatable_by_method={ONCE: False, REPEATABLE: True},
@@ -131,11 +131,11 @@
     ],
 )
 def test_answers(answers: list[Answer], broken: str | None) -> None:
-    verdict = verdict_of([sending(answer) for answer in answers], [started(1)])
-    assert verdict.jobs == 1
-    assert verdict.holds == (broken is None)
+    counts = counts_of([sending(answer) for answer in answers], [started(1)])
+    assert counts.jobs == 1
+    assert counts.invariants_hold == (broken is None)
     if broken is not None:
-        assert getattr(verdict, broken) == 1
+        assert getattr(counts, broken) == 1
 
 
 @pytest.mark.parametrize(
@@ -176,5 +176,5 @@
     A caller must never get two decks; a repeatable check may run again, but
     only once its earlier run is over, or died with its runner.
     """
-    verdict = verdict_of([sending(FAILED, method=method)], entries, killed)
-    assert (verdict.started_twice, verdict.restarted) == (twice, restarted)
+    counts = counts_of([sending(FAILED, method=method)], entries, killed)
+    assert (counts.started_twice, counts.restarted) == (twice, restarted)
--- a/src/cassiaturn/load/tests/test_run.py
+++ b/src/cassiaturn/load/tests/test_run.py
@@ -31,8 +31,8 @@
     path = tmp_path / "small.yaml"
     path.write_text(yaml.safe_dump(SMALL))
     figures = await run_scenario(load_scenario(path).unwrap(), tmp_path)
-    assert figures.verdict.violations == []
-    assert figures.verdict.holds
-    assert figures.verdict.complete > 0
+    assert figures.counts.violations == []
+    assert figures.counts.invariants_hold
+    assert figures.counts.complete > 0
     assert figures.response_s.count > 0
     assert list(figures.exit_codes) == [0, 0]
--- a/src/cassiaturn/standins/__init__.py
+++ b/src/cassiaturn/standins/__init__.py
@@ -10,12 +10,12 @@
 from cassiaturn.standins._platform import PlatformStandIn
 from cassiaturn.standins._platform_settings import PlatformFault, PlatformSettings
 from cassiaturn.standins._replies import reply_to
+from cassiaturn.standins._run_status import Refusal, RunStatus
 from cassiaturn.standins._run_time import RunTime, Shape
 from cassiaturn.standins._runner import RunnerStandIn
 from cassiaturn.standins._runner_host import FaultRequest, RunnerHost
 from cassiaturn.standins._runner_settings import RunnerHostSettings, RunnerSettings
 from cassiaturn.standins._task_table import BegunTask, TaskTable
-from cassiaturn.standins._verdict import Refusal, RunStatus
 
 __all__ = [
     "BegunTask",
--- a/src/cassiaturn/standins/_journal.py
+++ b/src/cassiaturn/standins/_journal.py
@@ -1,4 +1,4 @@
-"""The journal of a runner: the witness of what was started."""
+"""The journal of a runner: what it started, ended and refused."""
 
 import json
 import time
@@ -60,7 +60,7 @@
     """Appends entries to a file, one JSON object a line.
 
     Each line is handed to the operating system before the runner goes on: a
-    runner that is killed has then witnessed every start that had an effect.
+    runner that is killed has then recorded every start that had an effect.
     """
 
     __slots__ = ("_file",)
--- a/src/cassiaturn/standins/_runner.py
+++ b/src/cassiaturn/standins/_runner.py
@@ -14,12 +14,12 @@
 from cassiaturn.standins._fault import RunnerFault
 from cassiaturn.standins._journal import Journal, JournalEvent
 from cassiaturn.standins._replies import reply_to
+from cassiaturn.standins._run_status import RunStatus
 from cassiaturn.standins._run_time import RunTime
 from cassiaturn.standins._runner_settings import RunnerHostSettings, RunnerSettings
 from cassiaturn.standins._session_table import HolderSession, SessionTable
 from cassiaturn.standins._task_table import BegunTask, TaskTable
 from cassiaturn.standins._usage import UsageReport
-from cassiaturn.standins._verdict import RunStatus
 from cassiaturn.v1 import runner_pb2 as pb
 from cassiaturn.v1.runner_grpc import RunnerBase
 
--- a/src/cassiaturn/standins/_task_table.py
+++ b/src/cassiaturn/standins/_task_table.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from cassiaturn.entities import TaskKey
-from cassiaturn.standins._verdict import Refusal, RunStatus
+from cassiaturn.standins._run_status import Refusal, RunStatus
 from cassiaturn.v1 import runner_pb2 as pb
 
 DEFAULT_SLOTS = 8
