Name a schema that lacks its imports, and fuzz requests of the command line

Change: it is an error that says how to write the file; any line of input gives a request or an error, over 200 generated ones.

--- a/src/cassiaturn/cli/_messages.py
+++ b/src/cassiaturn/cli/_messages.py
@@ -108,9 +108,9 @@
         return Failure(InvalidRequest(source=name, problem=problem))
     pool = descriptor_pool.DescriptorPool()
     for path in schemas:
-        files = descriptor_pb2.FileDescriptorSet.FromString(path.read_bytes())
-        for file in files.file:
-            pool.Add(file)
+        added = _add_files(pool, path)
+        if not is_successful(added):
+            return Failure(added.failure())
     descriptor = pool.FindMethodByName(name.replace("/", "."))
     return Success(
         MethodMessages(
@@ -119,3 +119,16 @@
             deadline_ms=method.deadline_ms,
         )
     )
+
+
+def _add_files(
+    pool: descriptor_pool.DescriptorPool, path: Path
+) -> Result[None, InvalidRequest]:
+    files = descriptor_pb2.FileDescriptorSet.FromString(path.read_bytes())
+    for file in files.file:
+        try:
+            pool.Add(file)
+        except TypeError as error:
+            problem = f"{error}; write it with 'protoc --include_imports'"
+            return Failure(InvalidRequest(source=str(path), problem=problem))
+    return Success(None)
--- a/src/cassiaturn/cli/tests/test_jobs.py
+++ b/src/cassiaturn/cli/tests/test_jobs.py
@@ -3,8 +3,13 @@
 from pathlib import Path
 
 import pytest
+from google.protobuf.descriptor_pb2 import FileDescriptorSet
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
 
 from cassiaturn.cli import ExitCode
+from cassiaturn.cli._messages import load_method
 from cassiaturn.cli.tests.conftest import TICKET, Run, Served
 from cassiaturn.entities import Answer, Outcome, Ran, Reason
 from cassiaturn_examples.kwabena.props_pb2 import AvailabilityReply, AvailabilityRequest
@@ -176,3 +181,38 @@
     )  # fmt: skip
     assert result.exit_code == ExitCode.USAGE
     assert str(schema) in result.stderr
+
+
+def test_a_schema_without_its_imports_is_named(tmp_path: Path) -> None:
+    files = FileDescriptorSet.FromString(Path(SCHEMA).read_bytes())
+    for file in list(files.file):
+        if file.package == "cassiaturn.v1":
+            files.file.remove(file)
+    schema = tmp_path / "alone.binpb"
+    schema.write_bytes(files.SerializeToString())
+    error = load_method([schema], METHOD).failure()
+    assert error.source == str(schema)
+    assert "--include_imports" in error.problem
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(
+    line=st.one_of(
+        st.text(max_size=60),
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+            lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+            max_leaves=5,
+        ).map(json.dumps),
+        st.dictionaries(
+            st.sampled_from(["prop_id", "branch"]), st.text() | st.integers()
+        ).map(json.dumps),
+    )
+)
+def test_any_line_is_a_request_or_an_error(line: str) -> None:
+    encoded = load_method([Path(SCHEMA)], METHOD).unwrap().encode_lines([line])
+    if is_successful(encoded):
+        (payload,) = encoded.unwrap()
+        AvailabilityRequest.FromString(payload)
+    else:
+        assert encoded.failure().problem
