Let a whole fleet learn of a death within its grace, and heal after a cut

Cause, from fleets of the real table in virtual time: members without a link to a dead one learned of it a silence later; one that was asked by a stranger did not answer it; after a cut of 20 s both sides stayed gone for each other. Change: rumours are passed on at once and counted from the silence they tell of, strides in the ring, an answer to whoever asks, a word to one gone member every 5 s.

--- a/src/cassiaturn/membership/_links.py
+++ b/src/cassiaturn/membership/_links.py
@@ -5,6 +5,7 @@
 number of links, and equal views give both ends of a link the same answer.
 """
 
+import math
 from collections.abc import Collection, Mapping, Sequence
 
 import xxhash
@@ -15,9 +16,10 @@
 ) -> Collection[str]:
     """Return the instances that one exchanges heartbeats with.
 
-    Within a failure domain the instances form a ring in order of a hash, and each
-    is linked to the next ``near_links / 2`` on either side: if up to that many in
-    a row die together, each still has a living neighbour to notice. Two failure
+    Within a failure domain the instances form a ring in order of a hash. Each is
+    linked to the next one on either side, and to others a growing number of
+    steps away, which keeps the way of a rumour through the ring short: about 8
+    hops among 70 instances, where neighbours alone would need 18. Two failure
     domains are linked by pairs of equal rank, one link an instance if they are of
     equal size; a domain with fewer instances has more links each.
 
@@ -43,8 +45,11 @@
 
 
 def _near(ring: Sequence[str], rank: int, each_side: int) -> Collection[str]:
-    steps = [step for step in range(-each_side, each_side + 1) if step]
-    near = {ring[(rank + step) % len(ring)] for step in steps}
+    stride = max(2, math.isqrt(len(ring)))
+    steps = [1, *(stride * turn for turn in range(1, each_side))]
+    near = {
+        ring[(rank + step * side) % len(ring)] for step in steps for side in (-1, 1)
+    }
     return near - {ring[rank]}
 
 
--- a/src/cassiaturn/membership/_rows.py
+++ b/src/cassiaturn/membership/_rows.py
@@ -1,6 +1,6 @@
 """Members as rows of a table, and what one tells about itself."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -104,6 +104,9 @@
     probed_since: float | None = None
     """Since when it is asked to speak although it is none; None: it is not."""
 
+    owes_answer: bool = False
+    """Whether it is to be spoken to once: it asked, or may be back after a cut."""
+
     gone_at: float | None = None
     """Time at which it was taken for gone, in seconds."""
 
@@ -170,6 +173,30 @@
     return row.gone_at is not None or booted_ms(incarnation) > booted_ms(known)
 
 
+def asked_incarnations(rows: Iterable[MemberRow]) -> Sequence[str]:
+    """Return the incarnations that are asked to speak and may yet live."""
+    return [
+        row.facts.incarnation
+        for row in rows
+        if row.probed_since is not None
+        and row.gone_at is None
+        and row.facts.incarnation
+    ]
+
+
+def holding_instances(rows: Iterable[MemberRow], failure_domain: str) -> Sequence[str]:
+    """Return the instances of a failure domain that may hold targets, sorted."""
+    return sorted(
+        row.facts.instance_id
+        for row in rows
+        if row.facts.failure_domain == failure_domain
+        and row.state in _HOLDING
+        and row.facts.state is MemberState.READY
+    )
+
+
+_HOLDING = frozenset({MemberState.READY, MemberState.SUSPECTED})
+
 _STATES_BY_NUMBER = {
     int(pb.INSTANCE_STATE_STARTING): MemberState.STARTING,
     int(pb.INSTANCE_STATE_READY): MemberState.READY,
--- a/src/cassiaturn/membership/_settings.py
+++ b/src/cassiaturn/membership/_settings.py
@@ -25,6 +25,9 @@
     gone_after_s: float = 4.0
     """Silence after which it is taken for gone, in seconds."""
 
+    retry_gone_s: float = 5.0
+    """How often one gone member is spoken to, to notice that a cut healed."""
+
     forget_after_s: float = 600.0
     """How long a gone incarnation is remembered, in seconds."""
 
--- a/src/cassiaturn/membership/_table.py
+++ b/src/cassiaturn/membership/_table.py
@@ -11,13 +11,15 @@
 from collections.abc import Collection, Mapping, Sequence
 from types import MappingProxyType
 
-from cassiaturn.membership._links import links_of
+from cassiaturn.membership._circle import Circle
 from cassiaturn.membership._rows import (
     HostHint,
     MemberChange,
     MemberFacts,
     MemberRow,
     MemberState,
+    asked_incarnations,
+    holding_instances,
     replaces,
 )
 from cassiaturn.membership._settings import MembershipSettings
@@ -44,10 +46,10 @@
         self._ids_by_incarnation: dict[str, str] = {}
         self._believed_by_id: dict[str, MemberState] = {}
         self._changes: list[MemberChange] = []
-        self._links: Collection[str] | None = None
-        self._neighbours: Collection[str] | None = None
+        self._circle = Circle(near_links=settings.near_links)
         self._judge_at = 0.0
-        self._refutes = False
+        self._retry_at = 0.0
+        self._urgent = False
         self._ticked_at: float | None = None
 
     @property
@@ -76,20 +78,21 @@
         if row is None:
             row = MemberRow(facts=facts)
             self._members_by_id[facts.instance_id] = row
-            self._links = None
+            self._circle.relink()
             self._look_again()
         elif row.facts.incarnation != facts.incarnation:
             if not replaces(facts.incarnation, row):
                 return
             self._replace(row, facts)
         elif row.facts.failure_domain != facts.failure_domain:
-            self._links = None
+            self._circle.relink()
             self._look_again()
         if row.facts.state is not facts.state:
             self._look_again()
         row.facts = facts
         self._ids_by_incarnation[facts.incarnation] = facts.instance_id
         self._clear(row, now)
+        self._note_probe(row, now)
         for incarnation in facts.suspected:
             self._hear_rumour(incarnation, now)
 
@@ -112,6 +115,7 @@
         row = self._row_of(incarnation)
         if row is not None and not row.suspected:
             suspect(row, row.heard_at or now)
+            self._urgent = True
             self._look_again()
 
     def hint(self, hosts: Sequence[HostHint]) -> None:
@@ -139,21 +143,21 @@
         :param now: monotonic time, in seconds.
         """
         self._forgive_own_pause(now)
+        self._retry_gone(now)
         if now < self._judge_at:
             return []
-        links = self.neighbours()
+        links = self._links()
         self._judge_at = math.inf
         for instance_id, row in list(self._members_by_id.items()):
             note_link(row, now, linked=instance_id in links)
-            was_gone = row.gone_at is not None
+            before = row.state
             due = judge(row, now, self._settings)
             self._judge_at = min(self._judge_at, due)
             if is_stale(row, now, self._settings):
                 self._forget(instance_id)
-            elif row.gone_at is not None and not was_gone:
-                self._links = None
-                self._neighbours = None
-        if self._links is None:
+            elif row.state is not before:
+                self._take_judgement(row)
+        if self._circle.is_stale:
             self._judge_at = now
         for instance_id, row in self._members_by_id.items():
             self._note_state(instance_id, row)
@@ -161,6 +165,36 @@
         self._changes = []
         return changes
 
+    def _retry_gone(self, now: float) -> None:
+        # Both sides of a cut take the other for gone and speak to it no more.
+        # Without a word now and then they would stay apart after the cut healed.
+        if now < self._retry_at:
+            return
+        self._retry_at = now + self._settings.retry_gone_s
+        rows = self._members_by_id.values()
+        gone = [row for row in rows if row.gone_at is not None]
+        if gone:
+            self._greet(self._rng.choice(gone))
+
+    def _greet_domain(self, failure_domain: str) -> None:
+        # One came back: the others that the same cut took are likely back too.
+        for row in self._members_by_id.values():
+            is_near = row.facts.failure_domain == failure_domain
+            if is_near and row.gone_at is not None:
+                self._greet(row)
+
+    def _greet(self, row: MemberRow) -> None:
+        row.owes_answer = True
+        row.sent_at = None
+        self._circle.review()
+
+    def _take_judgement(self, row: MemberRow) -> None:
+        self._circle.review()
+        if row.gone_at is not None:
+            self._circle.relink()
+        else:
+            self._urgent = True
+
     def _forgive_own_pause(self, now: float) -> None:
         # A process that was stopped wakes with old times and unread frames. Every
         # member would seem silent, and this one would take over all of them.
@@ -174,34 +208,13 @@
     def neighbours(self) -> Collection[str]:
         """Return ids of the instances to exchange heartbeats with.
 
-        Links of :func:`links_of` over members that are not gone, and members
-        under probe.
+        Links of :func:`links_of` over members that are not gone, members under
+        probe, and members that probe this one.
         """
-        if self._neighbours is None or self._links is None:
-            self._links = self._find_links()
-            probed = {
-                instance_id
-                for instance_id, row in self._members_by_id.items()
-                if row.probed_since is not None and row.gone_at is None
-            }
-            self._neighbours = probed.union(self._links)
-        return self._neighbours
-
-    def _find_links(self) -> Collection[str]:
-        if self._links is not None:
-            return self._links
-        me = self._me.facts
-        domains = {
-            instance_id: row.facts.failure_domain
-            for instance_id, row in self._members_by_id.items()
-            if row.gone_at is None
-        }
-        domains[me.instance_id] = me.failure_domain
-        return links_of(
-            instance_id=me.instance_id,
-            domains_by_instance=domains,
-            near_links=self._settings.near_links,
-        )
+        return self._circle.members(self._me, self._members_by_id)
+
+    def _links(self) -> Collection[str]:
+        return self._circle.links(self._me, self._members_by_id)
 
     def heartbeat_due(self, instance_id: str, now: float) -> bool:
         """Whether a heartbeat has to be sent to a neighbour by itself.
@@ -214,7 +227,7 @@
         row = self._members_by_id.get(instance_id)
         if row is None:
             return False
-        if row.sent_at is None or self._refutes:
+        if row.sent_at is None or self._urgent:
             return True
         period_s = self._settings.heartbeat_s * self._rng.uniform(0.9, 1.0)
         return now - row.sent_at >= period_s
@@ -225,24 +238,26 @@
         :param now: monotonic time, in seconds.
         """
         row = self._members_by_id.get(instance_id)
-        if row is not None:
-            row.sent_at = now
+        if row is None:
+            return
+        row.sent_at = now
+        if row.owes_answer:
+            row.owes_answer = False
+            self._circle.review()
 
     def refuted(self) -> None:
         """Note that heartbeats went to every neighbour after a rumour of us."""
-        self._refutes = False
+        self._urgent = False
 
     def rumours(self) -> Sequence[str]:
-        """Return incarnations to name as suspected: those not heard from here.
+        """Return incarnations to name as suspected: those under probe here.
 
-        Only what this instance saw itself is passed on, never hearsay, so that a
-        rumour dies out as soon as its subject is heard.
+        A rumour is passed on at once, so that it crosses a failure domain within
+        a round trip a hop. Whoever hears of it asks its subject, and passes it on
+        no more once that one is heard; so it dies out.
         """
-        rows = self._members_by_id.values()
-        suspected = [
-            row.facts.incarnation for row in rows if row.state is MemberState.SUSPECTED
-        ]
-        return [one for one in suspected if one][: self._settings.max_rumours]
+        asked = asked_incarnations(self._members_by_id.values())
+        return asked[: self._settings.max_rumours]
 
     def live(self, failure_domain: str) -> Sequence[str]:
         """Return instances that may hold targets of a failure domain, sorted.
@@ -250,13 +265,7 @@
         A suspected one still may: a short silence then moves no target.
         """
         rows = [*self._members_by_id.values(), self._me]
-        return sorted(
-            row.facts.instance_id
-            for row in rows
-            if row.facts.failure_domain == failure_domain
-            and row.state in _HOLDING
-            and row.facts.state is MemberState.READY
-        )
+        return holding_instances(rows, failure_domain)
 
     def highest_version(self) -> int:
         """Return the highest configuration version that any member told."""
@@ -277,23 +286,33 @@
     def _clear(self, row: MemberRow, now: float) -> None:
         row.heard_at = now
         if row.gone_at is not None:
-            self._links = None
+            self._circle.relink()
+            self._greet_domain(row.facts.failure_domain)
         if row.suspected or row.probed_since is not None or row.gone_at is not None:
             row.suspected = False
             row.probed_since = None
             row.gone_at = None
             self._look_again()
 
+    def _note_probe(self, row: MemberRow, now: float) -> None:
+        # One that is no neighbour speaks because it was told that we are silent.
+        # Unanswered it would take us for gone. A member that we asked just now
+        # only answers; to answer that again would never end.
+        if row.facts.instance_id in self._links():
+            return
+        if row.sent_at is None or now - row.sent_at >= self._settings.heartbeat_s:
+            self._greet(row)
+
     def _look_again(self) -> None:
         """Let the next tick judge every member, since something changed."""
-        self._neighbours = None
+        self._circle.review()
         self._judge_at = 0.0
 
     def _hear_rumour(self, incarnation: str, now: float) -> None:
         if incarnation == self._me.facts.incarnation:
             # Answer at once: silence would let the rumour end in a takeover of a
             # living instance, and all its queued work would be refused.
-            self._refutes = True
+            self._urgent = True
             return
         row = self._members_by_id.get(instance_of(incarnation))
         if row is None or row.gone_at is not None or row.probed_since is not None:
@@ -303,15 +322,18 @@
         fresh_s = self._settings.heartbeat_s
         if row.heard_at is not None and now - row.heard_at < fresh_s:
             return
-        row.probed_since = now
+        # Whoever spread it waited so long already; so everybody takes the member
+        # for gone at the same time, unless it answers.
+        row.probed_since = now - self._settings.suspect_after_s
         row.sent_at = None
+        self._urgent = True
         self._look_again()
 
     def _replace(self, row: MemberRow, facts: MemberFacts) -> None:
         old = row.facts.incarnation
         later = booted_ms(facts.incarnation) > booted_ms(old)
         self._ids_by_incarnation.pop(old, None)
-        self._links = None
+        self._circle.relink()
         self._look_again()
         row.sent_at = None
         before = self._believed_by_id.pop(facts.instance_id, None)
@@ -336,15 +358,14 @@
         )
         row = MemberRow(facts=facts)
         self._members_by_id[host.instance_id] = row
-        self._links = None
+        self._circle.relink()
         return row
 
     def _forget(self, instance_id: str) -> None:
         row = self._members_by_id.pop(instance_id)
         self._ids_by_incarnation.pop(row.facts.incarnation, None)
         self._believed_by_id.pop(instance_id, None)
-        self._links = None
-        self._neighbours = None
+        self._circle.relink()
 
     def _note_state(self, instance_id: str, row: MemberRow) -> None:
         before = self._believed_by_id.get(instance_id)
@@ -360,6 +381,3 @@
                 after=after,
             )
         )
-
-
-_HOLDING = frozenset({MemberState.READY, MemberState.SUSPECTED})
--- a/src/cassiaturn/model/__init__.py
+++ b/src/cassiaturn/model/__init__.py
@@ -6,6 +6,7 @@
 
 from cassiaturn.model._checks import Finding
 from cassiaturn.model._explore import Exploration, explore
+from cassiaturn.model._fleet import Fleet
 from cassiaturn.model._promises import broken_promise, promises_by_name
 from cassiaturn.model._scenarios import (
     DEEP_SCENARIOS_BY_NAME,
@@ -22,6 +23,7 @@
     "Budget",
     "Exploration",
     "Finding",
+    "Fleet",
     "Record",
     "Rules",
     "Scenario",
--- a/src/cassiaturn/model/__main__.py
+++ b/src/cassiaturn/model/__main__.py
@@ -16,6 +16,7 @@
 )
 from cassiaturn.model._costs import (
     claim_load,
+    death_spread,
     holder_shares,
     links_per_instance,
     ticket_costs,
@@ -26,6 +27,7 @@
 _JOB_RATES = (1, 10, 100, 1_000, 5_000)
 _WRITE_S = 0.005
 _FLEETS = (9, 27, 90, 350)
+_SITES = ((4, 2), (3, 3), (5, 18), (5, 70))
 _DOMAINS = ((6, 2), (8, 2), (6, 3), (8, 3), (280, 70))
 
 _MAX_STATES = 1_000_000
@@ -77,6 +79,9 @@
     for instances in _FLEETS:
         found = links_per_instance(domains=5, instances=instances)
         _line("links", {"instances": instances, **found})
+    for domains, size in _SITES:
+        found = death_spread(domains=domains, size=size)
+        _line("death", {"domains": domains, "size": size, **found})
     for targets, instances in _DOMAINS:
         found = holder_shares(targets=targets, instances=instances, domains=200)
         _line("holders", {"targets": targets, "instances": instances, **found})
--- a/src/cassiaturn/model/_costs.py
+++ b/src/cassiaturn/model/_costs.py
@@ -15,6 +15,7 @@
     holders_by_target,
     links_of,
 )
+from cassiaturn.model._fleet import Fleet
 from cassiaturn.submission import (
     ClaimLedger,
     ClaimSettings,
@@ -34,6 +35,7 @@
 _ROUNDS = 20_000
 _US_PER_S = 1e6
 _TICK_S = 0.001
+_LONGEST_S = 60.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -163,6 +165,39 @@
     }
 
 
+def death_spread(*, domains: int, size: int) -> Mapping[str, float]:
+    """Return how a fleet learns of a death, in virtual time.
+
+    :param domains: failure domains.
+    :param size: instances in each.
+    :returns: seconds until the first, half and all take it for gone, and
+        heartbeats a second and instance before and during it.
+    """
+    fleet = Fleet(domains=domains, size=size)
+    fleet.run(5.0)
+    count = domains * size
+    sent = fleet.sent
+    fleet.run(5.0)
+    quiet = (fleet.sent - sent) / count / 5.0
+    died_at = fleet.now
+    fleet.down.add("d0-0")
+    gone_at: list[float] = []
+    sent = fleet.sent
+    while len(gone_at) < count - 1 and fleet.now < _LONGEST_S:
+        fleet.run(0.1)
+        believers = len(fleet.believers("d0-0", MemberState.GONE))
+        gone_at.extend([fleet.now - died_at] * (believers - len(gone_at)))
+    during = (fleet.sent - sent) / count / (fleet.now - died_at)
+    return {
+        "first_s": gone_at[0],
+        "half_s": gone_at[len(gone_at) // 2],
+        "all_s": gone_at[-1],
+        "learned": len(gone_at),
+        "quiet_sent_per_s": quiet,
+        "death_sent_per_s": during,
+    }
+
+
 def holder_shares(*, targets: int, instances: int, domains: int) -> Mapping[str, float]:
     """Compare plain rendezvous hashing with the bounded one, over many domains.
 
