Weigh large jobs beyond a quota by what is left over for them

Cause: at three times the load 60 normal jobs of 15 to 50 tasks were admitted at registre, overtaken by smaller ones and dropped half done at their deadlines; 4.7% of the slot time went to them. Change: while 80% of the slots are in use, a job of a tenant over its quota counts on what its class leaves over or its tenant's share. The estimate and its inputs are modules of their own.

--- a/src/cassiaturn/policy/__init__.py
+++ b/src/cassiaturn/policy/__init__.py
@@ -1,16 +1,11 @@
 """Decisions under load, as pure modules: no network, no clock, no process."""
 
-from cassiaturn.policy._admission import (
-    Admission,
-    AdmissionRequest,
-    Admit,
-    LoadView,
-    Refuse,
-)
+from cassiaturn.policy._admission import Admission, Admit, Refuse
 from cassiaturn.policy._failure_pause import failure_pause_s
 from cassiaturn.policy._fair_queue import FairQueue
 from cassiaturn.policy._handover import choose_successor
 from cassiaturn.policy._health import HealthChange, TargetHealth
+from cassiaturn.policy._load import AdmissionRequest, LoadView
 from cassiaturn.policy._placement import PeerRow, Placement
 from cassiaturn.policy._queued_task import QueuedTask
 from cassiaturn.policy._quota import next_quota_part, split_quota
--- a/src/cassiaturn/policy/_service_rates.py
+++ b/src/cassiaturn/policy/_service_rates.py
@@ -9,6 +9,8 @@
 load within seconds and is not moved by one long task.
 """
 
+from dataclasses import dataclass
+
 from cassiaturn.entities import RequestClass
 
 _WINDOW_S = 1.0
@@ -18,6 +20,17 @@
 """Weight of the newest window: three windows of memory."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UsedSlots:
+    """Slots in use, as one class sees them; made by :class:`ServiceRates`."""
+
+    above: float
+    """Slots that higher classes use."""
+
+    own: float
+    """Slots that the class itself uses."""
+
+
 class ServiceRates:
     """Slots used by each class, as a moving average."""
 
@@ -33,18 +46,18 @@
         """
         self._ended_s_by_class[request_class] += run_s
 
-    def slots_above(self, request_class: RequestClass, now: float) -> float:
-        """Return the slots that higher classes use.
+    def used_slots(self, request_class: RequestClass, now: float) -> UsedSlots:
+        """Return the slots in use, as a class sees them.
 
-        :param request_class: the class that has to do with the rest.
+        :param request_class: the class.
         :param now: present time, in seconds.
         """
         self._close_window(now)
-        return sum(
-            slots
-            for higher, slots in self._slots_by_class.items()
-            if higher < request_class
-        )
+        above = 0.0
+        for other, slots in self._slots_by_class.items():
+            if other < request_class:
+                above += slots
+        return UsedSlots(above=above, own=self._slots_by_class[request_class])
 
     def _close_window(self, now: float) -> None:
         if self._window_from is None:
--- a/src/cassiaturn/policy/_settings.py
+++ b/src/cassiaturn/policy/_settings.py
@@ -63,6 +63,10 @@
     )
     """Share of the slots that a class can count on; the floors of the order."""
 
+    busy_share: float = 0.8
+    """Share of the slots in use from which a job of a tenant over its quota is
+    weighed by what is left over for it."""
+
     safety: float = 0.9
     """Share of the deadline that the expected end may take; a ratio."""
 
--- a/src/cassiaturn/policy/tests/test_admission.py
+++ b/src/cassiaturn/policy/tests/test_admission.py
@@ -108,6 +108,62 @@
     assert decision.retry_after_s == 0.0
 
 
+def observed(admission: Admission, slots: float, seconds: int = 30) -> None:
+    for second in range(seconds):
+        admission.observe_run("price", NORMAL, slots)
+        admission.decide(make_request(), make_load(now=float(second)))
+
+
+@pytest.mark.parametrize(
+    ("used_slots", "tenant_running", "tasks", "expected"),
+    [
+        # A small job is done in time whatever else runs.
+        (23.0, 8, 1, None),
+        (23.0, 8, 20, Reason.QUOTA),
+        # Slots are left over for it.
+        (12.0, 8, 20, None),
+        # The tenant is within its quota.
+        (23.0, 1, 20, None),
+    ],
+)
+def test_large_jobs_beyond_a_quota_get_what_small_ones_leave(
+    used_slots: float, tenant_running: int, tasks: int, expected: Reason | None
+) -> None:
+    """Small jobs fill the slots, and a tenant over its quota sends a large one.
+
+    Counted on all slots it would be admitted, overtaken by each small job that
+    comes later, and dropped half done at its deadline.
+    """
+    admission = Admission(settings=AdmissionSettings())
+    observed(admission, used_slots)
+    load = make_load(
+        24,
+        now=29.5,
+        tenant_queued=0,
+        tenant_running=tenant_running,
+        tenant_quota_slots=4.0,
+        mean_run_s_by_class={NORMAL: 0.3},
+    )
+    decision = decide(make_request(tasks=tasks, deadline_in_s=1.5), load, admission)
+    reason = decision.reason if isinstance(decision, Refuse) else None
+    assert reason is expected
+    if isinstance(decision, Refuse):
+        assert decision.retry_after_s > 0.0
+
+
+def test_batch_work_counts_on_what_higher_classes_leave() -> None:
+    admission = Admission(settings=AdmissionSettings())
+    observed(admission, 20.0)
+    batch = RequestClass.BATCH
+    load = make_load(
+        24, now=29.5, queued_by_class={batch: 100}, mean_run_s_by_class={batch: 0.3}
+    )
+    request = make_request(request_class=batch, deadline_in_s=60.0, tasks=1)
+    decision = decide(request, load, admission)
+    assert isinstance(decision, Admit)
+    assert decision.expected_wait_s == pytest.approx(100 * 0.3 / 4, rel=0.1)
+
+
 def test_refusal_ends_at_a_lower_load_than_it_began() -> None:
     admission = Admission(settings=AdmissionSettings())
     request = make_request()
