Survive malformed frames of a runner, and report faults of callbacks

Cause: a frame that protobuf cannot read, or an error in a callback, ended the task of a session without a word; its target stayed unused. Change: a malformed frame ends its stream only; a fault of a callback goes to the loop's exception handler.

--- a/src/cassiaturn/load/tests/test_scenario_file.py
+++ b/src/cassiaturn/load/tests/test_scenario_file.py
@@ -1,7 +1,10 @@
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import pytest
 import yaml
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from returns.result import Failure, Success
 
 from cassiaturn.load import DEMO_SCENARIO, Scenario, load_scenario, plan_jobs
@@ -112,3 +115,23 @@
 )
 def test_shipped_scenarios_are_valid(path: Path) -> None:
     assert load_scenario(path).unwrap().name == path.stem
+
+
+KEYS = ["name", "duration_s", "deployment", "tenants", "flows", "faults", "at_s"]
+DOCUMENTS = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=5),
+    lambda children: (
+        st.lists(children, max_size=3)
+        | st.dictionaries(st.sampled_from(KEYS), children, max_size=4)
+    ),
+    max_leaves=10,
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(document=DOCUMENTS)
+def test_any_other_document_gets_an_error(document: object) -> None:
+    with TemporaryDirectory() as directory:
+        path = Path(directory) / "scenario.yaml"
+        path.write_text(yaml.safe_dump(document))
+        assert isinstance(load_scenario(path), Failure)
--- a/src/cassiaturn/targets/_session.py
+++ b/src/cassiaturn/targets/_session.py
@@ -1,12 +1,12 @@
 """The long-lived stream from the holder of a target to its runner."""
 
 import asyncio
-import contextlib
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from h2.exceptions import H2Error
@@ -99,6 +99,7 @@
     def start(self) -> None:
         """Open the stream in the background, and again whenever it is lost."""
         self._task = asyncio.create_task(self._run(), name=f"runner-{self.target_id}")
+        self._task.add_done_callback(_report_failure)
 
     async def close(self) -> None:
         """Send what is pending, end the stream; no callback comes after this."""
@@ -109,8 +110,7 @@
         if self.connected:
             await asyncio.wait([self._task], timeout=CLOSE_TIMEOUT_S)
         self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
+        await asyncio.gather(self._task, return_exceptions=True)
         self._task = None
 
     def runner_clock(self, now: float) -> int:
@@ -132,6 +132,10 @@
         while not self._closing:
             try:
                 await self._serve_one_stream()
+            except DecodeError as error:
+                log_event(
+                    Event.FRAME_MALFORMED, target_id=self.target_id, detail=str(error)
+                )
             except _LOST as error:
                 self._log_loss(str(error) or type(error).__name__)
             if not self._closing:
@@ -209,6 +213,15 @@
         self._clock_seen_at = time.monotonic()
 
 
+def _report_failure(task: "asyncio.Task[None]") -> None:
+    # A fault in a callback ends the session. Unreported, the target would stay
+    # unused until the process ends, and nothing would say why.
+    if not task.cancelled() and task.exception() is not None:
+        task.get_loop().call_exception_handler(
+            {"message": f"{task.get_name()} ended", "exception": task.exception()}
+        )
+
+
 async def _first_to_end(*jobs: Coroutine[Any, Any, None]) -> None:
     tasks = [asyncio.create_task(job) for job in jobs]
     try:
