Ask a quiet member before its broken link ends it

Cause: a broken link counted the silence of a member from its last frame. One that is no neighbour may not have spoken for an hour, so a broken connection alone made it gone at the next tick, and a takeover could begin.

--- a/src/cassiaturn/membership/_table.py
+++ b/src/cassiaturn/membership/_table.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection, Mapping, Sequence
 from types import MappingProxyType
 
+from cassiaturn.membership._changes import ChangeLog
 from cassiaturn.membership._circle import Circle
 from cassiaturn.membership._rows import (
     HostHint,
@@ -30,7 +31,7 @@
     note_link,
     suspect,
 )
-from cassiaturn.submission import booted_ms, instance_of
+from cassiaturn.submission import instance_of
 
 
 class MembershipTable:
@@ -44,8 +45,7 @@
         self._rng = rng
         self._members_by_id: dict[str, MemberRow] = {}
         self._ids_by_incarnation: dict[str, str] = {}
-        self._believed_by_id: dict[str, MemberState] = {}
-        self._changes: list[MemberChange] = []
+        self._log = ChangeLog()
         self._circle = Circle(near_links=settings.near_links)
         self._judge_at = 0.0
         self._retry_at = 0.0
@@ -108,13 +108,16 @@
     def disconnected(self, incarnation: str, now: float) -> None:
         """Note that the link to a member broke: it is probed from now on.
 
-        A process that died is noticed so without waiting for its silence.
+        A process that died is suspected so without waiting for its silence. It
+        gets the rest of the grace to answer: one that is no neighbour may have had
+        no reason to speak for an hour, and only its connection broke.
 
         :param now: monotonic time, in seconds.
         """
         row = self._row_of(incarnation)
         if row is not None and not row.suspected:
-            suspect(row, row.heard_at or now)
+            suspect(row, now - self._settings.suspect_after_s)
+            row.sent_at = None
             self._urgent = True
             self._look_again()
 
@@ -159,11 +162,9 @@
                 self._take_judgement(row)
         if self._circle.is_stale:
             self._judge_at = now
-        for instance_id, row in self._members_by_id.items():
-            self._note_state(instance_id, row)
-        changes = self._changes
-        self._changes = []
-        return changes
+        for row in self._members_by_id.values():
+            self._log.note_state(row)
+        return self._log.take()
 
     def _retry_gone(self, now: float) -> None:
         # Both sides of a cut take the other for gone and speak to it no more.
@@ -330,24 +331,11 @@
         self._look_again()
 
     def _replace(self, row: MemberRow, facts: MemberFacts) -> None:
-        old = row.facts.incarnation
-        later = booted_ms(facts.incarnation) > booted_ms(old)
-        self._ids_by_incarnation.pop(old, None)
+        self._ids_by_incarnation.pop(row.facts.incarnation, None)
+        self._log.note_replaced(row, facts)
         self._circle.relink()
         self._look_again()
         row.sent_at = None
-        before = self._believed_by_id.pop(facts.instance_id, None)
-        if not old:
-            return
-        self._changes.append(
-            MemberChange(
-                instance_id=facts.instance_id,
-                incarnation=old,
-                before=before,
-                after=MemberState.GONE,
-                superseded_by=facts.incarnation if later else "",
-            )
-        )
 
     def _add_hinted(self, host: HostHint) -> MemberRow:
         facts = MemberFacts(
@@ -364,20 +352,5 @@
     def _forget(self, instance_id: str) -> None:
         row = self._members_by_id.pop(instance_id)
         self._ids_by_incarnation.pop(row.facts.incarnation, None)
-        self._believed_by_id.pop(instance_id, None)
+        self._log.forget(instance_id)
         self._circle.relink()
-
-    def _note_state(self, instance_id: str, row: MemberRow) -> None:
-        before = self._believed_by_id.get(instance_id)
-        after = row.state
-        if before is after:
-            return
-        self._believed_by_id[instance_id] = after
-        self._changes.append(
-            MemberChange(
-                instance_id=instance_id,
-                incarnation=row.facts.incarnation,
-                before=before,
-                after=after,
-            )
-        )
--- a/src/cassiaturn/membership/tests/test_table.py
+++ b/src/cassiaturn/membership/tests/test_table.py
@@ -109,6 +109,30 @@
     ]
 
 
+def test_a_broken_link_to_a_quiet_member_does_not_end_it() -> None:
+    """
+    A connection breaks to a member that is no neighbour and was last heard an hour
+    ago. It is asked first; a successor of a living home would refuse its work.
+    """
+    table = members("a0")
+    for number in range(1, 9):
+        table.observe(facts(f"a{number}"), 0.0)
+    greet_all(table)
+    far = next(f"a{n}" for n in range(1, 9) if f"a{n}" not in table.neighbours())
+    near = set(table.neighbours())
+    for second in range(3600):
+        for one in near:
+            table.heard(facts(one).incarnation, float(second))
+        table.tick(float(second))
+    table.disconnected(facts(far).incarnation, 3599.5)
+
+    assert states(table.tick(3600.0)) == [(far, MemberState.SUSPECTED)]
+    assert far in table.neighbours()
+    assert table.heartbeat_due(far, 3600.0)
+    table.heard(facts(far).incarnation, 3600.1)
+    assert states(table.tick(3600.2)) == [(far, MemberState.READY)]
+
+
 def test_a_restarted_member_replaces_its_earlier_life() -> None:
     """
     A host is replaced under the same instance id. The earlier life ends at once,
