Catch runs of one task that overlap

Cause: with the wait for a lost holder's longest run taken out, no test failed: overlapping runs of a repeatable task were not counted, and too few tasks crossed the cut link. Change: targets are asked for overlaps at each start; tasks outlast leases in the test of a peer wrongly given up.

--- a/src/cassiaturn/engine/tests/test_interleavings.py
+++ b/src/cassiaturn/engine/tests/test_interleavings.py
@@ -24,6 +24,7 @@
 
 def check(fleet: VirtualFleet) -> None:
     """Check what must hold of answers, starts and tables once all is quiet."""
+    assert not fleet.overlaps
     for submission_id, (name, tasks) in fleet.jobs_by_id.items():
         answers = fleet.answers_by_id.get(submission_id, [])
         assert len(answers) == 1, f"{submission_id}: {len(answers)} answers"
@@ -103,7 +104,7 @@
     Tasks given to the other side run on there. They run again only once that run
     is certainly over, and those that may not be repeated never do.
     """
-    fleet = VirtualFleet(seed=seed)
+    fleet = VirtualFleet(seed=seed, targets_each=5, long_share=0.3)
     load(fleet)
     one, other = fleet.rng.sample(list(fleet.states_by_id), 2)
     begin = fleet.rng.uniform(0.2, LOAD_S)
--- a/src/cassiaturn/engine/tests/virtual_fleet.py
+++ b/src/cassiaturn/engine/tests/virtual_fleet.py
@@ -125,7 +125,9 @@
             )
             return
         self.fleet.starts[key] += 1
-        run_s = self.fleet.rng.uniform(0.02, 0.4)
+        if self.fleet.is_running_elsewhere(key, self):
+            self.fleet.overlaps.append(key)
+        run_s = self.fleet.rng.uniform(0.02, 0.4) + self.fleet.extra_run_s()
         status = RunStatus.FAILED if self.fails else RunStatus.DONE
         attempt = begun.attempt
         self.fleet.at(run_s, lambda: self.end(key, status, attempt))
@@ -242,10 +244,20 @@
 class VirtualFleet:
     """Engines, targets, an event heap and a seed."""
 
-    def __init__(self, *, seed: int, instances: int = 3, targets_each: int = 2) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        instances: int = 3,
+        targets_each: int = 2,
+        long_share: float = 0.0,
+    ) -> None:
         self.rng = random.Random(seed)
+        self._long_rng = random.Random(seed)
+        self._long_share = long_share
         self.now = 100.0
         self.starts: Counter[TaskKey] = Counter()
+        self.overlaps: list[TaskKey] = []
         self.answers_by_id: dict[str, list[Answer]] = {}
         self.jobs_by_id: dict[str, tuple[str, int]] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -277,6 +289,16 @@
         self._last_arrival[stream] = arrival
         self.at(arrival - self.now, deliver)
 
+    def extra_run_s(self) -> float:
+        """Return what a run takes beyond the usual, in seconds."""
+        is_long = self._long_rng.random() < self._long_share
+        return self._long_rng.uniform(1.0, 4.0) if is_long else 0.0
+
+    def is_running_elsewhere(self, key: TaskKey, here: VirtualTarget) -> bool:
+        """Return whether another target runs a task now."""
+        others = [one for one in self.targets_by_id.values() if one is not here]
+        return any(key in one.table.running_by_key for one in others)
+
     def run(self, seconds: float) -> None:
         end = self.now + seconds
         while self._events and self._events[0][0] <= end:
