Bound the last push of a stop by two seconds

Cause: with a collector that is down or silent, the end of an instance took 6.1 and 10.0 s, since the exporter repeats and waits up to 10 s. Conclusion: pushes while running are in a thread and wait as long.

--- a/src/cassiaturn/observability/_metrics.py
+++ b/src/cassiaturn/observability/_metrics.py
@@ -32,6 +32,14 @@
 """Time between two pushes to a collector, in milliseconds."""
 
 
+PUSH_TIMEOUT_S = 2.0
+"""Longest wait for a collector, retries included, in seconds.
+
+A planned stop pushes once more at its end; with the exporter's own 10 s, a
+collector that is down would hold every restart up by as much.
+"""
+
+
 class WastedMessage(Enum):
     """Messages that a dispatcher with perfect knowledge would not send."""
 
@@ -271,7 +279,8 @@
         OTLPMetricExporter,
     )
 
-    return OTLPMetricExporter(f"{endpoint.rstrip('/')}/v1/metrics")
+    url = f"{endpoint.rstrip('/')}/v1/metrics"
+    return OTLPMetricExporter(url, timeout=PUSH_TIMEOUT_S)
 
 
 def _request_families() -> Sequence[TallyFamily[RequestKey]]:
