Say in plain words that there is no slot

Cause: without slots the refusal read 'expected answer in inf s' and its retry-after was the longest. Change: a ground of its own, with the shortest retry-after; the reason stays OVERLOAD.

--- a/src/cassiaturn/policy/_admission.py
+++ b/src/cassiaturn/policy/_admission.py
@@ -7,6 +7,7 @@
 another, so the bound is on expected waiting time.
 """
 
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import TypeAlias
@@ -68,6 +69,22 @@
     return check
 
 
+@_rule
+def _no_slots(
+    request: AdmissionRequest,
+    estimate: Estimate,
+    settings: AdmissionSettings,
+    scale: float,
+) -> _Problem | None:
+    if not math.isinf(estimate.wait_s):
+        return None
+    return _Problem(
+        reason=Reason.OVERLOAD,
+        excess_s=settings.min_retry_after_s,
+        detail="this instance has no slots, and no peer has a free one",
+    )
+
+
 @_rule
 def _too_large(
     request: AdmissionRequest,
