--- a/src/cassiaturn/membership/tests/test_table.py
+++ b/src/cassiaturn/membership/tests/test_table.py
@@ -116,11 +116,11 @@
     """
     table = members("a0")
     for number in range(1, 9):
-        table.observe(facts(f"a{number}"), 0.0)
+        table.observe(facts(f"a{number}"), 0.5)
     greet_all(table)
     far = next(f"a{n}" for n in range(1, 9) if f"a{n}" not in table.neighbours())
     near = set(table.neighbours())
-    for second in range(3600):
+    for second in range(1, 3600):
         for one in near:
             table.heard(facts(one).incarnation, float(second))
         table.tick(float(second))
