Keep instances from connecting past a partition

Cause: instances now take peers' addresses from the platform's list as well as from their settings, so the partition scenario passed (complete=3778 of 3778) with no peer suspected by anybody: its relays were bypassed. Change: no list in scenarios with a partition; relays count what they held, and a run whose partition held nothing ends with exit code 3. Before: that pass is void. After: not run yet, next.

--- a/src/cassiaturn/load/_commands.py
+++ b/src/cassiaturn/load/_commands.py
@@ -22,6 +22,7 @@
 
 EXIT_BROKEN_INVARIANT = 1
 EXIT_INVALID_SCENARIO = 2
+EXIT_FAULT_WITHOUT_EFFECT = 3
 
 app = typer.Typer(help="Run scenarios against real processes on loopback.")
 
@@ -42,7 +43,11 @@
     keep: KeepOption = None,
     program: ProgramOption = None,
 ) -> None:
-    """Run one scenario; exit code 1: an invariant was violated, 2: invalid file."""
+    """Run one scenario.
+
+    Exit codes: 1 an invariant was violated, 2 the file is wrong, 3 a partition
+    had no effect.
+    """
     _run_file(scenario, keep, program, "scenario_done")
 
 
@@ -93,6 +98,9 @@
     for line in to_lines(figures):
         print(line)
     print(to_line(event, figures))
+    if not figures.faults_had_effect:
+        print("the partition had no effect", file=sys.stderr)
+        raise typer.Exit(EXIT_FAULT_WITHOUT_EFFECT)
     if not figures.counts.invariants_hold:
         raise typer.Exit(EXIT_BROKEN_INVARIANT)
 
--- a/src/cassiaturn/load/_documents.py
+++ b/src/cassiaturn/load/_documents.py
@@ -1,6 +1,6 @@
 """The settings files of the processes of a run."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from importlib.resources import files
 from typing import Any
 
@@ -47,16 +47,23 @@
         "writes_per_s": scenario.deployment.store_writes_per_s,
         "reads_per_s": scenario.deployment.store_reads_per_s,
         "seed": scenario.seed,
-        "hosts": [
-            {
-                "host_id": place.instance_id,
-                "host": place.address.host,
-                "port": place.address.port,
-                "failure_domain": place.failure_domain,
-                "state": "live",
-            }
-            for place in layout.instances
-        ],
+        "hosts": [_listed_host(place) for place in _listed(scenario, layout)],
+    }
+
+
+def _listed(scenario: Scenario, layout: Layout) -> Sequence[InstancePlace]:
+    # The list has one address for a host, whoever asks; with it, instances would
+    # connect past the relays, and a partition would cut nothing.
+    return () if scenario.has_partition else layout.instances
+
+
+def _listed_host(place: InstancePlace) -> Mapping[str, Any]:
+    return {
+        "host_id": place.instance_id,
+        "host": place.address.host,
+        "port": place.address.port,
+        "failure_domain": place.failure_domain,
+        "state": "live",
     }
 
 
--- a/src/cassiaturn/load/_relay.py
+++ b/src/cassiaturn/load/_relay.py
@@ -51,6 +51,7 @@
         :param place: between what.
         """
         self.place = place
+        self.held = 0
         self._whole = asyncio.Event()
         self._whole.set()
         self._server: asyncio.Server | None = None
@@ -98,7 +99,7 @@
     async def _connect(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await self._whole.wait()
+        await self._until_whole()
         destination = self.place.destination
         far_reader, far_writer = await asyncio.open_connection(
             destination.host, destination.port
@@ -120,8 +121,13 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while chunk := await reader.read(CHUNK_BYTES):
-                await self._whole.wait()
+                await self._until_whole()
                 writer.write(chunk)
                 await writer.drain()
             # The end of a connection is held back as its bytes are.
+            await self._until_whole()
+
+    async def _until_whole(self) -> None:
+        if not self._whole.is_set():
+            self.held += 1
             await self._whole.wait()
--- a/src/cassiaturn/load/_report.py
+++ b/src/cassiaturn/load/_report.py
@@ -78,6 +78,9 @@
     configuration_in_force_s: Sequence[float]
     """Time until each new configuration was in force at every instance."""
 
+    held_by_relays: int | None
+    """How often a partition held something back; None: the scenario has none."""
+
     late_s: Histogram
     """How much later than planned jobs were sent; above a few milliseconds the
     load tool itself was too slow, and response times are too long."""
@@ -85,6 +88,11 @@
     answers_by_reason: Mapping[tuple[Outcome, Reason], int]
     """Answers that are not complete, by outcome and reason."""
 
+    @property
+    def faults_had_effect(self) -> bool:
+        """Whether no partition was without effect, which would prove nothing."""
+        return self.held_by_relays != 0
+
     @property
     def wasted_messages_per_task(self) -> float:
         """Wasted messages over tasks."""
@@ -103,6 +111,7 @@
     exit_codes: Sequence[int | None],
     configuration_in_force_s: Sequence[float],
     late_s: Iterable[float],
+    held_by_relays: int | None,
 ) -> Figures:
     """Return the figures of a run.
 
@@ -119,6 +128,7 @@
     :param exit_codes: how the instances ended that were asked to.
     :param configuration_in_force_s: how long each change took, in seconds.
     :param late_s: how much later than planned each job was sent, in seconds.
+    :param held_by_relays: how often a partition held something back.
     """
     response_s = Histogram(scale=US_PER_S)
     ideal_ratio = Histogram(scale=RATIO_SCALE)
@@ -143,6 +153,7 @@
         exit_codes=exit_codes,
         configuration_in_force_s=configuration_in_force_s,
         late_s=lateness,
+        held_by_relays=held_by_relays,
         answers_by_reason=Counter(
             (answer.answer.outcome, answer.answer.reason)
             for answer in answers
@@ -199,6 +210,8 @@
         f"event=load_tool late_p50_ms={_ms(figures.late_s, 50.0)}"
         f" late_p99_ms={_ms(figures.late_s, 99.0)}"
     )
+    if figures.held_by_relays is not None:
+        yield f"event=partition held={figures.held_by_relays}"
     codes = ",".join(str(code) for code in figures.exit_codes)
     yield f"event=instances_ended exit_codes={codes}"
     if figures.configuration_in_force_s:
--- a/src/cassiaturn/load/_run.py
+++ b/src/cassiaturn/load/_run.py
@@ -78,6 +78,7 @@
         exit_codes=site.exit_codes,
         configuration_in_force_s=site.configuration.in_force_s,
         late_s=callers.late_s,
+        held_by_relays=site.held_by_relays if site.relays else None,
     )
 
 
--- a/src/cassiaturn/load/_site.py
+++ b/src/cassiaturn/load/_site.py
@@ -95,6 +95,11 @@
                 raise SiteError(f"{child.name} has ended:\n{log}")
             await asyncio.sleep(READY_POLL_S)
 
+    @property
+    def held_by_relays(self) -> int:
+        """How often a cut held bytes or a connection back."""
+        return sum(relay.held for relay in self.relays)
+
     def running_pages(self) -> Sequence[Address]:
         """Return where the instances that run serve their pages."""
         pairs = zip(self.instances, self.layout.instances, strict=True)
--- a/src/cassiaturn/load/tests/test_relay.py
+++ b/src/cassiaturn/load/tests/test_relay.py
@@ -63,6 +63,7 @@
     writer.write(b"during")
     await asyncio.sleep(0.05)
     assert received.empty()
+    assert relay.held == 1
     relay.heal()
     assert await asyncio.wait_for(received.get(), 2.0) == b"during"
     writer.close()
