Part the load tool's histograms, figures and lines

Cause: one module held three jobs, and one function took ten parameters. Change: modules of their own; what the tool saw besides answers is one value.

--- a/src/cassiaturn/load/_run.py
+++ b/src/cassiaturn/load/_run.py
@@ -6,14 +6,14 @@
 from pathlib import Path
 
 from cassiaturn.entities import Schema
-from cassiaturn.load._answers import write_answers
+from cassiaturn.load._answers import CallerAnswer, write_answers
 from cassiaturn.load._callers import Callers
 from cassiaturn.load._counts import count_run, longest_run_s_by_id
 from cassiaturn.load._documents import SCHEMAS, write_settings
 from cassiaturn.load._faults import run_faults
+from cassiaturn.load._figures import Figures, Observations, measure
 from cassiaturn.load._layout import Layout, plan_layout
 from cassiaturn.load._plan import plan_jobs
-from cassiaturn.load._report import Figures, measure
 from cassiaturn.load._scenario import Scenario
 from cassiaturn.load._site import Site
 from cassiaturn.standins import JournalEntry, read_journal
@@ -52,16 +52,24 @@
         callers.close()
         await site.stop()
     write_answers(callers.answers, directory / "answers.jsonl")
-    return _figures(site, callers, layout, round_trip_s)
+    seen = Observations(
+        round_trip_s=round_trip_s,
+        resubmissions=callers.resubmissions,
+        late_s=callers.late_s,
+        exit_codes=site.exit_codes,
+        configuration_in_force_s=site.configuration.in_force_s,
+        held_by_relays=site.held_by_relays if site.relays else None,
+    )
+    return _figures(site, callers.answers, seen)
 
 
 def _figures(
-    site: Site, callers: Callers, layout: Layout, round_trip_s: float
+    site: Site, answers: Sequence[CallerAnswer], seen: Observations
 ) -> Figures:
     schema = Schema.load([Path(str(schema)) for schema in SCHEMAS]).unwrap()
-    entries = _read_journals(layout)
+    entries = _read_journals(site.layout)
     counts = count_run(
-        callers.answers,
+        answers,
         entries,
         repeatable_by_method={
             name: method.repeatable for name, method in schema.methods_by_name.items()
@@ -69,16 +77,11 @@
         killed_at_us_by_target=site.killed_at_us_by_target(),
     )
     return measure(
-        callers.answers,
+        answers,
         counts,
+        seen,
         schema=schema,
         longest_run_s_by_id=longest_run_s_by_id(entries),
-        round_trip_s=round_trip_s,
-        resubmissions=callers.resubmissions,
-        exit_codes=site.exit_codes,
-        configuration_in_force_s=site.configuration.in_force_s,
-        late_s=callers.late_s,
-        held_by_relays=site.held_by_relays if site.relays else None,
     )
 
 
--- a/src/cassiaturn/load/_transport.py
+++ b/src/cassiaturn/load/_transport.py
@@ -8,9 +8,9 @@
 import yaml
 
 from cassiaturn.entities import Address
+from cassiaturn.load._histogram import US_PER_S, Histogram
 from cassiaturn.load._ports import LOOPBACK, free_ports
 from cassiaturn.load._process import ChildProcess
-from cassiaturn.load._report import US_PER_S, Histogram
 from cassiaturn.load._site import stand_in_command
 from cassiaturn.targets import RunnerSession, SessionCallbacks
 from cassiaturn.v1.runner_pb2 import FromRunner, TaskRef, Welcome
--- a/src/cassiaturn/load/tests/test_run.py
+++ b/src/cassiaturn/load/tests/test_run.py
@@ -35,4 +35,4 @@
     assert figures.counts.invariants_hold
     assert figures.counts.complete > 0
     assert figures.response_s.count > 0
-    assert list(figures.exit_codes) == [0, 0]
+    assert list(figures.seen.exit_codes) == [0, 0]
