Let a quota bound admission and not what runs

Ruled out: the split of the quota over instances (the same with one instance). Conclusion: a cap only left slots free beside queued work.

--- a/src/cassiaturn/engine/_dispatch.py
+++ b/src/cassiaturn/engine/_dispatch.py
@@ -26,22 +26,12 @@
     if state.starts_held:
         return
     while len(state.queue):
-        blocked_tenants = tenants_at_quota(state)
-        _start_own(state, now, blocked_tenants)
-        if not len(state.queue) or not _spill(state, now, blocked_tenants):
+        _start_own(state, now)
+        if not len(state.queue) or not _spill(state, now):
             return
 
 
-def tenants_at_quota(state: State) -> set[str]:
-    """Return the tenants that use all of their share of slots."""
-    return {
-        tenant
-        for tenant, share in state.quota_share_by_tenant.items()
-        if state.running_by_tenant[tenant] >= share
-    }
-
-
-def _start_own(state: State, now: float, blocked_tenants: set[str]) -> None:
+def _start_own(state: State, now: float) -> None:
     free = state.free_slots()
     if free == 0:
         return
@@ -50,7 +40,7 @@
         return _choose(state, task, now) is not None
 
     while free > 0:
-        task = state.queue.pop(now=now, fits=fits, blocked_tenants=blocked_tenants)
+        task = state.queue.pop(now=now, fits=fits)
         if task is None:
             return
         record = state.records_by_key.get(task.key)
@@ -65,8 +55,6 @@
         if target is None:
             raise AssertionError(f"{task.key}: it fitted a target and no more")
         start_here(state, record, target, now)
-        if state.quota_share_by_tenant:
-            blocked_tenants = tenants_at_quota(state)
         free -= 1
 
 
@@ -140,7 +128,7 @@
         raise AssertionError(f"{record.key}: a start after the final answer")
 
 
-def _spill(state: State, now: float, blocked_tenants: set[str]) -> bool:
+def _spill(state: State, now: float) -> bool:
     """Give queued tasks to peers that are believed to have free slots.
 
     :returns: whether the next task may now use slots here that are kept for
@@ -149,7 +137,7 @@
     peers = [row for row in state.peers_by_incarnation.values() if row.ready]
     while True:
         own_wait_s = expected_wait_s(state)
-        task = state.queue.peek(now=now, blocked_tenants=blocked_tenants)
+        task = state.queue.peek(now=now)
         if task is None:
             return False
         may_use_spare = task.may_use_spare
@@ -164,7 +152,7 @@
             task.may_use_spare = True
         if peer is None:
             return task.may_use_spare and not may_use_spare
-        popped = state.queue.pop(now=now, blocked_tenants=blocked_tenants)
+        popped = state.queue.pop(now=now)
         if popped is None:
             return False
         record = state.records_by_key.get(popped.key)
