Decide a dead home's jobs at a cost that does not grow with targets

Change: targets are kept by what they said, one view a job, only open targets are looked at for fences; a takeover unused for 15 minutes is forgotten, and a row with our name is ours whatever its token.

--- a/src/cassiaturn/model/__main__.py
+++ b/src/cassiaturn/model/__main__.py
@@ -19,6 +19,7 @@
     death_spread,
     holder_shares,
     links_per_instance,
+    recovery_costs,
     ticket_costs,
 )
 from cassiaturn.submission import StoreSettings
@@ -27,6 +28,7 @@
 _JOB_RATES = (1, 10, 100, 1_000, 5_000)
 _WRITE_S = 0.005
 _FLEETS = (9, 27, 90, 350)
+_TARGETS = (24, 200, 1_400)
 _SITES = ((4, 2), (3, 3), (5, 18), (5, 70))
 _DOMAINS = ((6, 2), (8, 2), (6, 3), (8, 3), (280, 70))
 
@@ -68,7 +70,7 @@
 
 @app.command("measure")
 def measure() -> None:
-    """Measure what tickets, claims, links and holders cost."""
+    """Measure what tickets, claims, recovery, links and holders cost."""
     _line("ticket", ticket_costs())
     for writes_per_s in _WRITE_RATES:
         budget = StoreSettings(writes_per_s=writes_per_s)
@@ -79,6 +81,8 @@
     for instances in _FLEETS:
         found = links_per_instance(domains=5, instances=instances)
         _line("links", {"instances": instances, **found})
+    for targets in _TARGETS:
+        _line("recovery", {"targets": targets, **recovery_costs(targets=targets)})
     for domains, size in _SITES:
         found = death_spread(domains=domains, size=size)
         _line("death", {"domains": domains, "size": size, **found})
--- a/src/cassiaturn/model/_costs.py
+++ b/src/cassiaturn/model/_costs.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from cassiaturn.entities import TaskKey
 from cassiaturn.membership import (
     MemberFacts,
     MemberRow,
@@ -16,6 +17,13 @@
     links_of,
 )
 from cassiaturn.model._fleet import Fleet
+from cassiaturn.recovery import (
+    Begun,
+    FenceReport,
+    RecoverySettings,
+    RunStatus,
+    TakeoverTable,
+)
 from cassiaturn.submission import (
     ClaimLedger,
     ClaimSettings,
@@ -36,6 +44,8 @@
 _US_PER_S = 1e6
 _TICK_S = 0.001
 _LONGEST_S = 60.0
+_LARGEST_JOB = 750
+_DEAD = "osu-1~000000001"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -165,6 +175,47 @@
     }
 
 
+def recovery_costs(*, targets: int) -> Mapping[str, float]:
+    """Return what a successor pays to decide one of the largest jobs.
+
+    :param targets: targets, all of which answered the fence.
+    """
+    table = TakeoverTable(
+        incarnation="osu-2~000000001",
+        settings=RecoverySettings(),
+        rng=random.Random(_SEED),
+    )
+    target_ids = [f"runner-{number}" for number in range(targets)]
+    table.observe_targets(target_ids)
+    table.want(_DEAD)
+    for row in table.rows_due():
+        table.row_stands(row)
+    table.fences_due(0.0)
+    run = Begun(target_id=target_ids[0], status=RunStatus.DONE)
+    for target_id in target_ids:
+        begun = ((TaskKey("s", 0), run),) if target_id == run.target_id else ()
+        report = FenceReport(target_id=target_id, begun=begun, exhaustive=True)
+        table.fenced(_DEAD, report, 0.0)
+    rounds = 20
+    began = time.perf_counter()
+    for _ in range(rounds):
+        table.decide_submission(
+            submission_id="s",
+            home=_DEAD,
+            tasks_total=_LARGEST_JOB,
+            repeatable=False,
+            now=1.0,
+        )
+    decided = time.perf_counter()
+    for _ in range(rounds):
+        table.fences_due(2.0)
+    looked = time.perf_counter()
+    return {
+        "decide_job_us": (decided - began) / rounds * _US_PER_S,
+        "fences_due_us": (looked - decided) / rounds * _US_PER_S,
+    }
+
+
 def death_spread(*, domains: int, size: int) -> Mapping[str, float]:
     """Return how a fleet learns of a death, in virtual time.
 
--- a/src/cassiaturn/recovery/_decision.py
+++ b/src/cassiaturn/recovery/_decision.py
@@ -73,7 +73,8 @@
     """Nobody in reach can say whether the task ran."""
 
     silent_targets: Collection[str]
-    """Targets whose word is missing."""
+    """Targets whose word is missing: the silent ones, else those that forgot, else
+    those that are gone."""
 
 
 TaskDecision = Adopt | RunNow | AwaitRunning | RunAfter | FailTask | Undetermined
@@ -130,9 +131,9 @@
         settled = _decide_begun(begun, repeatable, fenced_targets, forgetful_targets)
         if settled is not None:
             return settled
-    silent = tuple(unfenced_targets)
+    silent = unfenced_targets
     if not repeatable:
-        silent += tuple(forgetful_targets) + tuple(gone_targets)
+        silent = unfenced_targets or forgetful_targets or gone_targets
     if silent:
         if not repeatable or over_by is None:
             return Undetermined(silent_targets=silent)
--- a/src/cassiaturn/recovery/_progress.py
+++ b/src/cassiaturn/recovery/_progress.py
@@ -1,11 +1,11 @@
 """One takeover as an entity: its row, its fences, and what targets told."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
 from cassiaturn.entities import TaskKey
-from cassiaturn.recovery._begun import Begun, RunStatus
+from cassiaturn.recovery._begun import Begun, FenceReport, RunStatus
 from cassiaturn.recovery._rows import TakeoverRow
 
 
@@ -59,8 +59,13 @@
     row: TakeoverRow
     """The row in the store, or the one to insert."""
 
-    fences_by_target: dict[str, FenceState]
-    """Every target that the dead home may have reached."""
+    targets_by_state: dict[FenceState, set[str]] = field(
+        default_factory=lambda: {state: set() for state in FenceState}
+    )
+    """Every target that the dead home may have reached, by what it said."""
+
+    open_targets: dict[str, None] = field(default_factory=dict)
+    """Targets to ask: the silent ones, and those with running tasks."""
 
     phase: TakeoverPhase = TakeoverPhase.WANTED
     """How far it is."""
@@ -74,10 +79,43 @@
     ask_again_at_by_target: dict[str, float] = field(default_factory=dict)
     """Earliest time of the next fence to a target, in seconds."""
 
+    used_at: float | None = None
+    """Time at which it was last needed, in seconds; None: not since it was made."""
+
     @property
     def is_complete(self) -> bool:
         """Whether every target answered or is gone."""
-        return FenceState.DUE not in self.fences_by_target.values()
+        return not self.targets_by_state[FenceState.DUE]
+
+    def add_target(self, target_id: str) -> None:
+        """Note a target that has said nothing yet."""
+        self.targets_by_state[FenceState.DUE].add(target_id)
+        self.open_targets[target_id] = None
+
+    def note_gone(self, target_id: str) -> None:
+        """Note that a target's process ended."""
+        self._set_state(target_id, FenceState.GONE)
+        self.open_targets.pop(target_id, None)
+
+    def note_report(self, report: FenceReport) -> None:
+        """Note a target's answer to a fence."""
+        if report.target_id in self.targets_by_state[FenceState.GONE]:
+            return
+        state = FenceState.FENCED if report.exhaustive else FenceState.FORGETFUL
+        self._set_state(report.target_id, state)
+        running = False
+        for key, run in report.begun:
+            self.note_run(key, run)
+            running = running or run.status is RunStatus.RUNNING
+        if running:
+            self.open_targets[report.target_id] = None
+        else:
+            self.open_targets.pop(report.target_id, None)
+
+    def _set_state(self, target_id: str, state: FenceState) -> None:
+        for targets in self.targets_by_state.values():
+            targets.discard(target_id)
+        self.targets_by_state[state].add(target_id)
 
     def note_run(self, key: TaskKey, run: Begun) -> None:
         """Keep a run unless a better one is known.
@@ -97,18 +135,11 @@
 
         :param now: monotonic time, in seconds.
         """
-        running = {
-            run.target_id
-            for run in self.runs_by_key.values()
-            if run.status is RunStatus.RUNNING
-        }
         return [
             target_id
-            for target_id, state in self.fences_by_target.items()
-            if state is FenceState.DUE
-            or (target_id in running and state is not FenceState.GONE)
+            for target_id in self.open_targets
             if target_id not in self.asked_by_target
-            if now >= self.ask_again_at_by_target.get(target_id, now)
+            and now >= self.ask_again_at_by_target.get(target_id, now)
         ]
 
 
@@ -119,14 +150,10 @@
     return min(known, other, key=lambda run: _WORTH[run.status])
 
 
-def in_any(line: Iterable[Takeover], state: FenceState) -> Collection[str]:
+def in_any(line: Sequence[Takeover], state: FenceState) -> Collection[str]:
     """Return targets in a state for at least one takeover of a line."""
-    return {
-        target_id
-        for takeover in line
-        for target_id, found in takeover.fences_by_target.items()
-        if found is state
-    }
+    found: frozenset[str] = frozenset()
+    return found.union(*(takeover.targets_by_state[state] for takeover in line))
 
 
 _WORTH = {
--- a/src/cassiaturn/recovery/_settings.py
+++ b/src/cassiaturn/recovery/_settings.py
@@ -19,6 +19,9 @@
     max_lease_s: float = 5.0
     """Longest lease that any home gives, in seconds."""
 
+    keep_s: float = 900.0
+    """How long a takeover that nobody asks about is kept, in seconds."""
+
     @property
     def over_after_s(self) -> float:
         """Time after a home's end in which its last run must have ended."""
--- a/src/cassiaturn/recovery/_submission.py
+++ b/src/cassiaturn/recovery/_submission.py
@@ -13,6 +13,8 @@
     Undetermined,
 )
 
+_NAMED_TARGETS = 5
+
 RETRY_AFTER_TAKEOVER_MS = 1
 """Advice with ``NOT_RUN``: come back at once with a new id."""
 
@@ -133,11 +135,10 @@
 
 
 def _unknown(submission_id: str, decisions: Sequence[TaskDecision]) -> Answer:
-    silent: set[str] = set()
-    for one in decisions:
-        if isinstance(one, Undetermined):
-            silent.update(one.silent_targets)
-    names = ", ".join(sorted(silent)) or "some"
+    unknown = (one for one in decisions if isinstance(one, Undetermined))
+    first = next(unknown, None)
+    silent = first.silent_targets if first is not None else ()
+    names = ", ".join(sorted(silent)[:_NAMED_TARGETS]) or "some"
     return Answer(
         submission_id=submission_id,
         outcome=Outcome.UNKNOWN,
--- a/src/cassiaturn/recovery/_takeover.py
+++ b/src/cassiaturn/recovery/_takeover.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
 from types import MappingProxyType
 
 from cassiaturn.entities import TaskKey
@@ -63,7 +64,7 @@
                 continue
             self._target_ids[target_id] = None
             for takeover in self._takeovers_by_dead.values():
-                takeover.fences_by_target.setdefault(target_id, FenceState.DUE)
+                takeover.add_target(target_id)
 
     def target_gone(self, target_id: str) -> None:
         """Report that a target's process ended for good, with all that it ran.
@@ -73,7 +74,7 @@
         """
         self._gone_target_ids.add(target_id)
         for takeover in self._takeovers_by_dead.values():
-            takeover.fences_by_target[target_id] = FenceState.GONE
+            takeover.note_gone(target_id)
 
     def want(self, dead: str) -> Takeover:
         """Ask to succeed an incarnation; harmless when it is alive after all.
@@ -89,13 +90,11 @@
                 successor=self._incarnation,
                 token=f"{self._rng.getrandbits(_TOKEN_BITS):016x}",
             ),
-            fences_by_target={
-                target_id: FenceState.GONE
-                if target_id in self._gone_target_ids
-                else FenceState.DUE
-                for target_id in self._target_ids
-            },
         )
+        for target_id in self._target_ids:
+            takeover.add_target(target_id)
+        for target_id in self._gone_target_ids:
+            takeover.note_gone(target_id)
         self._takeovers_by_dead[dead] = takeover
         return takeover
 
@@ -129,17 +128,18 @@
         :param row: the row inserted, the one in its place, or one read.
         """
         takeover = self.want(row.dead)
-        # After a lost answer the row found may be ours; the token tells.
-        if row.token == takeover.row.token:
-            takeover.phase = TakeoverPhase.FENCING
-            return
         takeover.row = row
-        takeover.phase = TakeoverPhase.YIELDED
+        # A row with our name is ours, also after a lost answer or when this table
+        # forgot it: no other process has the name of this incarnation.
+        if row.successor == self._incarnation:
+            takeover.phase = TakeoverPhase.FENCING
+        else:
+            takeover.phase = TakeoverPhase.YIELDED
 
     def row_lost(self, dead: str) -> None:
         """Report that the store gave no answer: the same insert is tried again."""
-        takeover = self._takeovers_by_dead[dead]
-        if takeover.phase is TakeoverPhase.INSERTING:
+        takeover = self._takeovers_by_dead.get(dead)
+        if takeover is not None and takeover.phase is TakeoverPhase.INSERTING:
             takeover.phase = TakeoverPhase.WANTED
 
     def lineage_of(self, home: str) -> Sequence[str]:
@@ -181,6 +181,7 @@
         :param now: monotonic time, in seconds.
         """
         due = []
+        self._expire(now)
         for dead, takeover in self._takeovers_by_dead.items():
             if takeover.phase is not TakeoverPhase.FENCING:
                 continue
@@ -194,14 +195,11 @@
 
         :param now: monotonic time, in seconds.
         """
-        takeover = self._takeovers_by_dead[dead]
-        takeover.asked_by_target.discard(report.target_id)
-        if takeover.fences_by_target.get(report.target_id) is FenceState.GONE:
+        takeover = self._takeovers_by_dead.get(dead)
+        if takeover is None:
             return
-        state = FenceState.FENCED if report.exhaustive else FenceState.FORGETFUL
-        takeover.fences_by_target[report.target_id] = state
-        for key, run in report.begun:
-            takeover.note_run(key, run)
+        takeover.asked_by_target.discard(report.target_id)
+        takeover.note_report(report)
         takeover.ask_again_at_by_target[report.target_id] = (
             now + self._settings.poll_running_s
         )
@@ -211,7 +209,9 @@
 
         :param now: monotonic time, in seconds.
         """
-        takeover = self._takeovers_by_dead[dead]
+        takeover = self._takeovers_by_dead.get(dead)
+        if takeover is None:
+            return
         takeover.asked_by_target.discard(target_id)
         takeover.ask_again_at_by_target[target_id] = now + self._settings.fence_retry_s
 
@@ -223,23 +223,7 @@
         :param home: incarnation that its ticket or claim names.
         :param now: monotonic time, in seconds.
         """
-        line = self._dead_line(home)
-        # Without the row another successor may decide too; without any target
-        # nothing denies a run.
-        if not self._target_ids or not self._decides(line):
-            return Undetermined(silent_targets=())
-        overs = [self._over_by_dead.get(takeover.row.dead) for takeover in line]
-        known = [over for over in overs if over is not None]
-        return decide_task(
-            repeatable=repeatable,
-            begun=self._run_of(line, key),
-            fenced_targets=in_any(line, FenceState.FENCED),
-            unfenced_targets=in_any(line, FenceState.DUE),
-            gone_targets=in_any(line, FenceState.GONE),
-            forgetful_targets=in_any(line, FenceState.FORGETFUL),
-            over_by=max(known) if len(known) == len(overs) else None,
-            now=now,
-        )
+        return self._decide_in(self._view(home, now), key, repeatable)
 
     def decide_submission(
         self,
@@ -255,17 +239,56 @@
         :param home: incarnation that its ticket or claim names.
         :param now: monotonic time, in seconds.
         """
+        view = self._view(home, now)
         keys = [TaskKey(submission_id, index) for index in range(tasks_total)]
-        line = self._dead_line(home)
         return decide_submission(
             submission_id=submission_id,
-            decisions=[
-                self.decide(key=key, home=home, repeatable=repeatable, now=now)
-                for key in keys
-            ],
-            any_begun=any(self._run_of(line, key) is not None for key in keys),
+            decisions=[self._decide_in(view, key, repeatable) for key in keys],
+            any_begun=any(_run_of(view.line, key) is not None for key in keys),
         )
 
+    def _view(self, home: str, now: float) -> "_View":
+        line = self._dead_line(home)
+        for takeover in line:
+            takeover.used_at = now
+        overs = [self._over_by_dead.get(takeover.row.dead) for takeover in line]
+        known = [over for over in overs if over is not None]
+        return _View(
+            line=line,
+            fenced=in_any(line, FenceState.FENCED),
+            unfenced=in_any(line, FenceState.DUE),
+            gone=in_any(line, FenceState.GONE),
+            forgetful=in_any(line, FenceState.FORGETFUL),
+            over_by=max(known) if known and len(known) == len(overs) else None,
+            now=now,
+        )
+
+    def _decide_in(self, view: "_View", key: TaskKey, repeatable: bool) -> TaskDecision:
+        # Without the row another successor may decide too; without any target
+        # nothing denies a run.
+        if not self._target_ids or not _decides(view.line):
+            return Undetermined(silent_targets=())
+        return decide_task(
+            repeatable=repeatable,
+            begun=_run_of(view.line, key),
+            fenced_targets=view.fenced,
+            unfenced_targets=view.unfenced,
+            gone_targets=view.gone,
+            forgetful_targets=view.forgetful,
+            over_by=view.over_by,
+            now=view.now,
+        )
+
+    def _expire(self, now: float) -> None:
+        # 300 hosts are replaced on an ordinary day, and each row lists every
+        # target: kept for good they would grow past the memory of a host. A
+        # forgotten one starts anew from its row in the store.
+        for dead, takeover in list(self._takeovers_by_dead.items()):
+            if takeover.used_at is None:
+                takeover.used_at = now
+            elif now - takeover.used_at >= self._settings.keep_s:
+                del self._takeovers_by_dead[dead]
+
     def _dead_line(self, home: str) -> Sequence[Takeover]:
         return [
             self._takeovers_by_dead[dead]
@@ -273,13 +296,41 @@
             if dead in self._takeovers_by_dead
         ]
 
-    def _decides(self, line: Sequence[Takeover]) -> bool:
-        if not line:
-            return False
-        return all(takeover.phase is TakeoverPhase.FENCING for takeover in line)
 
-    def _run_of(self, line: Sequence[Takeover], key: TaskKey) -> Begun | None:
-        best: Begun | None = None
-        for takeover in line:
-            best = better_run(best, takeover.runs_by_key.get(key))
-        return best
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _View:
+    """What targets told of a line of dead homes, for one round of decisions."""
+
+    line: Sequence[Takeover]
+    """Takeovers, the first home's first."""
+
+    fenced: Collection[str]
+    """Targets that told everything."""
+
+    unfenced: Collection[str]
+    """Targets that did not answer."""
+
+    gone: Collection[str]
+    """Targets that ended."""
+
+    forgetful: Collection[str]
+    """Targets that forgot runs."""
+
+    over_by: float | None
+    """Time by which no run of the line goes on, if known."""
+
+    now: float
+    """Monotonic time, in seconds."""
+
+
+def _decides(line: Sequence[Takeover]) -> bool:
+    if not line:
+        return False
+    return all(takeover.phase is TakeoverPhase.FENCING for takeover in line)
+
+
+def _run_of(line: Sequence[Takeover], key: TaskKey) -> Begun | None:
+    best: Begun | None = None
+    for takeover in line:
+        best = better_run(best, takeover.runs_by_key.get(key))
+    return best
--- a/src/cassiaturn/recovery/tests/test_decision.py
+++ b/src/cassiaturn/recovery/tests/test_decision.py
@@ -30,7 +30,7 @@
 NEVER = RunNow(ground=RunGround.NEVER_BEGUN)
 AGAIN = RunNow(ground=RunGround.EARLIER_RUN_OVER)
 LAPSED_FAILS = FailTask(ran=Ran.SOME, reason=Reason.TARGET_LOST)
-UNHEARD = Undetermined(silent_targets=("b",))
+UNHEARD = Undetermined(silent_targets={"b"})
 
 
 def run(status: RunStatus, target_id: str = "a") -> Begun:
--- a/src/cassiaturn/recovery/tests/test_takeover.py
+++ b/src/cassiaturn/recovery/tests/test_takeover.py
@@ -112,6 +112,29 @@
     assert table.takeovers_by_dead[DEAD].phase is TakeoverPhase.FENCING
 
 
+def test_a_forgotten_takeover_starts_anew_from_its_row() -> None:
+    """
+    Nobody asked about a dead home for a quarter of an hour, and its takeover was
+    forgotten. A late resubmission finds our own row in the store; every target is
+    asked again before anything is said.
+    """
+    table = takeovers()
+    win(table, DEAD)
+    report(table, "a")
+    report(table, "b")
+    row = table.takeovers_by_dead[DEAD].row
+    assert outcome(decide(table, now=1.0)) is Outcome.NOT_RUN
+    table.fences_due(SETTINGS.keep_s + 1.0)
+    assert table.takeovers_by_dead == {}
+
+    table.want(DEAD)
+    table.rows_due()
+    table.row_stands(row)
+
+    assert outcome(decide(table, now=2000.0)) is Outcome.UNKNOWN
+    assert len(table.fences_due(2000.0)) == 2
+
+
 def test_nothing_is_decided_before_the_row_or_without_targets() -> None:
     no_row, no_targets = takeovers(), takeovers(targets=())
     no_row.want(DEAD)
