Tell a peer that waits when slots are free here

Cause: with heartbeats to neighbours alone, an instance that became free and exchanged no work with a waiting one was believed to be full. Change: a pure module says whom to tell, at most once a second each.

--- a/src/cassiaturn/policy/__init__.py
+++ b/src/cassiaturn/policy/__init__.py
@@ -6,6 +6,7 @@
 from cassiaturn.policy._handover import choose_successor
 from cassiaturn.policy._health import HealthChange, TargetHealth
 from cassiaturn.policy._load import AdmissionRequest, LoadView
+from cassiaturn.policy._notices import RoomNotices
 from cassiaturn.policy._placement import PeerRow, Placement
 from cassiaturn.policy._queued_task import QueuedTask
 from cassiaturn.policy._quota import next_quota_part, split_quota
@@ -43,6 +44,7 @@
     "Retry",
     "RetryBudget",
     "RetrySettings",
+    "RoomNotices",
     "TargetHealth",
     "TargetRow",
     "choose_successor",
--- /dev/null
+++ b/src/cassiaturn/policy/tests/test_notices.py
@@ -0,0 +1,47 @@
+"""Whom an instance tells that it has room."""
+
+import pytest
+
+from cassiaturn.policy import PeerRow, RoomNotices
+
+NOW = 100.0
+
+
+def peer(name: str, *, queued: int = 5, domain: str = "osu") -> PeerRow:
+    return PeerRow(
+        instance_id=name,
+        incarnation=name,
+        failure_domain=domain,
+        free_slots=0,
+        queued=queued,
+        expected_wait_s=0.1,
+        reported_at=NOW,
+        ready=True,
+        slots=24,
+    )
+
+
+@pytest.mark.parametrize(
+    ("free_slots", "queued", "peer_queued", "told"),
+    [(2, 0, 5, 0), (9, 1, 5, 0), (9, 0, 0, 0), (9, 0, 5, 9)],
+)
+def test_a_notice_that_nobody_can_use_is_not_sent(
+    free_slots: int, queued: int, peer_queued: int, told: int
+) -> None:
+    notices = RoomNotices(failure_domain="osu")
+    notices.told("a", told)
+    peers = [peer("a", queued=peer_queued)]
+    due = notices.due(free_slots=free_slots, queued=queued, peers=peers, now=NOW)
+    assert not due
+
+
+def test_near_peers_are_told_first_and_not_again_at_once() -> None:
+    notices = RoomNotices(failure_domain="osu")
+    peers = [peer("far", domain="tema"), peer("near")]
+    for name in ("far", "near"):
+        notices.told(name, 0)
+    assert notices.due(free_slots=3, queued=0, peers=peers, now=NOW) == ["near"]
+    assert notices.due(free_slots=6, queued=0, peers=peers, now=NOW) == ["far"]
+    assert notices.due(free_slots=6, queued=0, peers=peers, now=NOW + 0.5) == []
+    later = notices.due(free_slots=6, queued=0, peers=peers, now=NOW + 1.0)
+    assert later == ["near", "far"]
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -28,7 +28,7 @@
     links_of,
 )
 from cassiaturn.observability import Direction, Event, Metrics, WastedMessage, log_event
-from cassiaturn.policy import PeerRow
+from cassiaturn.policy import PeerRow, RoomNotices
 from cassiaturn.server._link import FrameStream, Link, LinkDialer
 from cassiaturn.submission import booted_ms, instance_of
 from cassiaturn.v1 import peer_pb2
@@ -73,6 +73,7 @@
         self._addresses_by_instance = dict(addresses_by_instance)
         self.links_by_incarnation = links_by_incarnation
         self._metrics = metrics
+        self._notices = RoomNotices(failure_domain=membership.me.facts.failure_domain)
         self._describe = describe
         self._on_change = on_change
         self._connect_timeout_s = connect_timeout_s
@@ -217,6 +218,7 @@
         if changes:
             self._on_change(changes)
         self._dial(now)
+        self._send_notices(now)
         neighbours = self._membership.neighbours()
         for link in self.links_by_incarnation.values():
             # A link to another instance carries work and the load that rides on
@@ -227,6 +229,19 @@
                 self._send_heartbeat(link)
         self._membership.refuted()
 
+    def _send_notices(self, now: float) -> None:
+        state = self._state
+        due = self._notices.due(
+            free_slots=state.free_slots(),
+            queued=len(state.queue),
+            peers=state.peers_by_incarnation.values(),
+            now=now,
+        )
+        for incarnation in due:
+            link = self.links_by_incarnation.get(incarnation)
+            if link is not None:
+                self._send_heartbeat(link)
+
     def announce(self) -> None:
         """Tell every linked peer at once what this instance is now."""
         self._membership.describe(self._describe())
@@ -318,6 +333,7 @@
         if change.after is MemberState.GONE or change.superseded_by:
             on_peer_gone(self._state, change.incarnation, now)
             self._give_up_calls(change.incarnation)
+            self._notices.forget(change.incarnation)
         else:
             ready = change.after is MemberState.READY
             self._set_ready(change.incarnation, ready)
@@ -395,6 +411,7 @@
         if not frame.HasField("heartbeat"):
             frame.heartbeat.CopyFrom(self._heartbeat(full=False))
         self._membership.sent(instance_of(link.incarnation) or "", now)
+        self._notices.told(link.incarnation, frame.heartbeat.free_slots)
         self._count(frame, Direction.SENT)
 
     def _heartbeat(self, *, full: bool) -> peer_pb2.Heartbeat:
