--- a/src/cassiaturn/configuration/_proposal.py
+++ b/src/cassiaturn/configuration/_proposal.py
@@ -235,9 +235,12 @@
                 doubt = lost
             case Failure(failed):
                 error = failed
-    if doubt is not None:
-        return Failure(Undetermined(version=proposed.version, detail=doubt.detail))
-    return Failure(error or Unavailable(detail="no attempt was made"))
+    if doubt is None:
+        return Failure(error or Unavailable(detail="no attempt was made"))
+    stored = await read_version(table, proposed.version)
+    if is_successful(stored) and stored.unwrap().token == proposed.token:
+        return Success(proposed)
+    return Failure(Undetermined(version=proposed.version, detail=doubt.detail))
 
 
 def _judge(
--- a/src/cassiaturn/configuration/tests/fakes.py
+++ b/src/cassiaturn/configuration/tests/fakes.py
@@ -1,6 +1,6 @@
 """A table service in memory whose failures are told in advance."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 from returns.result import Failure, Result, Success
 
@@ -38,6 +38,7 @@
         self.lost_after_effect = 0
         self.lost_before_effect = 0
         self.transactions = 0
+        self.before_next_write: Callable[[], Awaitable[None]] | None = None
         self.keys_read: list[str] = []
 
     async def read(self, keys: Sequence[str]) -> Result[Mapping[str, Row], ReadError]:
@@ -55,6 +56,9 @@
         self, writes: Sequence[Write]
     ) -> Result[Committed, Conflict | WriteError]:
         self.transactions += 1
+        if self.before_next_write is not None:
+            interposed, self.before_next_write = self.before_next_write, None
+            await interposed()
         if self.is_down:
             return Failure(Unavailable(detail="down"))
         if self.lost_before_effect:
--- a/src/cassiaturn/configuration/tests/test_proposal.py
+++ b/src/cassiaturn/configuration/tests/test_proposal.py
@@ -148,6 +148,18 @@
     assert error.version == 1
 
 
+async def test_a_last_try_that_won_in_silence_is_found_by_reading() -> None:
+    """Every answer is lost, and only the last of five tries takes effect.
+
+    No try is left to conflict with it, so the document is read, bears our
+    token, and the operator is told that the change is in force.
+    """
+    table = FakeTable()
+    table.lost_before_effect = proposal_module.MAX_ATTEMPTS - 1
+    table.lost_after_effect = 1
+    assert (await propose_as(table, "ama", base=0)).unwrap().version == 1
+
+
 async def test_an_outage_is_said_and_nothing_is_in_doubt() -> None:
     table = FakeTable()
     table.is_down = True
