Delete claims that are past their retention

Cause: claim rows of homes that are gone had nobody to delete them. Change: each instance reads a page of claims a minute and deletes old ones in the version it read; rows carry the time of their insert. Before: rows stayed for good; after: an old row goes and a young one stays (test). Conclusion: 6 reads a second at 350 instances, by the period; not measured at that size.

--- a/src/cassiaturn/server/_claims.py
+++ b/src/cassiaturn/server/_claims.py
@@ -1,14 +1,17 @@
 """Writes the claims of callers' own ids to the table service, in groups."""
 
 import asyncio
+import random
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from dataclasses import replace
 
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Success
 
-from cassiaturn.platform import Conflict, Put, Row, TableService
+from cassiaturn.platform import Conflict, Delete, Put, Row, TableService
 from cassiaturn.submission import (
+    CLAIM_PREFIX,
     ClaimBatch,
     ClaimLedger,
     ClaimResolution,
@@ -21,6 +24,13 @@
 WAIT_S = 0.01
 """Pause while the budget or a backoff allows no operation, in seconds."""
 
+SWEEP_S = 60.0
+"""Mean time between two pages of the search for old claims: 6 reads a second at
+350 instances."""
+
+PAGE_ROWS = 200
+"""Rows of one page."""
+
 ABSENT = 0
 """Expected version of a row that must not exist."""
 
@@ -31,16 +41,26 @@
     """Runs the ledger of claims against the table service."""
 
     def __init__(
-        self, *, ledger: ClaimLedger, budget: StoreBudget, table: TableService | None
+        self,
+        *,
+        ledger: ClaimLedger,
+        budget: StoreBudget,
+        table: TableService | None,
+        retention_ms: int,
+        rng: random.Random,
     ) -> None:
         """Write for one instance.
 
         :param table: None where the settings name no table service; no id of a
             caller's own can be claimed then.
+        :param retention_ms: how long a claim row is kept, in milliseconds.
+        :param rng: source of the jitter.
         """
         self._ledger = ledger
         self._budget = budget
         self._table = table
+        self._retention_ms = retention_ms
+        self._rng = rng
         self._futures_by_id: dict[str, asyncio.Future[ClaimResolution]] = {}
         self._wake = asyncio.Event()
         self.writes = 0
@@ -61,6 +81,40 @@
         # A caller that hangs up must not cancel the claim for those who wait too.
         return await asyncio.shield(future)
 
+    async def delete_old(self) -> None:
+        """Delete claims that are past their retention, page by page, for ever.
+
+        Rows of homes that are gone have nobody else to delete them. A row is
+        deleted only in the version that was read, so of two instances that find
+        the same page one is told of a conflict and goes on.
+        """
+        after = ""
+        while self._table is not None:
+            await asyncio.sleep(SWEEP_S * self._rng.uniform(0.5, 1.5))
+            rows = await self._read_page(self._table, after)
+            after = rows[-1].key if len(rows) == PAGE_ROWS else ""
+            oldest_ms = wall_ms() - self._retention_ms
+            old = [
+                Delete(key=row.key, expected_version=row.version)
+                for row in rows
+                if _is_older(row, oldest_ms)
+            ]
+            if old and self._budget.may_write(time.monotonic()):
+                self.writes += 1
+                await self._table.transact(old)
+
+    async def _read_page(self, table: TableService, after: str) -> Sequence[Row]:
+        if not self._budget.may_read(time.monotonic()):
+            return ()
+        self.reads += 1
+        match await table.scan(CLAIM_PREFIX, PAGE_ROWS, after=after):
+            case Success(rows):
+                self._budget.succeeded(time.monotonic())
+                return tuple(rows)
+            case _:
+                self._budget.failed(time.monotonic())
+                return ()
+
     async def look_up(self, submission_id: str) -> str | None:
         """Return the home in the claim row of an id; None if not known."""
         if self._table is None or not self._budget.may_read(time.monotonic()):
@@ -105,7 +159,7 @@
         puts = [
             Put(
                 key=row.key,
-                value=_ROWS.dump_json(row).decode(),
+                value=_ROWS.dump_json(replace(row, claimed_ms=wall_ms())).decode(),
                 expected_version=ABSENT,
             )
             for row in batch.rows
@@ -139,6 +193,16 @@
                 self._ledger.lost(batch, now)
 
 
+def wall_ms() -> int:
+    """Return the wall clock, in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+def _is_older(row: Row, oldest_ms: int) -> bool:
+    claims = claims_of([row])
+    return any(0 < claim.claimed_ms < oldest_ms for claim in claims.values())
+
+
 def claims_of(rows: Iterable[Row]) -> dict[str, ClaimRow]:
     """Return the claims in rows of the table, by submission id.
 
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -168,6 +168,7 @@
         self._run(self.offloader.run())
         self._run(self.host_list.run())
         self._run(self.reclaimer.run())
+        self._run(self.claims.delete_old())
 
     async def stop(self) -> None:
         """Stop without cutting anything: drain, tell the peers, close."""
@@ -318,6 +319,8 @@
             ),
             budget=self.budget,
             table=self.platform.table,
+            retention_ms=limits.claim_retention_ms,
+            rng=self._rng,
         )
         self.successor = Successor(
             table=TakeoverTable(
--- a/src/cassiaturn/server/tests/test_failures.py
+++ b/src/cassiaturn/server/tests/test_failures.py
@@ -4,12 +4,14 @@
 from pathlib import Path
 
 import pytest
+from pydantic import TypeAdapter
 
 from cassiaturn.client import Client
 from cassiaturn.configuration import load_content, propose
 from cassiaturn.engine import Submission
 from cassiaturn.entities import Answer, Outcome, Ran, Reason
-from cassiaturn.platform import HttpCaller, HttpTableService
+from cassiaturn.platform import HttpCaller, HttpTableService, Put
+from cassiaturn.server._claims import wall_ms
 from cassiaturn.server._homes import Identity
 from cassiaturn.server.tests.fleet import (
     CHECK,
@@ -26,6 +28,7 @@
     PlatformStandIn,
     RunnerFault,
 )
+from cassiaturn.submission import ClaimRow
 from cassiaturn.v1 import dispatcher_pb2
 
 DECKS = [order(f"deck-{number}") for number in range(4)]
@@ -449,3 +452,22 @@
             answer = await job
         assert answer.outcome is Outcome.COMPLETE, answer
         assert set(fleet.starts_by_task().values()) == {1}
+
+
+async def test_old_claims_are_deleted_and_young_ones_stay(
+    tmp_path: Path, platform: PlatformStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The table fills with claims of homes that are gone.
+
+    Any instance deletes those past their retention; a claim that a caller may
+    still come back for stays, or its order would run a second time.
+    """
+    monkeypatch.setattr("cassiaturn.server._claims.SWEEP_S", 0.05)
+    old = ClaimRow(submission_id="old", home="x~10000000001", token="t", claimed_ms=1)
+    young = replace(old, submission_id="young", claimed_ms=wall_ms())
+    for row in (old, young):
+        value = TypeAdapter(ClaimRow).dump_json(row).decode()
+        platform.state.table.transact([Put(key=row.key, value=value)])
+    async with fleet_with(platform, tmp_path):
+        await eventually(lambda: not platform.state.table.read([old.key]))
+        assert platform.state.table.read([young.key])
--- a/src/cassiaturn/settings/_limits.py
+++ b/src/cassiaturn/settings/_limits.py
@@ -33,6 +33,10 @@
     ticket_valid_ms: Positive = 30_000
     """How long a ticket may open a submission, in milliseconds."""
 
+    claim_retention_ms: Positive = 3_600_000
+    """How long a claim row of a caller's own id is kept, in milliseconds; an id
+    that comes back later is a new submission."""
+
     store_writes_per_s: Rate = 20.0
     """Table writes a second: about half of 300 shared by nine instances."""
 
--- a/src/cassiaturn/submission/_claim_rows.py
+++ b/src/cassiaturn/submission/_claim_rows.py
@@ -26,6 +26,9 @@
     token: str
     """Names the attempt that wrote the row, so that a lost answer is settled."""
 
+    claimed_ms: int = 0
+    """Wall clock of the insert, in milliseconds; tells when it may be deleted."""
+
     @property
     def key(self) -> str:
         """Key of the row."""
