Name the one stream of a home at a target as a safeguard

Cause: a home that reconnects takes each start that the target does not list for never begun; a start left in the old stream could still begin. Change: the model breaks streams; its mutation in which a target goes on to read the old one is caught. Conclusion: runners must end a home's old stream before they welcome its new one.

--- a/src/cassiaturn/model/_faults.py
+++ b/src/cassiaturn/model/_faults.py
@@ -66,6 +66,26 @@
     yield Step("start-by times pass", state._replace(flights=late, budget=budget))
 
 
+@action
+def reconnect(state: State, scenario: Scenario, rules: Rules) -> Iterator[Step]:
+    """Break the stream of a home to a target, and open a new one.
+
+    The target lists what it began; the home takes all else for never begun.
+    """
+    if not state.budget.reconnects:
+        return
+    budget = state.budget._replace(reconnects=state.budget.reconnects - 1)
+    for flight in state.flights:
+        home = state.instances[flight.home]
+        if not home.alive or home.record is not Record.RUNNING:
+            continue
+        told = put_sent(home, flight.task, Sent.UNSENT)
+        after = put_instance(state, flight.home, told)._replace(budget=budget)
+        if rules.one_stream:
+            after = after._replace(flights=state.flights - {flight})
+        yield Step(f"{flight.home} reconnects to target {flight.target}", after)
+
+
 @action
 def forget(state: State, scenario: Scenario, rules: Rules) -> Iterator[Step]:
     """End the retention of a settled row."""
--- a/src/cassiaturn/model/_scenarios.py
+++ b/src/cassiaturn/model/_scenarios.py
@@ -56,6 +56,7 @@
         repeatable=True,
         budget=_QUIET._replace(target_losses=1),
     ),
+    _TWO._replace(name="stream_breaks", budget=_STILL._replace(kills=1, reconnects=1)),
     _TWO._replace(name="home_forgets", budget=_QUIET._replace(submits=3, forgets=1)),
     _TWO._replace(
         name="successor_forgets",
--- a/src/cassiaturn/model/_state.py
+++ b/src/cassiaturn/model/_state.py
@@ -150,6 +150,7 @@
     forgets: int
     lapses: int
     delays: int
+    reconnects: int = 0
 
 
 class State(NamedTuple):
@@ -252,5 +253,8 @@
     silent_targets_wait: bool = True
     """A successor concludes nothing while a target has not answered its fence."""
 
+    one_stream: bool = True
+    """A target reads nothing more of a home's old stream once it has a new one."""
+
     expiry: bool = True
     """A home that forgot a ticket's row does not open it again."""
--- a/src/cassiaturn/model/tests/test_explore.py
+++ b/src/cassiaturn/model/tests/test_explore.py
@@ -34,6 +34,7 @@
     "takeover_row_off": ("two_successors", "begins_at_most_once"),
     "unbegun_not_resumed_off": ("two_instances", "not_run_is_true"),
     "silent_targets_wait_off": ("two_instances", "not_run_is_true"),
+    "one_stream_off": ("stream_breaks", "not_run_is_true"),
     "expiry_off": ("home_forgets", "not_run_is_true"),
 }
 
