--- a/src/cassiaturn/recovery/_decision.py
+++ b/src/cassiaturn/recovery/_decision.py
@@ -99,7 +99,6 @@
     ==============================  ===========================  =============
     begun, done                     Adopt                        Adopt
     begun, done, result dropped     Undetermined                 Undetermined
-    begun, done, result dropped     Undetermined                 Undetermined
     begun, failed                   FailTask(EVERYTHING)         the same
     begun, cancelled                FailTask(SOME)               the same
     begun, running, target in reach AwaitRunning                 AwaitRunning
