--- a/src/cassiaturn/policy/_health.py
+++ b/src/cassiaturn/policy/_health.py
@@ -6,11 +6,11 @@
 the response time of nearly every job of n tasks; the ideal is lost for all.
 
 Grounds: a target is compared with its peers only, so that a cause common to
-all (a hot key, a slow store) ejects none. It is slow if half of its last tasks
-took several times the median of their method, which a few long tasks do not
-bring about. A running task counts as soon as it is overdue, so a target that
-answers nothing is judged too. What a target reports of itself is not used: it
-lags.
+all (a hot key, a slow store) ejects few or none. It is slow if half of its last
+tasks took several times the median of their method, and clearly more of them
+than at its peers, which a few long tasks do not bring about. A running task
+counts as soon as it is overdue, so a target that answers nothing is judged too.
+What a target reports of itself is not used: it lags.
 """
 
 from collections import deque
@@ -47,12 +47,12 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class _Verdict:
-    is_bad: bool
-    """Whether the target is slow or failing."""
+class _Shares:
+    slow: float
+    """Share of slow tasks among the last results and what is running."""
 
-    badness: float
-    """Order of ejection where the cap does not allow all."""
+    failed: float
+    """Share of failures among the last results."""
 
 
 class TargetHealth:
@@ -187,19 +187,23 @@
             yield _move(target_id, record, HealthState.EJECTED)
 
     def _bad_records(self, now: float) -> Iterable[tuple[str, TargetRecord]]:
-        records = self._records_by_target
-        if not records:
+        shares_by_target = {
+            target_id: self._shares(record, now)
+            for target_id, record in self._records_by_target.items()
+            if record.state is not HealthState.EJECTED
+        }
+        if not shares_by_target:
             return []
-        usual_failures = median(record.failure_share() for record in records.values())
+        usual = _Shares(
+            slow=median(shares.slow for shares in shares_by_target.values()),
+            failed=median(shares.failed for shares in shares_by_target.values()),
+        )
         bad: list[tuple[float, str]] = []
-        for target_id, record in records.items():
-            if record.state is HealthState.EJECTED:
-                continue
-            verdict = self._judge(record, usual_failures, now)
-            if verdict.is_bad:
-                bad.append((verdict.badness, target_id))
+        for target_id, shares in shares_by_target.items():
+            if self._is_bad(self._records_by_target[target_id], shares, usual, now):
+                bad.append((max(shares.slow, shares.failed), target_id))
         bad.sort(reverse=True)
-        return [(target_id, records[target_id]) for _, target_id in bad]
+        return [(target_id, self._records_by_target[target_id]) for _, target_id in bad]
 
     def _eject(self, record: TargetRecord, now: float) -> None:
         settings = self._settings
@@ -220,28 +224,30 @@
         )
         return allowed - taken
 
-    def _judge(
-        self, record: TargetRecord, usual_failures: float, now: float
-    ) -> _Verdict:
+    def _shares(self, record: TargetRecord, now: float) -> _Shares:
         settings = self._settings
-        share = record.failure_share()
         overdue = self._overdue(record, now)
-        if record.state is HealthState.PROBATION:
-            bad = overdue + record.bad_in_row
-            return _Verdict(is_bad=bad >= settings.probation_failures, badness=bad)
-        is_failing = (
-            sum(record.failures) >= settings.min_samples
-            and share >= settings.failure_share
-            and share >= usual_failures + settings.failure_margin
-        )
         slow = overdue + sum(ratio >= settings.slow_ratio for ratio in record.ratios)
         # Results that are not there count as good: a few tasks that happen to be
         # long would otherwise eject a target that has just begun.
-        slow_share = slow / (overdue + settings.window)
-        return _Verdict(
-            is_bad=is_failing or slow_share >= settings.slow_share,
-            badness=max(slow_share, share),
+        return _Shares(
+            slow=slow / (overdue + settings.window), failed=record.failure_share()
+        )
+
+    def _is_bad(
+        self, record: TargetRecord, shares: _Shares, usual: _Shares, now: float
+    ) -> bool:
+        settings = self._settings
+        if record.state is HealthState.PROBATION:
+            bad = self._overdue(record, now) + record.bad_in_row
+            return bad >= settings.probation_failures
+        is_slow = shares.slow >= max(
+            settings.slow_share, usual.slow + settings.slow_margin
+        )
+        is_failing = shares.failed >= max(
+            settings.failure_share, usual.failed + settings.failure_margin
         )
+        return is_slow or (is_failing and sum(record.failures) >= settings.min_samples)
 
     def _overdue(self, record: TargetRecord, now: float) -> int:
         overdue = 0
--- a/src/cassiaturn/policy/_settings.py
+++ b/src/cassiaturn/policy/_settings.py
@@ -143,6 +143,9 @@
     Far above the share of long tasks in either user's mix.
     """
 
+    slow_margin: float = 0.4
+    """How far that share must be above the peers' median; a share."""
+
     failure_share: float = 0.5
     """Share of failed tasks that counts as failing, if peers do better."""
 
--- a/src/cassiaturn/policy/tests/test_health.py
+++ b/src/cassiaturn/policy/tests/test_health.py
@@ -129,6 +129,19 @@
     assert set(pool.states()) == {HealthState.HEALTHY}
 
 
+def test_long_tasks_on_every_target_eject_none() -> None:
+    """Half of all tasks use a hot key and take ten times as long.
+
+    Every target looks slow by its own results; none is slower than its peers,
+    and ejecting any would only take slots away from the callers.
+    """
+    pool = Pool()
+    pool.run(1.0)
+    numbers = iter(range(100_000))
+    pool.run(5.0, run_s=lambda _: 1.0 if next(numbers) % 9 < 4 else 0.1)
+    assert set(pool.states()) == {HealthState.HEALTHY}
+
+
 def test_only_target_is_never_ejected() -> None:
     health = TargetHealth(settings=HealthSettings())
     health.add("r0", 8)
