Tell why an instance of the built file did not start

Cause: a build made while two parts of the tree did not fit took 30 s to fail with 'nothing listens'; the reason stood in an output that was thrown away.

--- a/tools/check_dist.py
+++ b/tools/check_dist.py
@@ -91,13 +91,15 @@
             loopback=LOOPBACK, rpc=rpc, http=http, schema=SCHEMA, shared=SHARED
         )
     )
-    instance = subprocess.Popen(
-        [program, "serve", "--settings", settings],
-        stderr=subprocess.DEVNULL,
-        start_new_session=True,
-    )
+    log = directory / "dist-1.log"
+    with log.open("w") as stream:
+        instance = subprocess.Popen(
+            [program, "serve", "--settings", settings],
+            stderr=stream,
+            start_new_session=True,
+        )
     try:
-        wait_for_port(http)
+        wait_until_live(instance, http, log)
         children = children_of(instance.pid)
         if children:
             raise CheckError(f"a running instance has child processes: {children}")
@@ -170,20 +172,22 @@
         return port
 
 
-def wait_for_port(port: int) -> None:
-    """Wait until something listens at a port.
+def wait_until_live(instance: "subprocess.Popen[bytes]", port: int, log: Path) -> None:
+    """Wait until an instance listens, or tell why it ended.
 
-    :param port: on loopback.
+    :param instance: its process.
+    :param port: where it will listen, on loopback.
+    :param log: its output.
     """
     give_up = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < give_up:
+    while time.monotonic() < give_up and instance.poll() is None:
         try:
             socket.create_connection((LOOPBACK, port), timeout=1.0).close()
         except OSError:
             time.sleep(0.1)
         else:
             return
-    raise CheckError(f"nothing listens at port {port} after {START_TIMEOUT_S} s")
+    raise CheckError(f"the instance does not listen: {log.read_text()}")
 
 
 if __name__ == "__main__":
