Drain a target for every instance by the shared configuration

Cause: the drain command reaches the instances that are named and is forgotten at their restart; two operators who drain and activate at once are not told. Change: configuration drain reads the version in force, adds or takes out the target, and proposes it against that version.

--- a/src/cassiaturn/cli/_configuration.py
+++ b/src/cassiaturn/cli/_configuration.py
@@ -15,7 +15,7 @@
 from cassiaturn.cli._output import JsonOption, fail, print_json, print_table
 
 if TYPE_CHECKING:
-    from cassiaturn.configuration import ProposalError
+    from cassiaturn.configuration import ConfigurationContent, ProposalError
     from cassiaturn.platform import TableService
 
 ValueT = TypeVar("ValueT")
@@ -35,6 +35,12 @@
     ),
 ]
 
+AuthorOption = Annotated[
+    str, typer.Option(help="Shown to whoever loses against it; default: the user.")
+]
+
+NO_CONFIGURATION = "the table service holds no configuration yet"
+
 
 @app.command()
 def show(
@@ -51,7 +57,7 @@
     if version == 0:
         version = _run(table, read_current).row.version
     if version == 0:
-        fail(ExitCode.USAGE, "the table service holds no configuration yet")
+        fail(ExitCode.USAGE, NO_CONFIGURATION)
     shared = _run(table, lambda service: read_version(service, version))
     if as_json:
         typer.echo(to_json(shared))
@@ -110,9 +116,7 @@
     base: Annotated[
         int, typer.Option(min=0, help="The version that you have seen; 0: none.")
     ],
-    author: Annotated[
-        str, typer.Option(help="Shown to whoever loses against it.")
-    ] = "",
+    author: AuthorOption = "",
 ) -> None:
     """Put a configuration in force, if nobody changed it since the base.
 
@@ -120,16 +124,49 @@
     answer and nothing done, 8 another operator was faster.
     """
     from cassiaturn.configuration import load_content
-    from cassiaturn.configuration import propose as propose_to
 
     content = load_content(file)
     if not is_successful(content):
         fail(ExitCode.USAGE, content.failure())
+    _propose(table, content.unwrap(), base, author)
+
+
+@app.command()
+def drain(
+    target_id: Annotated[str, typer.Argument(help="The target.")],
+    table: TableOption,
+    activate: Annotated[bool, typer.Option(help="Take the drain back.")] = False,
+    author: AuthorOption = "",
+) -> None:
+    """Drain a target for every instance, also for those that restart.
+
+    Of two operators who drain and activate at once, one wins and the other is
+    told. Exit codes: as of propose.
+    """
+    from cassiaturn.configuration import read_current, read_version
+
+    version = _run(table, read_current).row.version
+    if version == 0:
+        fail(ExitCode.USAGE, NO_CONFIGURATION)
+    content = _run(table, lambda service: read_version(service, version)).content
+    changed = content.with_drain(target_id, drained=not activate)
+    if changed == content:
+        state = "active" if activate else "drained"
+        typer.echo(f"version {version}: {target_id} is {state} already")
+        return
+    _propose(table, changed, version, author)
+
+
+def _propose(
+    table: str, content: "ConfigurationContent", base: int, author: str
+) -> None:
+    from cassiaturn.configuration import propose as propose_to
+
     proposed = _run(
         table,
         lambda service: propose_to(
             table=service,
-            content=content.unwrap(),
+            content=content,
             author=author or getpass.getuser(),
             expected_version=base,
             token=uuid.uuid4().hex,
--- a/src/cassiaturn/cli/_drain.py
+++ b/src/cassiaturn/cli/_drain.py
@@ -30,7 +30,7 @@
     """Stop new starts at a target on the given instances; running tasks finish.
 
     Give every instance, since any of them may come to hold the target. To keep
-    it drained across restarts, propose it in the shared configuration.
+    it drained across restarts, use configuration drain.
 
     Exit codes: 0 accepted by all, 6 no answer, 9 refused.
     """
--- a/src/cassiaturn/cli/tests/test_operators.py
+++ b/src/cassiaturn/cli/tests/test_operators.py
@@ -118,6 +118,25 @@
     assert len(table_shown.stdout.splitlines()) == 4
 
 
+async def test_a_shared_drain_is_a_version_of_its_own(
+    run: Run, table: str, tmp_path: Path
+) -> None:
+    file = tmp_path / "shared.yaml"
+    file.write_text(SHARED)
+    drain = ["configuration", "drain", "runner-1", "--table", table]
+    assert (await run(*drain)).exit_code == ExitCode.USAGE
+    await run("configuration", "propose", file, "--table", table, "--base", 0)
+    drained = await run(*drain)
+    assert drained.stdout == "version 2 is in force within 5 s\n"
+    assert (await run(*drain)).stdout == "version 2: runner-1 is drained already\n"
+    shown = await run("configuration", "show", "--table", table)
+    assert "drained_targets:\n- runner-1\n" in shown.stdout
+    await run(*drain, "--activate")
+    shown = await run("configuration", "show", "--table", table)
+    assert shown.stdout.startswith("# version 3")
+    assert "drained_targets: []\n" in shown.stdout
+
+
 @pytest.mark.parametrize(
     ("content", "text"),
     [("tenants: []", "tenants: []: "), ("a: [", "each key once"), (None, "wrong.yaml")],
