Say what a target's capacity is a part of

Cause: the row claimed that rows of one worker share its resources; each row counts its own. Change: the wording; a slot never taken raises also where asserts are off.

--- a/src/cassiaturn/policy/_targets.py
+++ b/src/cassiaturn/policy/_targets.py
@@ -31,7 +31,7 @@
     """Where it runs."""
 
     worker: str
-    """The worker it runs on; rows of one worker share its resources."""
+    """The worker it runs on."""
 
     slots: int
     """Tasks it may run at a time."""
@@ -46,7 +46,8 @@
     """Connections open, as counted here."""
 
     capacity: Resources
-    """What the worker has."""
+    """What of its worker the target may use; two targets of one worker each have
+    a part of it."""
 
     used_cpu_millis: int = 0
     """Processor time taken by tasks, in thousandths of a core."""
@@ -97,7 +98,8 @@
 
         :raises AssertionError: nothing was in use; the table is broken.
         """
-        assert self.in_use > 0, f"{self.target_id} gave back a slot it never took"
+        if self.in_use <= 0:
+            raise AssertionError(f"{self.target_id} gave back a slot it never took")
         self.in_use -= 1
         self.used_cpu_millis -= resources.cpu_millis
         self.used_memory_mib -= resources.memory_mib
