Beat to neighbours and notify waiting peers, as instances now do

Change: heartbeats every 1.8 s to membership's neighbours, notices of room by the policy's module; dispatcher without-notices.

--- a/src/cassiaturn/bench/_instance.py
+++ b/src/cassiaturn/bench/_instance.py
@@ -88,6 +88,7 @@
         for other in instances:
             if other is not self:
                 self.links.add(other)
+        self.links.find_neighbours()
         self._world.loop.call_later(TICK_S, self._tick)
 
     def usable_slots(self) -> int:
@@ -355,9 +356,17 @@
         for peer in self.links.silent():
             self._send(MessageKind.HEARTBEAT, peer, peer._dispatch)
         self._dispatch()
+        if self._modules.notices:
+            self._notify()
         if self._world.unanswered:
             self._world.loop.call_later(TICK_S, self._tick)
 
+    def _notify(self) -> None:
+        free_slots = self._targets.free_slots()
+        queued = len(self._queue)
+        for peer in self.links.to_notify(free_slots=free_slots, queued=queued):
+            self._send(MessageKind.HEARTBEAT, peer, peer._dispatch)
+
     def _on_expired(self, held: Held) -> None:
         run = held.start.run
         if held.home is self and run.outcome is None:
--- a/src/cassiaturn/bench/_links.py
+++ b/src/cassiaturn/bench/_links.py
@@ -1,12 +1,13 @@
 """Links between instances: load reports ride on every message."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
 from cassiaturn.bench._held import Report
 from cassiaturn.bench._message import MessageKind
 from cassiaturn.bench._world import World
-from cassiaturn.policy import PeerRow
+from cassiaturn.membership import MembershipSettings, links_of
+from cassiaturn.policy import PeerRow, RoomNotices
 
 if TYPE_CHECKING:
     from cassiaturn.bench._instance import Instance
@@ -26,6 +27,8 @@
         self._heartbeat_s = heartbeat_s
         self._instances_by_id: dict[str, Instance] = {}
         self._sent_at_by_peer: dict[str, float] = {}
+        self._neighbours: Collection[str] = ()
+        self._notices = RoomNotices(failure_domain=failure_domain)
 
     def add(self, other: "Instance") -> None:
         """Learn of another instance, idle as far as is known."""
@@ -53,15 +56,42 @@
         """Return a peer."""
         return self._instances_by_id[instance_id]
 
+    def find_neighbours(self) -> None:
+        """Choose the peers that get heartbeats, from all that were added."""
+        domains_by_instance = {
+            instance_id: other.failure_domain
+            for instance_id, other in self._instances_by_id.items()
+        }
+        domains_by_instance[self._instance_id] = self._failure_domain
+        self._neighbours = links_of(
+            instance_id=self._instance_id,
+            domains_by_instance=domains_by_instance,
+            near_links=MembershipSettings().near_links,
+        )
+
     def silent(self) -> Iterable["Instance"]:
-        """Return the peers that have heard nothing for a heartbeat's time."""
+        """Return the neighbours that have heard nothing for a heartbeat's time."""
         now = self._world.loop.now
         return [
             self._instances_by_id[instance_id]
             for instance_id, sent_at in self._sent_at_by_peer.items()
-            if now - sent_at >= self._heartbeat_s
+            if instance_id in self._neighbours and now - sent_at >= self._heartbeat_s
         ]
 
+    def to_notify(self, *, free_slots: int, queued: int) -> Iterable["Instance"]:
+        """Return the peers that wait and do not know of the free slots here.
+
+        :param free_slots: free here.
+        :param queued: tasks that wait here.
+        """
+        due = self._notices.due(
+            free_slots=free_slots,
+            queued=queued,
+            peers=self.rows_by_id.values(),
+            now=self._world.loop.now,
+        )
+        return [self._instances_by_id[instance_id] for instance_id in due]
+
     def send(
         self,
         kind: MessageKind,
@@ -72,6 +102,7 @@
     ) -> None:
         """Send a message with a report of our load on it."""
         self._sent_at_by_peer[peer.instance_id] = self._world.loop.now
+        self._notices.told(peer.instance_id, report.free_slots)
         self._world.send(
             kind,
             self._failure_domain,
--- a/src/cassiaturn/bench/_modules.py
+++ b/src/cassiaturn/bench/_modules.py
@@ -27,8 +27,11 @@
     hard_quota: bool = False
     """On: a tenant starts nothing beyond its share of slots."""
 
-    heartbeat_s: float = 1.0
-    """Longest silence between two instances, in seconds."""
+    notices: bool = True
+    """Off: an instance that becomes free tells nobody by itself."""
+
+    heartbeat_s: float = 1.8
+    """Longest silence towards a neighbour, in seconds; as both users set it."""
 
     settings: PolicySettings = field(default_factory=PolicySettings)
     """Tunables of the modules."""
--- a/src/cassiaturn/bench/_ours.py
+++ b/src/cassiaturn/bench/_ours.py
@@ -126,3 +126,10 @@
     """Starts nothing of a tenant beyond its share of slots."""
 
     modules = Modules(hard_quota=True)
+
+
+@dispatcher("without-notices")
+class WithoutNotices(Cassiaturn):
+    """Tells no peer of free slots but on heartbeats and other messages."""
+
+    modules = Modules(notices=False)
