Never call a job not run that an earlier home began

Cause: a successor accepts only what a target says was begun, but counted begun tasks by results adopted. A job with one lapsed run, cancelled at the successor, and one whose tenant was removed since, ended as not run. Change: the record knows that it was succeeded; not run becomes failed with ran maybe, whichever path asks.

--- a/src/cassiaturn/submission/_record.py
+++ b/src/cassiaturn/submission/_record.py
@@ -30,6 +30,9 @@
     owner: str = ""
     """Tenant that submitted it; nobody else may collect or cancel it."""
 
+    succeeded: bool = False
+    """Whether an earlier home began it; "not run" would never be true of it."""
+
     answer: Answer | None = None
     """What callers are told; None while it runs."""
 
--- a/src/cassiaturn/submission/_table.py
+++ b/src/cassiaturn/submission/_table.py
@@ -114,6 +114,8 @@
             tasks_total=tasks_total,
             opened_at=now,
             issued_ms=None if ticket is None else ticket.issued_ms,
+            succeeded=succeeded,
+            possible_starts=1 if succeeded else 0,
         )
         return self._admit(record, now, succeeded=succeeded)
 
@@ -157,6 +159,7 @@
             raise InvariantError(f"{answer.submission_id}: settled, never opened")
         if record.is_settled and record.answer is not None:
             return record.answer
+        answer = _true_answer(record, answer)
         _check_answer(record, answer)
         record.answer = answer
         if answer.is_final:
@@ -324,6 +327,15 @@
     return Joined(record=record)
 
 
+def _true_answer(record: SubmissionRecord, answer: Answer) -> Answer:
+    # A successor accepts only what a target says was begun. Refused here for
+    # another reason (its tenant is gone, its deadline passed) it would be called
+    # "not run", and its caller would order again what was shipped.
+    if not record.succeeded or answer.outcome is not Outcome.NOT_RUN:
+        return answer
+    return replace(answer, outcome=Outcome.FAILED, ran=Ran.MAYBE, retry_after_ms=0)
+
+
 def _check_answer(record: SubmissionRecord, answer: Answer) -> None:
     if answer.outcome is Outcome.PENDING:
         raise InvariantError(f"{record.submission_id}: settled as pending")
--- a/src/cassiaturn/submission/tests/test_table.py
+++ b/src/cassiaturn/submission/tests/test_table.py
@@ -278,6 +278,23 @@
     assert isinstance(open_one(rows, other, succeeded=True), Opened)
 
 
+def test_a_successor_never_calls_begun_work_not_run() -> None:
+    """
+    A home dies with one task of a job begun. Its successor takes the job, and then
+    refuses it: its tenant is gone, or its deadline passed before another start.
+    """
+    rows = table()
+    other = "t1.osu-2~18c0000000011223344.0.0"
+    open_one(rows, other, succeeded=True)
+    assert rows.begin(other)
+    rows.refused(other)
+
+    settled = rows.settle(answer_of(other, Outcome.NOT_RUN), 1.0)
+
+    assert (settled.outcome, settled.ran) == (Outcome.FAILED, Ran.MAYBE)
+    assert open_one(rows, other, succeeded=True) == Settled(answer=settled)
+
+
 def test_fingerprints_tell_the_borders_of_tasks() -> None:
     prints = {
         fingerprint_of(method="m", tasks=[b"ab"]),
