Notice ended processes by their refused port, and end links that are cancelled

Change: heartbeats every 1.8 s, a port that refuses twice proves an end, dialers end when cancelled, no lease is renewed for what is cancelled.

--- a/src/cassiaturn/engine/_sweep.py
+++ b/src/cassiaturn/engine/_sweep.py
@@ -57,6 +57,9 @@
             _reclaim(state, record, now)
         elif not _is_connected(state, record):
             _reclaim_from_target(state, record, now)
+        elif record.state is TaskState.CANCELLED:
+            # Nobody wants it: its lease ends it if the cancellation was lost.
+            continue
         elif now - record.renewed_at >= renew_after_s:
             _renew(state, record, now)
 
--- a/src/cassiaturn/engine/tests/test_interleavings.py
+++ b/src/cassiaturn/engine/tests/test_interleavings.py
@@ -112,3 +112,23 @@
     fleet.at(begin + 1.0, partial(fleet.take_for_gone, one, other))
     fleet.run(LOAD_S + SETTLING_S)
     check(fleet)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_cancellations_whose_frames_are_lost_leave_nothing_behind(seed: int) -> None:
+    """Callers cancel while streams to targets break.
+
+    A cancelled task's slot is free again once its target says so or its lease is
+    over, also when the frame that should stop it was lost.
+    """
+    fleet = VirtualFleet(seed=seed, long_share=0.5)
+    load(fleet)
+    for _ in range(40):
+        fleet.at(fleet.rng.uniform(0.1, LOAD_S), fleet.cancel_one)
+    for _ in range(8):
+        target = fleet.rng.choice(list(fleet.targets_by_id.values()))
+        begin = fleet.rng.uniform(0, LOAD_S)
+        fleet.at(begin, target.cut)
+        fleet.at(begin + fleet.rng.choice([0.01, 0.1]), target.connect)
+    fleet.run(LOAD_S + SETTLING_S)
+    check(fleet)
--- a/src/cassiaturn/engine/tests/virtual_fleet.py
+++ b/src/cassiaturn/engine/tests/virtual_fleet.py
@@ -19,6 +19,7 @@
     Submission,
     TaskRecord,
     Tenant,
+    cancel,
     dispatch,
     on_cancel,
     on_peer_gone,
@@ -321,6 +322,13 @@
         submit(state, submission, self.now)
         dispatch(state, self.now)
 
+    def cancel_one(self) -> None:
+        """Cancel some job that is not settled, at its home."""
+        homes = [state for state in self.states_by_id.values() if state.jobs_by_id]
+        if homes:
+            state = self.rng.choice(homes)
+            cancel(state, self.rng.choice(list(state.jobs_by_id)), self.now)
+
     def to_peer(
         self, sender: str, peer: str, take: Callable[[State, float], object]
     ) -> None:
--- a/src/cassiaturn/membership/_rows.py
+++ b/src/cassiaturn/membership/_rows.py
@@ -101,6 +101,9 @@
     linked_at: float | None = None
     """Since when it is a neighbour, in seconds; None: it is none."""
 
+    refused_at: float | None = None
+    """Time at which its address refused a connection first, in seconds."""
+
     probed_since: float | None = None
     """Since when it is asked to speak although it is none; None: it is not."""
 
--- a/src/cassiaturn/membership/_settings.py
+++ b/src/cassiaturn/membership/_settings.py
@@ -25,6 +25,10 @@
     gone_after_s: float = 4.0
     """Silence after which it is taken for gone, in seconds."""
 
+    refused_s: float = 0.4
+    """Time between two refused connections that prove a process ended, in
+    seconds: longer than a process takes from its start to listening."""
+
     retry_gone_s: float = 5.0
     """How often one gone member is spoken to, to notice that a cut healed."""
 
--- a/src/cassiaturn/membership/_silence.py
+++ b/src/cassiaturn/membership/_silence.py
@@ -50,6 +50,18 @@
     return since + patience_s
 
 
+def end_patience(row: MemberRow, silent_since: float) -> None:
+    """Let a member be judged as if it had been silent since a time.
+
+    :param silent_since: monotonic time, in seconds.
+    """
+    if row.heard_at is not None:
+        row.heard_at = min(row.heard_at, silent_since)
+    if row.linked_at is not None:
+        row.linked_at = min(row.linked_at, silent_since)
+    row.probed_since = silent_since
+
+
 def is_stale(row: MemberRow, now: float, settings: MembershipSettings) -> bool:
     """Whether a member was gone long enough to be forgotten."""
     if row.gone_at is None:
--- a/src/cassiaturn/membership/_table.py
+++ b/src/cassiaturn/membership/_table.py
@@ -25,6 +25,7 @@
 )
 from cassiaturn.membership._settings import MembershipSettings
 from cassiaturn.membership._silence import (
+    end_patience,
     forgive,
     is_stale,
     judge,
@@ -121,6 +122,24 @@
             self._urgent = True
             self._look_again()
 
+    def refused(self, instance_id: str, now: float) -> None:
+        """Note that nothing listens at the address of a member.
+
+        Its link is broken and its host answers that no process is there, so its
+        silence needs no patience. One refusal may fall into the start of a new
+        process; a second one after a while does not.
+
+        :param now: monotonic time, in seconds.
+        """
+        row = self._members_by_id.get(instance_id)
+        if row is None or not row.suspected or row.gone_at is not None:
+            return
+        if row.refused_at is None:
+            row.refused_at = now
+        elif now - row.refused_at >= self._settings.refused_s:
+            end_patience(row, now - self._settings.gone_after_s)
+            self._look_again()
+
     def hint(self, hosts: Sequence[HostHint]) -> None:
         """Take in the platform's list, which lags and is believed in nothing else.
 
@@ -292,6 +311,7 @@
         if row.suspected or row.probed_since is not None or row.gone_at is not None:
             row.suspected = False
             row.probed_since = None
+            row.refused_at = None
             row.gone_at = None
             self._look_again()
 
--- a/src/cassiaturn/membership/tests/test_table.py
+++ b/src/cassiaturn/membership/tests/test_table.py
@@ -72,6 +72,23 @@
     assert run(table, 61.1, 63.0) == []
 
 
+def test_a_member_whose_port_refuses_twice_is_gone_at_once() -> None:
+    """
+    A process dies on a living host. Its link breaks and its port refuses, so its
+    callers need not wait for the end of a silence that is already explained.
+    """
+    table = members()
+    table.observe(facts("a2"), 0.0)
+    run(table, 0.0, 1.0)
+    table.refused("a2", 1.0)
+    assert run(table, 1.0, 1.1) == []
+    table.disconnected(facts("a2").incarnation, 1.1)
+    table.refused("a2", 1.2)
+    assert states(run(table, 1.2, 1.5)) == [("a2", MemberState.SUSPECTED)]
+    table.refused("a2", 1.7)
+    assert states(run(table, 1.7, 1.8)) == [("a2", MemberState.GONE)]
+
+
 def test_a_silent_member_is_suspected_then_gone() -> None:
     """
     A host vanishes. Its neighbours suspect it after 2.5 s, when nothing moves yet,
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -198,7 +198,7 @@
             self._server.close()
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
         await self.peers.close()
         await self.targets.close()
         self.platform.close()
--- a/src/cassiaturn/server/_link.py
+++ b/src/cassiaturn/server/_link.py
@@ -115,6 +115,14 @@
             on_frame(self, frame)
 
 
+def _end_if_cancelled() -> None:
+    # A stream that is cancelled may end with an error of its own in place of the
+    # cancellation; the loop would go on, and a planned stop would wait for it.
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 class LinkDialer:
     """Keeps a link to one peer open, from the instance with the lower id."""
 
@@ -124,6 +132,7 @@
         address: Address,
         hello: Callable[[], PeerFrame],
         serve: Callable[[FrameStream, PeerFrame], Awaitable[None]],
+        on_refused: Callable[[], None],
         connect_timeout_s: float,
     ) -> None:
         """Prepare to connect; :meth:`run` does.
@@ -131,11 +140,13 @@
         :param address: where the peer listens.
         :param hello: makes the first frame, a heartbeat.
         :param serve: runs the link once the peer's first frame is read.
+        :param on_refused: called when nothing listens at the address.
         :param connect_timeout_s: longest wait for that frame, in seconds.
         """
         self._address = address
         self._hello = hello
         self._serve = serve
+        self._on_refused = on_refused
         self._connect_timeout_s = connect_timeout_s
 
     async def run(self) -> None:
@@ -144,8 +155,10 @@
             channel = Channel(self._address.host, self._address.port)
             try:
                 await self._serve_once(channel)
+            except ConnectionRefusedError:
+                self._on_refused()
             except LINK_ERRORS:
-                pass
+                _end_if_cancelled()
             finally:
                 channel.close()
             await asyncio.sleep(RECONNECT_PAUSE_S)
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -1,9 +1,9 @@
 """The other instances: links, heartbeats, forwards, and who is gone."""
 
 import asyncio
-import contextlib
 import time
 from collections.abc import Callable, Collection, Mapping, Sequence
+from functools import partial
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -43,6 +43,9 @@
 FETCH_TIMEOUT_S = 1.0
 """Longest wait for a peer's shared configuration, in seconds."""
 
+CLOSE_TIMEOUT_S = 1.0
+"""Longest wait for the links to end, in seconds."""
+
 MILLISECONDS = 1000
 
 
@@ -256,9 +259,9 @@
             link.closed.set()
         for channel in self._channels_by_instance.values():
             channel.close()
-        for dialer in self._dialers_by_instance.values():
-            with contextlib.suppress(asyncio.CancelledError):
-                await dialer
+        dialers = self._dialers_by_instance.values()
+        if dialers:
+            await asyncio.wait(dialers, timeout=CLOSE_TIMEOUT_S)
 
     def _channel_to(self, instance_id: str) -> Channel | None:
         channel = self._channels_by_instance.get(instance_id)
@@ -274,11 +277,14 @@
         # One side opens a link, the lower id, so that there is one a pair.
         me = self._membership.me.facts.instance_id
         wanted = {instance_id for instance_id in self._wanted() if me < instance_id}
+        # A lost neighbour is tried from both sides: a refusal proves its end.
+        wanted |= self._lost_neighbours()
         for instance_id in wanted - self._dialers_by_instance.keys():
             dialer = LinkDialer(
                 address=self._addresses_by_instance[instance_id],
                 hello=self.hello,
                 serve=self.serve,
+                on_refused=partial(self._note_refused, instance_id),
                 connect_timeout_s=self._connect_timeout_s,
             )
             self._dialers_by_instance[instance_id] = asyncio.create_task(
@@ -287,6 +293,17 @@
         for instance_id in self._dialers_by_instance.keys() - wanted:
             self._dialers_by_instance.pop(instance_id).cancel()
 
+    def _lost_neighbours(self) -> set[str]:
+        members = self._membership.members_by_id
+        return {
+            instance_id
+            for instance_id in self._wanted()
+            if instance_id in members and members[instance_id].suspected
+        }
+
+    def _note_refused(self, instance_id: str) -> None:
+        self._membership.refused(instance_id, time.monotonic())
+
     def _wanted(self) -> Collection[str]:
         known = self._addresses_by_instance.keys()
         if len(known) < self._full_links:
--- a/src/cassiaturn/settings/_timings.py
+++ b/src/cassiaturn/settings/_timings.py
@@ -12,15 +12,15 @@
     tick_ms: Positive = 20
     """Period of the systems that look for what is due; events do not wait."""
 
-    heartbeat_ms: Positive = 1_000
+    heartbeat_ms: Positive = 1_800
     """Longest silence towards a neighbour before a heartbeat is sent alone."""
 
-    suspect_after_ms: Positive = 2_500
-    """Silence after which a peer gets nothing new: two heartbeats and a half."""
+    suspect_after_ms: Positive = 3_800
+    """Silence after which a peer gets nothing new: two heartbeats and some."""
 
-    gone_after_ms: Positive = 4_000
-    """Silence after which a peer's submissions may be taken over; leaves a second
-    of a recovery within 5 s for one store write and one round of fences."""
+    gone_after_ms: Positive = 5_000
+    """Silence after which a peer's submissions may be taken over. A process that
+    ended on a living host is noticed within a second by its refused port."""
 
     lease_ms: Positive = 8_000
     """How long a target runs a task whose lease nobody renews: long enough that a
