Trust reports for five seconds now that room is notified

Cause: instances no longer beat to all peers each second, so reports of those that are not neighbours were ignored after 2 s although nothing had changed. Change: report_trust_s 5.0.

--- a/src/cassiaturn/policy/_settings.py
+++ b/src/cassiaturn/policy/_settings.py
@@ -117,10 +117,11 @@
     Twice the one-way latency between domains of the slower deployment (0.9 ms).
     """
 
-    report_trust_s: float = 2.0
+    report_trust_s: float = 5.0
     """Age at which a peer's report counts for nothing, in seconds.
 
-    Twice the longest silence between two instances.
+    Above twice the longest silence between neighbours; a peer that is not one
+    says so sooner if it has got room.
     """
 
     claim_share: float = 0.35
