Start nothing again that still runs at a successor's deadline

Change: such a submission is answered unknown; connections end with their server, after the last answers. The test of an order that never began waited for slots that were not all taken, so the order began now and then; it fills every instance first now and asks for the same answer. Conclusion: nothing in force is resumed.

--- a/src/cassiaturn/engine/_intake.py
+++ b/src/cassiaturn/engine/_intake.py
@@ -174,7 +174,7 @@
         deadline_at=now + deadline_s,
         results=results,
         remaining=results.count(None),
-        ran=bool(submission.adopted),
+        ran=submission.resumed,
     )
 
 
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -7,7 +7,6 @@
 from collections.abc import Coroutine, Sequence
 
 from grpclib._typing import IServable
-from grpclib.server import Server
 
 from cassiaturn.configuration import ConfigurationKeeper, SharedConfiguration, to_json
 from cassiaturn.engine import (
@@ -39,6 +38,7 @@
 )
 from cassiaturn.server._caller_service import CallerService, SchemaService
 from cassiaturn.server._claims import ClaimWriter
+from cassiaturn.server._grpc_server import ClosingServer
 from cassiaturn.server._holders import targets_to_hold
 from cassiaturn.server._homes import Homes
 from cassiaturn.server._hosts import HostListReader
@@ -80,6 +80,9 @@
 CLOSE_TIMEOUT_S = 1.0
 """Longest wait for the listening port and its connections, in seconds."""
 
+LAST_ANSWER_S = 0.1
+"""Time for the last answers to leave before the connections close, in seconds."""
+
 DRAIN_STEP_S = 0.02
 """Pause between two looks at whether everything has ended, in seconds."""
 
@@ -124,9 +127,11 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._quotas_at = 0.0
         self._holders_due_at = 0.0
-        self._server: Server | None = None
+        self._server: ClosingServer | None = None
         self._superseded = False
-        self.platform = Platform(settings=settings.platform, timings=settings.timings)
+        self.platform = Platform(
+            settings=settings.platform, timings=settings.timings, metrics=self.metrics
+        )
         self._build_engine(schema)
         self._build_membership()
         self._build_homes()
@@ -159,7 +164,7 @@
             OperatorService(instance=self),
         ]
         listen = self.settings.listen
-        self._server = Server(handlers)
+        self._server = ClosingServer(handlers)
         await self._server.start(listen.host, listen.port)
         log_event(Event.LISTENING, address=listen, incarnation=self.incarnation)
         self.configuration.load_initial()
@@ -189,6 +194,7 @@
         while self._busy() and time.monotonic() < give_up:  # noqa: ASYNC110
             # Several tables have to be empty at once, so no single event tells.
             await asyncio.sleep(DRAIN_STEP_S)
+        await asyncio.sleep(LAST_ANSWER_S)
         if self._busy():
             log_event(Event.DRAIN_TIMED_OUT, jobs=len(self.state.jobs_by_id))
 
@@ -203,6 +209,7 @@
         await self.targets.close()
         self.platform.close()
         if self._server is not None:
+            self._server.end_connections()
             # Callers keep connections open that nobody uses any more; the loop's
             # own wait would last until the last of them closes his.
             with contextlib.suppress(TimeoutError):
--- a/src/cassiaturn/server/_platform.py
+++ b/src/cassiaturn/server/_platform.py
@@ -1,5 +1,6 @@
 """Connections to the platform's services, as far as the settings name them."""
 
+from cassiaturn.observability import Metrics, ObservedTable
 from cassiaturn.platform import (
     HostList,
     HttpCaller,
@@ -17,7 +18,13 @@
 class Platform:
     """The three services; one that is not named is None."""
 
-    def __init__(self, *, settings: PlatformSettings, timings: TimingSettings) -> None:
+    def __init__(
+        self,
+        *,
+        settings: PlatformSettings,
+        timings: TimingSettings,
+        metrics: Metrics,
+    ) -> None:
         """Prepare the connections, which open on first use."""
         self._timeout_s = timings.store_timeout_ms / MILLISECONDS
         self._callers: list[HttpCaller] = []
@@ -25,7 +32,10 @@
         self.objects: ObjectStore | None = None
         self.hosts: HostList | None = None
         if settings.table_url:
-            self.table = HttpTableService(caller=self._caller(settings.table_url))
+            caller = self._caller(settings.table_url)
+            self.table = ObservedTable(
+                table=HttpTableService(caller=caller), metrics=metrics
+            )
         if settings.objects_url:
             self.objects = HttpObjectStore(caller=self._caller(settings.objects_url))
         if settings.hosts_url:
--- a/src/cassiaturn/server/_run.py
+++ b/src/cassiaturn/server/_run.py
@@ -76,7 +76,8 @@
             return EXIT_INVARIANT
         await instance.stop()
         await http.close()
-        instance.metrics.close()
+        # The last push to a collector that is gone takes its timeout.
+        await asyncio.to_thread(instance.metrics.close)
         if end is _End.STOP:
             return EXIT_OK
 
--- a/src/cassiaturn/server/_successor.py
+++ b/src/cassiaturn/server/_successor.py
@@ -44,6 +44,9 @@
 FENCE_TIMEOUT_S = 1.0
 """Longest wait for a target's answer to a fence, in seconds."""
 
+SHORTEST_S = 0.001
+"""Deadline of a submission that is resumed at its very end, in seconds."""
+
 RENEW_MS = 2_000
 """Lease that each fence gives to the dead home's running tasks. Nobody else
 renews them: without it a task longer than the rest of its lease would be stopped
@@ -138,9 +141,12 @@
                     return decision.answer
             else:
                 decisions = decision.decisions_by_index
-                waiting = any(isinstance(d, AwaitRunning) for d in decisions.values())
-                if not waiting or now >= deadline:
-                    return _resumed(submission, decisions)
+                if not any(isinstance(d, AwaitRunning) for d in decisions.values()):
+                    left_s = max(deadline - now, SHORTEST_S)
+                    return _resumed(submission, decisions, left_s)
+                if now >= deadline:
+                    # Passed on, a task that still runs would be started again.
+                    return _still_running(submission)
             self._start(self._step())
             await asyncio.sleep(STEP_S)
 
@@ -283,8 +289,19 @@
     )
 
 
+def _still_running(submission: Submission) -> Answer:
+    return Answer(
+        submission_id=submission.submission_id,
+        outcome=Outcome.UNKNOWN,
+        ran=Ran.MAYBE,
+        reason=Reason.DEADLINE,
+        detail="its home ended, and its tasks still run at the deadline",
+        tasks_total=len(submission.payloads),
+    )
+
+
 def _resumed(
-    submission: Submission, decisions_by_index: Mapping[int, object]
+    submission: Submission, decisions_by_index: Mapping[int, object], left_s: float
 ) -> Submission:
     adopted = {}
     awaited = {}
@@ -293,4 +310,12 @@
             adopted[index] = decision.begun.result
         elif isinstance(decision, RunAfter):
             awaited[index] = decision.at
-    return replace(submission, adopted=adopted, awaited=awaited, resumed=True)
+        elif not isinstance(decision, RunNow):
+            raise AssertionError(f"task {index} is resumed although {decision}")
+    return replace(
+        submission,
+        adopted=adopted,
+        awaited=awaited,
+        resumed=True,
+        deadline_s=left_s,
+    )
--- a/src/cassiaturn/server/tests/test_failures.py
+++ b/src/cassiaturn/server/tests/test_failures.py
@@ -105,17 +105,28 @@
     """
     async with fleet_with(platform, tmp_path, run_ms=2_500) as fleet:
         async with fleet.client() as client:
-            blocking = [order(f"block-{number}") for number in range(400)]
-            first = await ticket_of(client, fleet, 0)
-            busy = submit(client, fleet, first, blocking, index=0)
-            state = fleet.instances[0].state
-            await eventually(lambda: len(state.in_flight_by_key) >= 16)
+            blocking = [order(f"block-{number}") for number in range(100)]
+            busy = [
+                submit(
+                    client,
+                    fleet,
+                    await ticket_of(client, fleet, index),
+                    blocking,
+                    index=index,
+                )
+                for index in range(3)
+            ]
+            states = [instance.state for instance in fleet.instances]
+            # Every slot of the fleet is taken, so that the order has to wait.
+            await eventually(lambda: all(len(state.queue) > 50 for state in states))
+            state = states[0]
             ticket = await ticket_of(client, fleet, 0)
             job = submit(client, fleet, ticket, DECKS, index=0)
             await eventually(lambda: ticket in state.jobs_by_id)
             await fleet.kill(0)
             answer = await job
-            busy.cancel()
+            for one in busy:
+                one.cancel()
         assert answer.outcome is Outcome.NOT_RUN, answer
         assert answer.reason is Reason.SUPERSEDED
         started = {key.submission_id for key in fleet.starts_by_task()}
@@ -471,3 +482,30 @@
     async with fleet_with(platform, tmp_path):
         await eventually(lambda: not platform.state.table.read([old.key]))
         assert platform.state.table.read([young.key])
+
+
+async def test_a_task_that_still_runs_at_the_deadline_is_not_started_again(
+    tmp_path: Path, platform: PlatformStandIn
+) -> None:
+    """A home dies with long orders running; the caller's deadline comes first.
+
+    The successor knows that they run and has no results yet. It answers
+    "unknown", not as if they had never begun, and starts none of them again.
+    """
+    async with fleet_with(platform, tmp_path, run_ms=9_000) as fleet:
+        async with fleet.client() as client:
+            ticket = await ticket_of(client, fleet, 0)
+            job = asyncio.create_task(
+                client.submit(
+                    ORDER,
+                    DECKS,
+                    deadline_s=4.0,
+                    submission_id=ticket,
+                    address=fleet.addresses[0],
+                )
+            )
+            await eventually(lambda: len(fleet.starts_by_task()) == len(DECKS))
+            await fleet.kill(0)
+            answer = await job
+        assert answer.outcome is Outcome.UNKNOWN
+        assert set(fleet.starts_by_task().values()) == {1}
