End every call to a home that is given up

Ruled out: HTTP/2 pings as the means to notice a stopped instance (tried and taken back: calls stayed open); the store's budget (the takeover row stood within 20 ms, though each look spent a right to a write, which is mended). Change: a call looks at its own task; callers ask elsewhere after 2 s or 0.3 of their deadline.

--- a/src/cassiaturn/client/_client.py
+++ b/src/cassiaturn/client/_client.py
@@ -25,6 +25,9 @@
 """Statuses that a second try cannot mend."""
 
 
+HEDGE_IN_VAIN = 0.6
+"""Share of the time left from which a second call is not worth its message."""
+
 NEW_TICKET = frozenset({Reason.DRAINING, Reason.SUPERSEDED, Reason.HOME_UNREACHABLE})
 """Reasons of "not run" that concern an instance and not the request."""
 
@@ -48,9 +51,12 @@
     seconds: about the time of a restart."""
 
     hedge_after_s: float = 2.0
-    """Silence of a call after which the next instance is asked beside it, in
-    seconds: above most jobs, below the time in which a stopped home is given up.
-    Grows with each attempt, so that long jobs cost few messages."""
+    """Least silence of a call after which the next instance is asked beside it,
+    in seconds: above most jobs. Grows with each attempt."""
+
+    hedge_share: float = 0.3
+    """The same as a share of the deadline. Under overload an answer takes a good
+    part of its deadline, and a second call brings nothing but a message."""
 
     grace_s: float = 1.0
     """Time after the deadline in which a late final answer is still taken."""
@@ -271,6 +277,10 @@
         """
         answer = _unknown(request.submission_id, "no instance answered in time")
         give_up = deadline + self._settings.grace_s
+        patience = max(
+            self._settings.hedge_after_s,
+            self._settings.hedge_share * (deadline - time.monotonic()),
+        )
         pause = self._settings.resubmit_pause_s
         calls: set[asyncio.Task[Answer | None]] = set()
         attempt = 0
@@ -281,7 +291,10 @@
                 call = self._submit_once(address, request, left, unsent=unsent)
                 calls.add(asyncio.create_task(call))
                 attempt += 1
-                silence = min(self._settings.hedge_after_s * attempt, left)
+                silence = min(patience * attempt, left)
+                if patience * attempt >= HEDGE_IN_VAIN * left:
+                    # Too late for another instance to do what the first has not.
+                    silence = left
                 found, calls = await _next_answer(calls, silence)
                 if found is not None and found.is_final:
                     return found
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -160,8 +160,10 @@
             self._membership.disconnected(incarnation, time.monotonic())
             return None
         except asyncio.CancelledError:
-            # Either the caller hung up or the other instance was given up.
-            if call.cancelled() and incarnation not in self._calls_by_incarnation:
+            # Either the caller hung up, which cancels this task, or the other
+            # instance was given up, which cancels the call alone.
+            task = asyncio.current_task()
+            if task is not None and not task.cancelling():
                 return None
             call.cancel()
             raise
--- a/src/cassiaturn/server/_successor.py
+++ b/src/cassiaturn/server/_successor.py
@@ -185,11 +185,18 @@
     async def _step(self) -> None:
         self._table.observe_targets(tuple(self._addresses_by_target()))
         now = time.monotonic()
+        self._insert_due(now)
+        for due in self._table.fences_due(now):
+            self._start(self._fence(due))
+
+    def _insert_due(self, now: float) -> None:
+        takeovers = self._table.takeovers_by_dead.values()
+        # Asked first: the budget's right to a write is spent once it is given.
+        if not any(one.phase is TakeoverPhase.WANTED for one in takeovers):
+            return
         if self._store is not None and self._budget.may_write(now):
             for row in self._table.rows_due():
                 self._start(self._insert(row))
-        for due in self._table.fences_due(now):
-            self._start(self._fence(due))
 
     async def _insert(self, row: TakeoverRow) -> None:
         assert self._store is not None
--- a/src/cassiaturn/server/tests/test_failures.py
+++ b/src/cassiaturn/server/tests/test_failures.py
@@ -29,7 +29,7 @@
     RunnerFault,
 )
 from cassiaturn.submission import ClaimRow
-from cassiaturn.v1 import dispatcher_pb2
+from cassiaturn.v1 import dispatcher_pb2, peer_pb2
 
 DECKS = [order(f"deck-{number}") for number in range(4)]
 PROPS = [availability(f"prop-{number}") for number in range(4)]
@@ -509,3 +509,39 @@
             answer = await job
         assert answer.outcome is Outcome.UNKNOWN
         assert set(fleet.starts_by_task().values()) == {1}
+
+
+async def test_every_call_to_a_home_that_is_given_up_ends(
+    tmp_path: Path, platform: PlatformStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Two callers wait through one instance for a home that stands still.
+
+    The home is given up. The first call goes on at once with another instance;
+    the second must end too and not be taken for hung up by its caller.
+    """
+    async with fleet_with(platform, tmp_path) as fleet:
+        home, other = fleet.instances[0], fleet.instances[1]
+
+        async def stand_still(*_: object, **__: object) -> None:
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(home.homes, "submit", stand_still)
+        request = peer_pb2.ForwardRequest(
+            tenant="kwabena",
+            submit=dispatcher_pb2.SubmitRequest(submission_id="x", method=ORDER),
+        )
+
+        async def ask_twice() -> None:
+            first = await other.peers.forward(home.incarnation, request, timeout_s=30)
+            assert first is None
+            await other.peers.forward(home.incarnation, request, timeout_s=0.1)
+
+        async def ask() -> None:
+            last = await other.peers.forward(home.incarnation, request, timeout_s=30)
+            assert last is None
+
+        calls = [asyncio.create_task(ask_twice()), asyncio.create_task(ask())]
+        await asyncio.sleep(0.2)
+        other.peers._give_up_calls(home.incarnation)
+        async with asyncio.timeout(5):
+            await asyncio.gather(*calls)
