Charge what never ran nothing, and count refused starts by themselves

Cause, from the review of the policy's use: a popped task that was skipped, lost or refused at a peer's behalf stayed charged to its tenant, and three busy refusals used up the attempts of a task that never ran. Change: each way out of the engine tells the queue what the task held; refusals have a count of their own; shares of the policy are checked as shares.

--- a/src/cassiaturn/engine/_dispatch.py
+++ b/src/cassiaturn/engine/_dispatch.py
@@ -45,10 +45,12 @@
             return
         record = state.records_by_key.get(task.key)
         if record is None or record.state is not TaskState.QUEUED:
+            charge_popped(state, task, 0.0)
             continue
         if record.task.start_by <= now:
             # After a pause an event may come before the tick that expires the
             # queue; a start sent now could begin after its home gave it up.
+            charge_popped(state, task, 0.0)
             expire_record(state, record, now)
             continue
         target = _choose(state, task, now)
@@ -106,6 +108,22 @@
     return_refusal(state, record, runner_pb2.REFUSAL_REASON_LATE, now)
 
 
+def charge_popped(state: State, task: QueuedTask, held_s: float) -> None:
+    """Tell the queue how long a task that it gave out held a slot.
+
+    A task is charged its expected run when it is popped. One that never ran, or
+    was lost, must be corrected, or its tenant stays charged for good.
+
+    :param held_s: seconds; 0: it never began.
+    """
+    state.queue.charge(
+        tenant=task.tenant,
+        caller=task.caller,
+        submission_id=task.key.submission_id,
+        run_s=held_s,
+    )
+
+
 def release(state: State, record: TaskRecord) -> None:
     """Give back the slot of a task that its target no longer runs."""
     state.in_flight_by_key.pop(record.key, None)
@@ -156,14 +174,15 @@
         if popped is None:
             return False
         record = state.records_by_key.get(popped.key)
-        if record is not None and record.state is TaskState.QUEUED:
-            _give(state, record, peer, now)
+        is_queued = record is not None and record.state is TaskState.QUEUED
+        if record is None or not is_queued or not _give(state, record, peer, now):
+            charge_popped(state, popped, 0.0)
 
 
-def _give(state: State, record: TaskRecord, peer: PeerRow, now: float) -> None:
+def _give(state: State, record: TaskRecord, peer: PeerRow, now: float) -> bool:
     within_s = min(state.settings.spill_within_s, record.task.start_by - now)
     if within_s <= 0:
-        return
+        return False
     record.state = TaskState.SPILLED
     record.peer = peer.incarnation
     _note_sent(state, record, now, within_s)
@@ -171,6 +190,7 @@
     state.counters.spills += 1
     job = state.jobs_by_id[record.key.submission_id]
     state.ports.spill(record, within_s=within_s, job_remaining=job.remaining)
+    return True
 
 
 def _is_own(state: State, task: QueuedTask) -> bool:
--- a/src/cassiaturn/engine/_results.py
+++ b/src/cassiaturn/engine/_results.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from cassiaturn.engine._dispatch import release
+from cassiaturn.engine._dispatch import charge_popped, release
 from cassiaturn.engine._returns import return_lost, return_refusal, return_result
 from cassiaturn.engine._settle import settle_complete, settle_incomplete
 from cassiaturn.engine._state import State
@@ -40,6 +40,7 @@
     if record.state is TaskState.CANCELLED:
         state.records_by_key.pop(record.key, None)
         state.health.refused(target_id, None, now, key=record.key)
+        charge_popped(state, record.task, run_s)
         state.ports.acknowledge(target_id, record.key, record.task.attempt)
         return record
     seen_s = now - record.sent_at
@@ -63,6 +64,7 @@
     if record.state not in (TaskState.RUNNING, TaskState.CANCELLED):
         return
     release(state, record)
+    charge_popped(state, record.task, 0.0)
     state.counters.refused_starts += 1
     state.health.refused(target_id, refusal.reason, now, key=record.key)
     _mark_target(state, target_id, refusal.reason, now)
@@ -78,8 +80,6 @@
 def take_refusal(state: State, record: TaskRecord, reason: int, now: float) -> None:
     """Decide, at its home, what becomes of a task whose start was refused."""
     job = state.jobs_by_id[record.key.submission_id]
-    # A popped task was charged its expected run; it took none.
-    _uncharge(state, record)
     if reason == pb.REFUSAL_REASON_FENCED:
         # A successor holds this incarnation's submissions. Whatever it decided
         # stands, so nothing more may be said here than that we do not know.
@@ -104,7 +104,9 @@
     if outcome.HasField("result"):
         _charge(state, record, outcome.result.run_ms / 1000)
         _take_result(state, record, outcome.result, now)
-    elif outcome.target_lost:
+        return
+    charge_popped(state, record.task, 0.0)
+    if outcome.target_lost:
         take_lost(state, record, now)
     else:
         state.counters.refused_spills += 1
@@ -153,6 +155,7 @@
     state.health.lost(target_id, now)
     for record in lost:
         release(state, record)
+        charge_popped(state, record.task, now - record.sent_at)
         if record.state is TaskState.CANCELLED:
             state.records_by_key.pop(record.key, None)
         elif record.origin is not None:
@@ -207,6 +210,7 @@
     :param never_begun: whether no run of it ever began; otherwise its run is over.
     """
     state.in_flight_by_key.pop(record.key, None)
+    charge_popped(state, record.task, 0.0)
     if never_begun:
         take_refusal(state, record, pb.REFUSAL_REASON_LATE, now)
     else:
@@ -253,8 +257,15 @@
 ) -> None:
     record.target_id = ""
     record.peer = ""
+    # Refused starts are paced by their own count: three busy targets must not
+    # use up the attempts of a task that never ran.
+    if first_run is FirstRun.NEVER_BEGUN:
+        record.refusals += 1
+        attempt = record.refusals
+    else:
+        attempt = record.task.attempt + 1 - record.refusals
     decision = state.retries.decide(
-        attempt=record.task.attempt,
+        attempt=attempt,
         repeatable=record.method.repeatable,
         first_run=first_run,
         now=now,
@@ -262,7 +273,8 @@
     job = state.jobs_by_id[record.key.submission_id]
     if not isinstance(decision, Retry):
         record.state = TaskState.DELAYED
-        detail = f"task {record.key.task_index}: {decision.reason}"
+        cause = decision.reason.name.lower()
+        detail = f"task {record.key.task_index} was given up: {cause}"
         settle_incomplete(state, job, reason, detail, now)
         return
     # Every start has its own attempt number, so that a late refusal or result
@@ -294,27 +306,13 @@
 
 
 def _charge(state: State, record: TaskRecord, run_s: float) -> None:
-    state.queue.charge(
-        tenant=record.task.tenant,
-        caller=record.task.caller,
-        submission_id=record.key.submission_id,
-        run_s=run_s,
-    )
+    charge_popped(state, record.task, run_s)
     request_class = record.method.request_class
     state.admission.observe_run(record.method.name, request_class, run_s)
     mean_s = state.mean_run_s_by_class[request_class]
     state.mean_run_s_by_class[request_class] = mean_s + MEAN_RATE * (run_s - mean_s)
 
 
-def _uncharge(state: State, record: TaskRecord) -> None:
-    state.queue.charge(
-        tenant=record.task.tenant,
-        caller=record.task.caller,
-        submission_id=record.key.submission_id,
-        run_s=0.0,
-    )
-
-
 def _record_of(state: State, ref: pb.TaskRef) -> TaskRecord | None:
     record = state.records_by_key.get(_key(ref))
     if record is None or record.task.attempt != ref.attempt:
--- a/src/cassiaturn/engine/_sweep.py
+++ b/src/cassiaturn/engine/_sweep.py
@@ -1,6 +1,11 @@
 """What runs over the tables each tick: deadlines, leases, lost tasks, health."""
 
-from cassiaturn.engine._dispatch import dispatch, expire_record, release
+from cassiaturn.engine._dispatch import (
+    charge_popped,
+    dispatch,
+    expire_record,
+    release,
+)
 from cassiaturn.engine._results import take_lost
 from cassiaturn.engine._returns import return_lost, trim_returned
 from cassiaturn.engine._settle import settle_incomplete
@@ -75,6 +80,7 @@
     if now < record.over_by:
         return
     release(state, record)
+    charge_popped(state, record.task, now - record.sent_at)
     if record.state is TaskState.CANCELLED:
         state.records_by_key.pop(record.key, None)
     elif record.origin is not None:
@@ -101,6 +107,7 @@
     if now < record.over_by or record.peer in state.peers_by_incarnation:
         return
     state.in_flight_by_key.pop(record.key, None)
+    charge_popped(state, record.task, 0.0)
     take_lost(state, record, now)
 
 
--- a/src/cassiaturn/engine/_tables.py
+++ b/src/cassiaturn/engine/_tables.py
@@ -62,6 +62,9 @@
     peer: str = ""
     """Incarnation of the peer that has it, while ``SPILLED``."""
 
+    refusals: int = 0
+    """Starts of it that were refused, so that they never ran."""
+
     sent_at: float = 0.0
     """When the start or the spill was sent, in seconds."""
 
--- a/src/cassiaturn/settings/_policy.py
+++ b/src/cassiaturn/settings/_policy.py
@@ -20,15 +20,21 @@
 
 SHARES = frozenset(
     {
+        "busy_share",
         "claim_share",
         "ejected_share",
+        "failure_margin",
         "failure_share",
         "floor_by_class",
         "hysteresis",
+        "least_share_by_class",
         "learning_rate",
         "resume",
         "safety",
         "share",
+        "slow_margin",
+        "slow_share",
+        "spare_share_by_class",
     }
 )
 """Tunables that are a part of a whole: at most 1."""
