--- a/src/cassiaturn/server/_homes.py
+++ b/src/cassiaturn/server/_homes.py
@@ -126,7 +126,7 @@
             hops=hops + 1,
         )
         wait_s = submission.deadline_s or LONGEST_WAIT_S
-        reply = await self._peers.forward(owner, request, timeout_s=wait_s)
+        reply = await self._peers.forwards.forward(owner, request, timeout_s=wait_s)
         if reply is None:
             reply = await self._ask_monitors(owner, request, wait_s)
         if reply is None:
@@ -140,7 +140,7 @@
         if request.hops >= MAX_HOPS or self._peers.hears(owner):
             return None
         for instance_id in self._peers.monitors_of(owner)[:MONITORS_ASKED]:
-            reply = await self._peers.forward_to(
+            reply = await self._peers.forwards.forward_to(
                 instance_id, owner, request, timeout_s=wait_s
             )
             if reply is not None:
@@ -167,7 +167,7 @@
         )
         reply = None
         if owner is not None and hops < MAX_HOPS:
-            reply = await self._peers.forward(owner, request, timeout_s=2.0)
+            reply = await self._peers.forwards.forward(owner, request, timeout_s=2.0)
         if reply is None:
             return unreachable(submission_id, home)
         return Answer.from_message(reply.answer)
@@ -198,7 +198,9 @@
         )
         reply = None
         if owner not in (None, self._me) and hops < MAX_HOPS:
-            reply = await self._peers.forward(str(owner), request, timeout_s=2.0)
+            reply = await self._peers.forwards.forward(
+                str(owner), request, timeout_s=2.0
+            )
         if reply is None:
             return False, unreachable(submission_id, home)
         return reply.cancelled, Answer.from_message(reply.answer)
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -5,9 +5,6 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from functools import partial
 
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
-
 from cassiaturn.engine import (
     State,
     dispatch,
@@ -29,16 +26,10 @@
 )
 from cassiaturn.observability import Direction, Event, Metrics, WastedMessage, log_event
 from cassiaturn.policy import PeerRow, RoomNotices
+from cassiaturn.server._forwards import Forwards
 from cassiaturn.server._link import FrameStream, Link, LinkDialer
 from cassiaturn.submission import booted_ms, instance_of
 from cassiaturn.v1 import peer_pb2
-from cassiaturn.v1.peer_grpc import PeerStub
-
-FORWARD_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
-"""What a forwarded call raises when the other instance is lost."""
-
-FORWARD_GRACE_S = 0.5
-"""Time beyond a caller's deadline in which the home's answer is awaited."""
 
 FETCH_TIMEOUT_S = 1.0
 """Longest wait for a peer's shared configuration, in seconds."""
@@ -83,10 +74,9 @@
         self._full_links = full_links
         self._near_links = MembershipSettings().near_links
         self._dialers_by_instance: dict[str, asyncio.Task[None]] = {}
-        self._channels_by_instance: dict[str, Channel] = {}
-        self._calls_by_incarnation: dict[
-            str, set[asyncio.Task[peer_pb2.ForwardReply]]
-        ] = {}
+        self.forwards = Forwards(membership=membership)
+        for instance_id, address in addresses_by_instance.items():
+            self.forwards.know(instance_id, address)
         self.domains_by_incarnation: dict[str, set[str]] = {}
         """Failure domains where an incarnation ever held targets."""
         self._ended: set[str] = set()
@@ -101,9 +91,7 @@
         dialer = self._dialers_by_instance.pop(instance_id, None)
         if dialer is not None:
             dialer.cancel()
-        channel = self._channels_by_instance.pop(instance_id, None)
-        if channel is not None:
-            channel.close()
+        self.forwards.know(instance_id, address)
 
     def is_gone(self, incarnation: str) -> bool:
         """Whether an incarnation has ended or was silent for too long."""
@@ -126,56 +114,6 @@
         if booted_ms(incarnation) < booted_ms(known):
             self._ended.add(incarnation)
 
-    async def forward(
-        self, incarnation: str, request: peer_pb2.ForwardRequest, *, timeout_s: float
-    ) -> peer_pb2.ForwardReply | None:
-        """Return the reply of another instance; None if it was not had."""
-        return await self.forward_to(
-            instance_of(incarnation) or "", incarnation, request, timeout_s=timeout_s
-        )
-
-    async def forward_to(
-        self,
-        instance_id: str,
-        incarnation: str,
-        request: peer_pb2.ForwardRequest,
-        *,
-        timeout_s: float,
-    ) -> peer_pb2.ForwardReply | None:
-        """Return the reply of an instance; None if it was not had.
-
-        :param incarnation: the call ends when this one is given up.
-        """
-        channel = self._channel_to(instance_id)
-        if channel is None:
-            return None
-        call = asyncio.create_task(
-            PeerStub(channel).Forward(request, timeout=timeout_s + FORWARD_GRACE_S)
-        )
-        calls = self._calls_by_incarnation.setdefault(incarnation, set())
-        calls.add(call)
-        try:
-            return await call
-        except FORWARD_ERRORS:
-            self._membership.disconnected(incarnation, time.monotonic())
-            return None
-        except asyncio.CancelledError:
-            # Either the caller hung up, which cancels this task, or the other
-            # instance was given up, which cancels the call alone.
-            task = asyncio.current_task()
-            if task is not None and not task.cancelling():
-                return None
-            call.cancel()
-            raise
-        finally:
-            calls.discard(call)
-
-    def _give_up_calls(self, incarnation: str) -> None:
-        # A stopped process keeps its connections open: its callers would wait
-        # until their deadlines although a successor can answer by now.
-        for call in self._calls_by_incarnation.pop(incarnation, set()):
-            call.cancel()
-
     async def fetch_configuration(self, version: int) -> str | None:
         """Return the shared configuration of a member that told a version."""
         for row in self._membership.members_by_id.values():
@@ -183,7 +121,9 @@
                 continue
             request = peer_pb2.ForwardRequest(wants_configuration=True)
             incarnation = row.facts.incarnation
-            reply = await self.forward(incarnation, request, timeout_s=FETCH_TIMEOUT_S)
+            reply = await self.forwards.forward(
+                incarnation, request, timeout_s=FETCH_TIMEOUT_S
+            )
             if reply is not None and reply.configuration_json:
                 return reply.configuration_json
         return None
@@ -259,22 +199,11 @@
             dialer.cancel()
         for link in list(self.links_by_incarnation.values()):
             link.closed.set()
-        for channel in self._channels_by_instance.values():
-            channel.close()
+        self.forwards.close()
         dialers = self._dialers_by_instance.values()
         if dialers:
             await asyncio.wait(dialers, timeout=CLOSE_TIMEOUT_S)
 
-    def _channel_to(self, instance_id: str) -> Channel | None:
-        channel = self._channels_by_instance.get(instance_id)
-        if channel is None:
-            address = self._addresses_by_instance.get(instance_id)
-            if address is None:
-                return None
-            channel = Channel(address.host, address.port)
-            self._channels_by_instance[instance_id] = channel
-        return channel
-
     def _dial(self, now: float) -> None:
         # One side opens a link, the lower id, so that there is one a pair.
         me = self._membership.me.facts.instance_id
@@ -351,7 +280,7 @@
             self._ended.add(change.incarnation)
         if change.after is MemberState.GONE or change.superseded_by:
             on_peer_gone(self._state, change.incarnation, now)
-            self._give_up_calls(change.incarnation)
+            self.forwards.give_up(change.incarnation)
             self._notices.forget(change.incarnation)
         else:
             ready = change.after is MemberState.READY
--- a/src/cassiaturn/server/tests/fleet.py
+++ b/src/cassiaturn/server/tests/fleet.py
@@ -11,7 +11,7 @@
 from grpclib.protocol import H2Protocol
 
 from cassiaturn.client import Client
-from cassiaturn.entities import Address, Schema, TaskKey
+from cassiaturn.entities import Address, Answer, Schema, TaskKey
 from cassiaturn.policy import TargetRow
 from cassiaturn.server import Instance
 from cassiaturn.settings import (
@@ -23,6 +23,7 @@
 )
 from cassiaturn.standins import (
     JournalEvent,
+    PlatformStandIn,
     RunnerHost,
     RunnerHostSettings,
     RunnerSettings,
@@ -79,6 +80,10 @@
     return props_pb2.OrderRequest(deck_id=deck_id).SerializeToString()
 
 
+DECKS = [order(f"deck-{number}") for number in range(4)]
+PROPS = [availability(f"prop-{number}") for number in range(4)]
+
+
 class Fleet:
     """Some instances over two failure domains with the targets of both."""
 
@@ -239,3 +244,32 @@
             ),
             configuration_file=self.directory / "shared.yaml",
         )
+
+
+def fleet_with(
+    platform: PlatformStandIn, directory: Path, *, run_ms: float = 100.0
+) -> Fleet:
+    return Fleet(
+        directory=directory,
+        table_url=f"http://127.0.0.1:{platform.port}",
+        run_ms=run_ms,
+    )
+
+
+async def ticket_of(client: Client, fleet: Fleet, index: int) -> str:
+    ticket, _ = await client._take_ticket([fleet.addresses[index]], 1e9)
+    return ticket
+
+
+def submit(
+    client: Client, fleet: Fleet, ticket: str, tasks: list[bytes], *, index: int
+) -> "asyncio.Task[Answer]":
+    return asyncio.create_task(
+        client.submit(
+            ORDER,
+            tasks,
+            deadline_s=20,
+            submission_id=ticket,
+            address=fleet.addresses[index],
+        )
+    )
