Say not run of a request that never got a ticket

Cause, from the review of the command line: without any instance a caller was told unknown of an id that nobody had seen, and that id could still be sent; an id that nobody claimed was blamed on the table. Change: no ticket, no submission, and a true not run; collecting an id without a claim says that no record is left; callers can take a ticket before the job, which replaces the command line's own call.

--- a/src/cassiaturn/cli/_jobs.py
+++ b/src/cassiaturn/cli/_jobs.py
@@ -9,7 +9,7 @@
 import typer
 from returns.pipeline import is_successful
 
-from cassiaturn.cli._callers import Connection, connect, issue_ticket
+from cassiaturn.cli._callers import Connection, connect
 from cassiaturn.cli._connection import AddressesOption
 from cassiaturn.cli._exit import ExitCode
 from cassiaturn.cli._output import JsonOption, fail, print_json
@@ -158,11 +158,10 @@
     submission_id: str | None,
     deadline_s: float,
 ) -> "Answer":
-    home = None
-    if submission_id is None:
-        home = await issue_ticket(connection)
-    chosen = submission_id if home is None else home.submission_id
     async with connection.open() as client:
+        # An id of its own lets the job's progress be watched while it runs.
+        home = None if submission_id else await client.ticket()
+        chosen = submission_id if home is None else home.submission_id
         progress = asyncio.create_task(_show_progress(client, chosen))
         try:
             return await client.submit(
--- a/src/cassiaturn/client/__init__.py
+++ b/src/cassiaturn/client/__init__.py
@@ -1,6 +1,6 @@
 """Callers' client: submissions that stay idempotent when hosts fail."""
 
-from cassiaturn.client._client import Client, ClientSettings
+from cassiaturn.client._client import Client, ClientSettings, Ticket
 from cassiaturn.client._metadata import (
     CALLER_KEY,
     OUTCOME_KEY,
@@ -15,4 +15,5 @@
     "OUTCOME_KEY",
     "SUBMISSION_KEY",
     "TENANT_KEY",
+    "Ticket",
 ]
--- a/src/cassiaturn/client/_client.py
+++ b/src/cassiaturn/client/_client.py
@@ -32,6 +32,21 @@
 """Reasons of "not run" that concern an instance and not the request."""
 
 
+SHORTEST_S = 0.001
+"""Deadline of a request whose time ran out while a ticket was fetched."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """A submission id and its home; take one to name a job before it is sent."""
+
+    submission_id: str
+    """The id."""
+
+    address: Address
+    """The instance that issued it and is its home."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientSettings:
     """How a client fetches tickets and resubmits."""
@@ -141,10 +156,14 @@
             request = _to_request(submission_id, method, tasks, deadline_s)
             return await self._until_final(request, order, deadline, is_new=False)
         while True:
-            ticket, order = await self._take_ticket(order, deadline)
-            left = max(0.001, deadline - time.monotonic())
-            request = _to_request(ticket, method, tasks, left)
-            answer = await self._until_final(request, order, deadline, is_new=True)
+            ticket = await self._take_ticket(order, deadline)
+            if ticket is None:
+                return _not_sent(tasks)
+            left = max(SHORTEST_S, deadline - time.monotonic())
+            request = _to_request(ticket.submission_id, method, tasks, left)
+            others = [other for other in order if other != ticket.address]
+            way = [ticket.address, *others]
+            answer = await self._until_final(request, way, deadline, is_new=True)
             # Nothing ran and nothing will under this ticket, for a reason that
             # does not concern the request, so another ticket is no second run.
             again = answer.outcome is Outcome.NOT_RUN and answer.reason in NEW_TICKET
@@ -227,19 +246,28 @@
         until = time.monotonic() + self._settings.avoid_refused_s
         self._refused_until_by_address[address] = until
 
+    async def ticket(
+        self, *, address: Address | None = None, timeout_s: float = 1.0
+    ) -> Ticket | None:
+        """Return a submission id before its submission, to watch or send it again.
+
+        :param address: the instance to ask first; default: any.
+        :param timeout_s: longest time to ask for one, in seconds.
+        :returns: None if no instance gave one; nothing was submitted then.
+        """
+        order = self._order(address)
+        return await self._take_ticket(order, time.monotonic() + timeout_s)
+
     async def _take_ticket(
-        self, order: list[Address], deadline: float
-    ) -> tuple[str, list[Address]]:
+        self, order: Sequence[Address], deadline: float
+    ) -> Ticket | None:
         while True:
             for address in order:
                 ticket = await self._ticket_from(address, deadline)
                 if ticket is not None:
-                    rest = [other for other in order if other != address]
-                    return ticket, [address, *rest]
+                    return Ticket(submission_id=ticket, address=address)
             if time.monotonic() >= deadline:
-                # Nothing was submitted, so an id of our own is safe: no
-                # instance ever sees it.
-                return f"unsent-{self._random.getrandbits(64):016x}", order
+                return None
             await asyncio.sleep(self._settings.resubmit_pause_s)
 
     async def _ticket_from(self, address: Address, deadline: float) -> str | None:
@@ -355,6 +383,17 @@
     )
 
 
+def _not_sent(tasks: Sequence[bytes]) -> Answer:
+    return Answer(
+        submission_id="",
+        outcome=Outcome.NOT_RUN,
+        ran=Ran.NOTHING,
+        reason=Reason.HOME_UNREACHABLE,
+        detail="no instance gave a ticket, so nothing was submitted",
+        tasks_total=len(tasks),
+    )
+
+
 def _not_run(request: pb.SubmitRequest, reason: Reason, detail: str) -> Answer:
     return Answer(
         submission_id=request.submission_id,
--- a/src/cassiaturn/server/_claims.py
+++ b/src/cassiaturn/server/_claims.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
+from enum import Enum, auto
 
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Success
@@ -37,6 +38,16 @@
 _ROWS = TypeAdapter(ClaimRow)
 
 
+class LookUp(Enum):
+    """Why no home is known for a caller's own id."""
+
+    ABSENT = auto()
+    """The table holds no claim of it."""
+
+    UNKNOWN = auto()
+    """The table did not answer, or may not be asked now."""
+
+
 class ClaimWriter:
     """Runs the ledger of claims against the table service."""
 
@@ -115,10 +126,10 @@
                 self._budget.failed(time.monotonic())
                 return ()
 
-    async def look_up(self, submission_id: str) -> str | None:
-        """Return the home in the claim row of an id; None if not known."""
+    async def look_up(self, submission_id: str) -> str | LookUp:
+        """Return the home in the claim row of an id, or why there is none."""
         if self._table is None or not self._budget.may_read(time.monotonic()):
-            return None
+            return LookUp.UNKNOWN
         self.reads += 1
         key = claim_key(submission_id)
         match await self._table.read([key]):
@@ -126,10 +137,10 @@
                 self._budget.succeeded(time.monotonic())
                 claims = claims_of(rows.values())
                 found = claims.get(submission_id)
-                return found.home if found else None
+                return found.home if found else LookUp.ABSENT
             case _:
                 self._budget.failed(time.monotonic())
-                return None
+                return LookUp.UNKNOWN
 
     async def run(self) -> None:
         """Write batches until cancelled."""
--- a/src/cassiaturn/server/_homes.py
+++ b/src/cassiaturn/server/_homes.py
@@ -7,7 +7,7 @@
 
 from cassiaturn.engine import State, Submission, cancel, dispatch, pending, submit
 from cassiaturn.entities import Answer, Outcome, Ran, Reason
-from cassiaturn.server._claims import ClaimWriter
+from cassiaturn.server._claims import ClaimWriter, LookUp
 from cassiaturn.server._peers import PeerBook
 from cassiaturn.server._ports import ServerPorts
 from cassiaturn.server._successor import Successor
@@ -281,7 +281,13 @@
         if self._state.submissions.get(submission_id) is not None:
             return self._me
         found = await self._claims.look_up(submission_id)
-        return found if found is not None else _store_unreachable(submission_id)
+        match found:
+            case LookUp.ABSENT:
+                return self._state.submissions.forgotten_answer(submission_id)
+            case LookUp.UNKNOWN:
+                return _store_unreachable(submission_id)
+            case _:
+                return found
 
     def _own_row(self, submission_id: str) -> str | Answer:
         # The claim is this process's own but the record was dropped: starting
--- a/src/cassiaturn/server/tests/fleet.py
+++ b/src/cassiaturn/server/tests/fleet.py
@@ -257,8 +257,9 @@
 
 
 async def ticket_of(client: Client, fleet: Fleet, index: int) -> str:
-    ticket, _ = await client._take_ticket([fleet.addresses[index]], 1e9)
-    return ticket
+    ticket = await client.ticket(address=fleet.addresses[index], timeout_s=PATIENCE_S)
+    assert ticket is not None
+    return ticket.submission_id
 
 
 def submit(
--- a/src/cassiaturn/server/tests/test_whole_path.py
+++ b/src/cassiaturn/server/tests/test_whole_path.py
@@ -11,6 +11,7 @@
     availability,
     eventually,
     order,
+    ticket_of,
 )
 from cassiaturn_examples.kwabena import props_pb2
 
@@ -37,7 +38,7 @@
     one answer, and each task was started once.
     """
     async with Fleet(directory=tmp_path) as fleet, fleet.client() as client:
-        ticket, _ = await client._take_ticket(list(fleet.addresses), 1e9)
+        ticket = await ticket_of(client, fleet, 0)
         answers = await asyncio.gather(
             *(
                 client.submit(
@@ -108,7 +109,7 @@
     """
     fleet = Fleet(directory=tmp_path, domains=("osu",), run_ms=2_000)
     async with fleet, fleet.client() as client:
-        ticket, _ = await client._take_ticket(list(fleet.addresses), 1e9)
+        ticket = await ticket_of(client, fleet, 0)
         tasks = [order(f"deck-{number}") for number in range(40)]
         job = asyncio.create_task(
             client.submit(ORDER, tasks, deadline_s=30, submission_id=ticket)
