Keep no payload of a result that waits for its acknowledgement

Cause: under 17,936 starts/s an instance took 142.8 MiB: acknowledgements wait for 15 s and kept whole records. Change: they keep target, key and attempt. Conclusion: the rest is libraries (57 MiB) and answers kept for resubmissions.

--- a/src/cassiaturn/engine/_state.py
+++ b/src/cassiaturn/engine/_state.py
@@ -6,6 +6,7 @@
 
 from cassiaturn.engine._ports import Ports
 from cassiaturn.engine._tables import (
+    Acknowledgement,
     Counters,
     EngineSettings,
     Job,
@@ -75,7 +76,7 @@
         self.draining = False
         """True during a planned stop: nothing new is taken."""
         self.failures_in_row_by_target: Counter[str] = Counter()
-        self._acknowledgements: deque[tuple[float, TaskRecord]] = deque()
+        self._acknowledgements: deque[Acknowledgement] = deque()
         self.blocked_until_by_target: dict[str, float] = {}
         self.quota_share_by_tenant: dict[str, float] = {}
         self.mean_run_s_by_class: dict[RequestClass, float] = dict.fromkeys(
@@ -107,13 +108,21 @@
         outlives this process; an early acknowledgement leaves a successor with
         proof that the task ran and no result to answer with.
         """
-        due = now + self.settings.result_kept_s
-        self._acknowledgements.append((due, record))
+        # The record itself would keep its payload: at 18,000 starts a second the
+        # process took 143 MiB with it and takes 97 without.
+        self._acknowledgements.append(
+            Acknowledgement(
+                due_at=now + self.settings.result_kept_s,
+                target_id=record.target_id,
+                key=record.key,
+                attempt=record.task.attempt,
+            )
+        )
 
-    def pop_acknowledgement(self, now: float) -> TaskRecord | None:
-        """Return a record whose result its target may forget, if there is one."""
-        if self._acknowledgements and self._acknowledgements[0][0] <= now:
-            return self._acknowledgements.popleft()[1]
+    def pop_acknowledgement(self, now: float) -> Acknowledgement | None:
+        """Return a result that its target may forget now, if there is one."""
+        if self._acknowledgements and self._acknowledgements[0].due_at <= now:
+            return self._acknowledgements.popleft()
         return None
 
     def pop_due(self, now: float) -> TaskRecord | None:
--- a/src/cassiaturn/engine/_sweep.py
+++ b/src/cassiaturn/engine/_sweep.py
@@ -119,9 +119,8 @@
 
 
 def _acknowledge(state: State, now: float) -> None:
-    while (record := state.pop_acknowledgement(now)) is not None:
-        attempt = record.task.attempt
-        state.ports.acknowledge(record.target_id, record.key, attempt)
+    while (due := state.pop_acknowledgement(now)) is not None:
+        state.ports.acknowledge(due.target_id, due.key, due.attempt)
 
 
 def _unblock(state: State, now: float) -> None:
--- a/src/cassiaturn/engine/_tables.py
+++ b/src/cassiaturn/engine/_tables.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import NamedTuple
 
 from cassiaturn.entities import Method, RequestClass, TaskKey
 from cassiaturn.policy import QueuedTask
@@ -31,6 +32,22 @@
     """Its job was settled before it ended."""
 
 
+class Acknowledgement(NamedTuple):
+    """A result that its target may forget after a time."""
+
+    due_at: float
+    """When, in seconds."""
+
+    target_id: str
+    """The target."""
+
+    key: TaskKey
+    """The task."""
+
+    attempt: int
+    """The attempt whose result was taken."""
+
+
 @dataclass(slots=True, kw_only=True)
 class TaskRecord:
     """One task, at its home or at the holder that a peer gave it to."""
