Give statuses of runs, refusals and unknown answers one place each

Cause: the same statuses stood in recovery and in the stand-ins, and nine answers unknown were spelled out in four files. Change: both enums live with the shared values, an unknown answer has a constructor; no behaviour changes. Conclusion: one place to read each.

--- a/src/cassiaturn/engine/_intake.py
+++ b/src/cassiaturn/engine/_intake.py
@@ -3,7 +3,7 @@
 from cassiaturn.engine._settle import settle_not_run
 from cassiaturn.engine._state import State
 from cassiaturn.engine._tables import Job, Submission, TaskRecord, TaskState
-from cassiaturn.entities import Answer, Method, Outcome, Ran, Reason, TaskKey
+from cassiaturn.entities import Answer, Method, Outcome, Reason, TaskKey
 from cassiaturn.policy import AdmissionRequest, Admit, LoadView, QueuedTask
 from cassiaturn.submission import (
     Expired,
@@ -225,33 +225,27 @@
 def _starting(submission_id: str) -> Answer:
     # Refusing the tenant before the configuration is known would be final for
     # the id, and wrong.
-    return Answer(
-        submission_id=submission_id,
-        outcome=Outcome.UNKNOWN,
-        ran=Ran.MAYBE,
-        reason=Reason.HOME_UNREACHABLE,
-        detail="its home is starting and has no shared configuration yet",
+    return Answer.unknown(
+        submission_id,
+        Reason.HOME_UNREACHABLE,
+        "its home is starting and has no shared configuration yet",
         retry_after_ms=STARTING_RETRY_MS,
     )
 
 
 def _superseded(submission_id: str) -> Answer:
-    return Answer(
-        submission_id=submission_id,
-        outcome=Outcome.UNKNOWN,
-        ran=Ran.MAYBE,
-        reason=Reason.SUPERSEDED,
-        detail="another instance took over; submit the same id there",
+    return Answer.unknown(
+        submission_id,
+        Reason.SUPERSEDED,
+        "another instance took over; submit the same id there",
     )
 
 
 def _mismatch(submission_id: str) -> Answer:
     # The id belongs to another request. Its own answer must not leak, and "not
     # run" would be false of the id, so this is an answer to the call alone.
-    return Answer(
-        submission_id=submission_id,
-        outcome=Outcome.UNKNOWN,
-        ran=Ran.MAYBE,
-        reason=Reason.MISMATCH,
-        detail="this id was used for another request; submit under a new id",
+    return Answer.unknown(
+        submission_id,
+        Reason.MISMATCH,
+        "this id was used for another request; submit under a new id",
     )
--- a/src/cassiaturn/entities/__init__.py
+++ b/src/cassiaturn/entities/__init__.py
@@ -3,6 +3,7 @@
 from cassiaturn.entities._address import Address
 from cassiaturn.entities._answer import Answer, Outcome, Ran, Reason
 from cassiaturn.entities._method import Method, RequestClass, Resources
+from cassiaturn.entities._run import Refusal, RunStatus
 from cassiaturn.entities._schema import Schema, SchemaError
 from cassiaturn.entities._task import TaskKey
 
@@ -13,8 +14,10 @@
     "Outcome",
     "Ran",
     "Reason",
+    "Refusal",
     "RequestClass",
     "Resources",
+    "RunStatus",
     "Schema",
     "SchemaError",
     "TaskKey",
--- a/src/cassiaturn/entities/_answer.py
+++ b/src/cassiaturn/entities/_answer.py
@@ -86,6 +86,30 @@
     result_object: str = ""
     """Key in the object store, in place of results too large to keep."""
 
+    @classmethod
+    def unknown(
+        cls,
+        submission_id: str,
+        reason: "Reason",
+        detail: str,
+        *,
+        retry_after_ms: int = 0,
+        tasks_total: int = 0,
+    ) -> "Answer":
+        """Return the answer of one who cannot say truthfully what ran.
+
+        It is not final: whoever can say more may answer later.
+        """
+        return cls(
+            submission_id=submission_id,
+            outcome=Outcome.UNKNOWN,
+            ran=Ran.MAYBE,
+            reason=reason,
+            detail=detail,
+            retry_after_ms=retry_after_ms,
+            tasks_total=tasks_total,
+        )
+
     @property
     def is_final(self) -> bool:
         """Whether the home will never say anything else for this id."""
--- a/src/cassiaturn/standins/_run_status.py
+++ b/src/cassiaturn/entities/_run.py
@@ -1,4 +1,4 @@
-"""What a runner says of a task, by name."""
+"""What a target says of a start and of a run, by name."""
 
 from enum import IntEnum
 
--- a/src/cassiaturn/recovery/__init__.py
+++ b/src/cassiaturn/recovery/__init__.py
@@ -1,6 +1,7 @@
 """What becomes of the submissions of an instance that is gone."""
 
-from cassiaturn.recovery._begun import Begun, FenceReport, RunStatus
+from cassiaturn.entities import RunStatus
+from cassiaturn.recovery._begun import Begun, FenceReport
 from cassiaturn.recovery._decision import (
     Adopt,
     AwaitRunning,
--- a/src/cassiaturn/recovery/_begun.py
+++ b/src/cassiaturn/recovery/_begun.py
@@ -1,22 +1,11 @@
 """What a target tells of a task that it began."""
 
 from dataclasses import dataclass
-from enum import IntEnum
 
-from cassiaturn.entities import TaskKey
+from cassiaturn.entities import RunStatus, TaskKey
 from cassiaturn.v1 import runner_pb2 as pb
 
 
-class RunStatus(IntEnum):
-    """How far a begun task is."""
-
-    DONE = pb.TASK_STATUS_DONE
-    FAILED = pb.TASK_STATUS_FAILED
-    CANCELLED = pb.TASK_STATUS_CANCELLED
-    LEASE_LAPSED = pb.TASK_STATUS_LEASE_LAPSED
-    RUNNING = pb.TASK_STATUS_RUNNING
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Begun:
     """One run of a task, as its target reports it; proof that it began."""
--- a/src/cassiaturn/recovery/_decision.py
+++ b/src/cassiaturn/recovery/_decision.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from cassiaturn.entities import Ran, Reason
-from cassiaturn.recovery._begun import Begun, RunStatus
+from cassiaturn.entities import Ran, Reason, RunStatus
+from cassiaturn.recovery._begun import Begun
 
 
 class RunGround(Enum):
--- a/src/cassiaturn/recovery/_progress.py
+++ b/src/cassiaturn/recovery/_progress.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from cassiaturn.entities import TaskKey
-from cassiaturn.recovery._begun import Begun, FenceReport, RunStatus
+from cassiaturn.entities import RunStatus, TaskKey
+from cassiaturn.recovery._begun import Begun, FenceReport
 from cassiaturn.recovery._rows import TakeoverRow
 
 
--- a/src/cassiaturn/server/_homes.py
+++ b/src/cassiaturn/server/_homes.py
@@ -342,23 +342,19 @@
 
 def unreachable(submission_id: str, home: str) -> Answer:
     """Return what an instance says that cannot reach the home."""
-    return Answer(
-        submission_id=submission_id,
-        outcome=Outcome.UNKNOWN,
-        ran=Ran.MAYBE,
-        reason=Reason.HOME_UNREACHABLE,
-        detail=f"its home {home} cannot be reached from here; submit it again",
+    return Answer.unknown(
+        submission_id,
+        Reason.HOME_UNREACHABLE,
+        f"its home {home} cannot be reached from here; submit it again",
         retry_after_ms=UNKNOWN_RETRY_MS,
     )
 
 
 def _store_unreachable(submission_id: str) -> Answer:
-    return Answer(
-        submission_id=submission_id,
-        outcome=Outcome.UNKNOWN,
-        ran=Ran.MAYBE,
-        reason=Reason.STORE_UNREACHABLE,
-        detail="the table service did not say whose this id is; submit it again",
+    return Answer.unknown(
+        submission_id,
+        Reason.STORE_UNREACHABLE,
+        "the table service did not say whose this id is; submit it again",
         retry_after_ms=UNKNOWN_RETRY_MS,
     )
 
--- a/src/cassiaturn/server/_successor.py
+++ b/src/cassiaturn/server/_successor.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from cassiaturn.engine import Submission
-from cassiaturn.entities import Address, Answer, Outcome, Ran, Reason
+from cassiaturn.entities import Address, Answer, Outcome, Reason
 from cassiaturn.observability import Event, log_event
 from cassiaturn.platform import Conflict, Put, Row, TableService
 from cassiaturn.recovery import (
@@ -152,12 +152,10 @@
 
     async def collect(self, home: str, submission_id: str) -> Answer:
         """Return what is known of a dead home's submission without its tasks."""
-        return Answer(
-            submission_id=submission_id,
-            outcome=Outcome.UNKNOWN,
-            ran=Ran.MAYBE,
-            reason=Reason.HOME_UNREACHABLE,
-            detail=f"its home {home} ended; submit it again with its tasks",
+        return Answer.unknown(
+            submission_id,
+            Reason.HOME_UNREACHABLE,
+            f"its home {home} ended; submit it again with its tasks",
         )
 
     async def was_taken_over(self, incarnation: str) -> bool | None:
@@ -286,23 +284,19 @@
     elif not any(isinstance(d, RunNow) for d in decision.decisions_by_index.values()):
         return decision
     return TellCaller(
-        answer=Answer(
-            submission_id=submission_id,
-            outcome=Outcome.UNKNOWN,
-            ran=Ran.MAYBE,
-            reason=Reason.EXPIRED,
-            detail="its home ended, and the targets may have forgotten what ran",
+        answer=Answer.unknown(
+            submission_id,
+            Reason.EXPIRED,
+            "its home ended, and the targets may have forgotten what ran",
         )
     )
 
 
 def _still_running(submission: Submission) -> Answer:
-    return Answer(
-        submission_id=submission.submission_id,
-        outcome=Outcome.UNKNOWN,
-        ran=Ran.MAYBE,
-        reason=Reason.DEADLINE,
-        detail="its home ended, and its tasks still run at the deadline",
+    return Answer.unknown(
+        submission.submission_id,
+        Reason.DEADLINE,
+        "its home ended, and its tasks still run at the deadline",
         tasks_total=len(submission.payloads),
     )
 
--- a/src/cassiaturn/standins/__init__.py
+++ b/src/cassiaturn/standins/__init__.py
@@ -1,5 +1,6 @@
 """Small stand-ins for targets and the platform, with faults on request."""
 
+from cassiaturn.entities import Refusal, RunStatus
 from cassiaturn.standins._fault import RunnerFault
 from cassiaturn.standins._journal import (
     Journal,
@@ -10,7 +11,6 @@
 from cassiaturn.standins._platform import PlatformStandIn
 from cassiaturn.standins._platform_settings import PlatformFault, PlatformSettings
 from cassiaturn.standins._replies import reply_to
-from cassiaturn.standins._run_status import Refusal, RunStatus
 from cassiaturn.standins._run_time import RunTime, Shape
 from cassiaturn.standins._runner import RunnerStandIn
 from cassiaturn.standins._runner_host import FaultRequest, RunnerHost
--- a/src/cassiaturn/standins/_runner.py
+++ b/src/cassiaturn/standins/_runner.py
@@ -10,11 +10,10 @@
 from grpclib.server import Server, Stream
 from tornado.netutil import bind_sockets
 
-from cassiaturn.entities import TaskKey
+from cassiaturn.entities import RunStatus, TaskKey
 from cassiaturn.standins._fault import RunnerFault
 from cassiaturn.standins._journal import Journal, JournalEvent
 from cassiaturn.standins._replies import reply_to
-from cassiaturn.standins._run_status import RunStatus
 from cassiaturn.standins._run_time import RunTime
 from cassiaturn.standins._runner_settings import RunnerHostSettings, RunnerSettings
 from cassiaturn.standins._session_table import HolderSession, SessionTable
--- a/src/cassiaturn/standins/_task_table.py
+++ b/src/cassiaturn/standins/_task_table.py
@@ -4,8 +4,7 @@
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
-from cassiaturn.entities import TaskKey
-from cassiaturn.standins._run_status import Refusal, RunStatus
+from cassiaturn.entities import Refusal, RunStatus, TaskKey
 from cassiaturn.v1 import runner_pb2 as pb
 
 DEFAULT_SLOTS = 8
--- a/src/cassiaturn/submission/_table.py
+++ b/src/cassiaturn/submission/_table.py
@@ -214,12 +214,10 @@
 
         Use it for a claim that names this incarnation without a row here.
         """
-        return Answer(
-            submission_id=submission_id,
-            outcome=Outcome.UNKNOWN,
-            ran=Ran.MAYBE,
-            reason=Reason.EXPIRED,
-            detail="The home keeps no record of this submission any more.",
+        return Answer.unknown(
+            submission_id,
+            Reason.EXPIRED,
+            "The home keeps no record of this submission any more.",
         )
 
     def _may_adopt(self, submission_id: str) -> bool:
