Log connected peers, health of targets and why an instance is not ready

Cause: three documented events were written nowhere. Change: they are. Before and after: the same tests pass. Conclusion: claim_undetermined, takeover_done, the two overload events and submission_unknown are still not written.

--- a/src/cassiaturn/engine/_state.py
+++ b/src/cassiaturn/engine/_state.py
@@ -19,6 +19,7 @@
 from cassiaturn.policy import (
     Admission,
     FairQueue,
+    HealthChange,
     PeerRow,
     Placement,
     PolicySettings,
@@ -75,6 +76,8 @@
         """True once targets fence this incarnation: only a successor may decide."""
         self.draining = False
         """True during a planned stop: nothing new is taken."""
+        self.health_changes: list[HealthChange] = []
+        """Changes that nobody has logged yet."""
         self.failures_in_row_by_target: Counter[str] = Counter()
         self._acknowledgements: deque[Acknowledgement] = deque()
         self.blocked_until_by_target: dict[str, float] = {}
--- a/src/cassiaturn/engine/_sweep.py
+++ b/src/cassiaturn/engine/_sweep.py
@@ -112,7 +112,9 @@
 
 
 def _apply_health(state: State, now: float) -> None:
-    for change in state.health.tick(now):
+    changes = state.health.tick(now)
+    state.health_changes.extend(changes)
+    for change in changes:
         target = state.targets_by_id.get(change.target_id)
         if target is not None:
             target.allowance = change.allowance
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -101,6 +101,8 @@
     async def drain(self) -> None:
         """Take nothing new and wait until everything in flight has ended."""
         log_event(Event.INSTANCE_DRAINING, incarnation=self.incarnation)
+        reason = REASONS_NOT_READY[MemberState.LEAVING]
+        log_event(Event.INSTANCE_NOT_READY, reason=reason)
         self.state.draining = True
         give_back_all(self.state, time.monotonic())
         self.member_state = MemberState.LEAVING
@@ -153,9 +155,20 @@
             self._hold_targets()
             self._share_quotas(now)
             tick(self.state, now)
+            self._log_health()
             self.targets.close_idle()
             await asyncio.sleep(period_s)
 
+    def _log_health(self) -> None:
+        for change in self.state.health_changes:
+            log_event(
+                Event.TARGET_HEALTH,
+                target_id=change.target_id,
+                state=change.state,
+                allowance=change.allowance,
+            )
+        self.state.health_changes.clear()
+
     def _check_pause(self, now: float) -> None:
         before = self.pauses.state
         state = self.pauses.tick(now)
--- a/src/cassiaturn/server/_peers.py
+++ b/src/cassiaturn/server/_peers.py
@@ -138,6 +138,7 @@
         if older is not None:
             older.closed.set()
         self.links_by_incarnation[incarnation] = link
+        log_event(Event.PEER_CONNECTED, incarnation=incarnation)
         self._send_heartbeat(link)
         try:
             await link.run(
