--- a/src/cassiaturn/server/_caller_service.py
+++ b/src/cassiaturn/server/_caller_service.py
@@ -12,6 +12,7 @@
 from cassiaturn.client import CALLER_KEY, OUTCOME_KEY, SUBMISSION_KEY, TENANT_KEY
 from cassiaturn.engine import Submission
 from cassiaturn.entities import Answer, Outcome
+from cassiaturn.observability import Event, log_event
 from cassiaturn.server._homes import Homes, Identity
 from cassiaturn.server._raw import RawMessage
 from cassiaturn.v1 import dispatcher_pb2 as pb
@@ -59,6 +60,12 @@
         request = await _receive(stream)
         identity = identity_of(stream)
         answer = await self._homes.submit(to_submission(request, identity))
+        if answer.outcome is Outcome.UNKNOWN:
+            log_event(
+                Event.SUBMISSION_UNKNOWN,
+                submission_id=answer.submission_id,
+                reason=answer.reason,
+            )
         await stream.send_message(answer.to_message())
 
     async def Watch(  # noqa: N802
--- a/src/cassiaturn/server/_claims.py
+++ b/src/cassiaturn/server/_claims.py
@@ -10,6 +10,7 @@
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Success
 
+from cassiaturn.observability import Event, log_event
 from cassiaturn.platform import Conflict, Delete, Put, Row, TableService
 from cassiaturn.submission import (
     CLAIM_PREFIX,
@@ -160,6 +161,10 @@
 
     def _hand_out(self) -> None:
         for resolution in self._ledger.resolved():
+            if isinstance(resolution, ClaimUndetermined):
+                log_event(
+                    Event.CLAIM_UNDETERMINED, submission_id=resolution.submission_id
+                )
             future = self._futures_by_id.pop(resolution.submission_id, None)
             if future is not None and not future.done():
                 future.set_result(resolution)
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -47,6 +47,9 @@
 LEAVING_NOTICE_S = 0.2
 """Time for peers to hear that we leave before our listening port closes."""
 
+CALM_S = 5.0
+"""Time without a refusal after which an overload is over, in seconds."""
+
 CLOSE_TIMEOUT_S = 1.0
 """Longest wait for the listening port and its connections, in seconds."""
 
@@ -116,7 +119,7 @@
             await asyncio.sleep(DRAIN_STEP_S)
         await asyncio.sleep(LAST_ANSWER_S)
         if self._busy():
-            log_event(Event.DRAIN_TIMED_OUT, jobs=len(self.state.jobs_by_id))
+            log_event(Event.DRAIN_TIMED_OUT, open=len(self.state.jobs_by_id))
 
     async def close(self) -> None:
         """Close every stream and port."""
@@ -156,6 +159,7 @@
             self._share_quotas(now)
             tick(self.state, now)
             self._log_health()
+            self._log_overload(now)
             self.targets.close_idle()
             await asyncio.sleep(period_s)
 
@@ -169,6 +173,17 @@
             )
         self.state.health_changes.clear()
 
+    def _log_overload(self, now: float) -> None:
+        refused = self.state.counters.refused
+        if refused != self._refused_seen:
+            self._refused_seen = refused
+            if self._refused_at is None:
+                log_event(Event.OVERLOAD_STARTED, queued=len(self.state.queue))
+            self._refused_at = now
+        elif self._refused_at is not None and now - self._refused_at > CALM_S:
+            self._refused_at = None
+            log_event(Event.OVERLOAD_ENDED, refused=refused)
+
     def _check_pause(self, now: float) -> None:
         before = self.pauses.state
         state = self.pauses.tick(now)
--- a/src/cassiaturn/server/_parts.py
+++ b/src/cassiaturn/server/_parts.py
@@ -91,6 +91,8 @@
         self._links_by_incarnation: dict[str, Link] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._quotas_at = 0.0
+        self._refused_seen = 0
+        self._refused_at: float | None = None
         self._holders_due_at = 0.0
         self._server: ClosingServer | None = None
         self._superseded = False
--- a/src/cassiaturn/server/_successor.py
+++ b/src/cassiaturn/server/_successor.py
@@ -88,6 +88,7 @@
         self._max_clock_skew_ms = max_clock_skew_ms
         self._ticket_valid_ms = ticket_valid_ms
         self._shortest_memory_ms = ticket_valid_ms
+        self._done: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.writes = 0
         self.reads = 0
@@ -245,6 +246,7 @@
                 if not self._vouches(reply.uptime_ms, due.dead):
                     report = replace(report, exhaustive=False)
                 self._table.fenced(due.dead, report, now)
+                self._log_done(due.dead)
             case _:
                 self._table.fence_failed(due.dead, due.target_id, now)
 
@@ -257,6 +259,13 @@
         age_ms = time.time() * MILLISECONDS - booted_ms(home) - issued_ms
         return age_ms + self._max_clock_skew_ms > self._shortest_memory_ms
 
+    def _log_done(self, dead: str) -> None:
+        takeover = self._table.takeovers_by_dead.get(dead)
+        if takeover is None or not takeover.is_complete or dead in self._done:
+            return
+        self._done.add(dead)
+        log_event(Event.TAKEOVER_DONE, incarnation=dead)
+
     def _vouches(self, uptime_ms: int, dead: str) -> bool:
         # A runner that was restarted knows nothing of what its earlier process
         # began. Taken at its word, a task that ran there would be called "not
