--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup check format test demo bench dist proto
+.PHONY: setup check format test demo bench dist dist-check proto
 
 setup: $(STAMP)
 
@@ -41,6 +41,10 @@
 dist: $(STAMP)
 	$(BIN)/python tools/dist.py
 
+# The checks of the demo, with the one file as the dispatcher.
+dist-check: dist
+	$(BIN)/python tools/check_dist.py
+
 # Needs requirements-proto.lock installed; its output is committed.
 proto: $(STAMP)
 	$(BIN)/pip install --quiet --requirement requirements-proto.lock
