--- a/src/cassiaturn/engine/_tables.py
+++ b/src/cassiaturn/engine/_tables.py
@@ -5,7 +5,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from cassiaturn.entities import Method, RequestClass, TaskKey
+from cassiaturn.entities import Method, TaskKey
 from cassiaturn.policy import QueuedTask
 from cassiaturn.v1 import peer_pb2
 
@@ -259,7 +259,3 @@
 
     at: float
     """When it was first sent, in seconds."""
-
-
-CLASSES = tuple(RequestClass)
-"""Every class, urgent first."""
--- a/src/cassiaturn/server/_claims.py
+++ b/src/cassiaturn/server/_claims.py
@@ -75,8 +75,6 @@
         self._rng = rng
         self._futures_by_id: dict[str, asyncio.Future[ClaimResolution]] = {}
         self._wake = asyncio.Event()
-        self.writes = 0
-        self.reads = 0
 
     async def claim(self, submission_id: str) -> ClaimResolution:
         """Return whose an id is, claiming it if it is nobody's."""
@@ -112,13 +110,11 @@
                 if _is_older(row, oldest_ms)
             ]
             if old and self._budget.may_write(time.monotonic()):
-                self.writes += 1
                 await self._table.transact(old)
 
     async def _read_page(self, table: TableService, after: str) -> Sequence[Row]:
         if not self._budget.may_read(time.monotonic()):
             return ()
-        self.reads += 1
         match await table.scan(CLAIM_PREFIX, PAGE_ROWS, after=after):
             case Success(rows):
                 self._budget.succeeded(time.monotonic())
@@ -131,7 +127,6 @@
         """Return the home in the claim row of an id, or why there is none."""
         if self._table is None or not self._budget.may_read(time.monotonic()):
             return LookUp.UNKNOWN
-        self.reads += 1
         key = claim_key(submission_id)
         match await self._table.read([key]):
             case Success(rows):
@@ -171,7 +166,6 @@
 
     async def _write(self, batch: ClaimBatch) -> None:
         assert self._table is not None
-        self.writes += 1
         puts = [
             Put(
                 key=row.key,
@@ -197,7 +191,6 @@
 
     async def _reread(self, batch: ClaimBatch) -> None:
         assert self._table is not None
-        self.reads += 1
         result = await self._table.read([row.key for row in batch.rows])
         now = time.monotonic()
         match result:
--- a/src/cassiaturn/server/_link.py
+++ b/src/cassiaturn/server/_link.py
@@ -48,7 +48,6 @@
         self.heard_at = time.monotonic()
         self.sent_at = 0.0
         self.frames_received = 0
-        self.bytes_sent = 0
         self.closed = asyncio.Event()
         self._clock_ms = 0
         self._clock_seen_at = 0.0
@@ -87,7 +86,6 @@
             stamp(self, frame)
             frame.clock_ms = int(time.monotonic() * MILLISECONDS)
             self.sent_at = time.monotonic()
-            self.bytes_sent += frame.ByteSize()
             await stream.send_message(frame)
 
         self._note(first)
--- a/src/cassiaturn/server/_reclaim.py
+++ b/src/cassiaturn/server/_reclaim.py
@@ -90,7 +90,6 @@
         """
         self._state = state
         self._addresses_in = addresses_in
-        self.questions = 0
 
     async def run(self) -> None:
         """Reclaim until cancelled."""
@@ -155,7 +154,6 @@
     ) -> _Told:
         keys = [record.key for record in records]
         oldest_s = time.monotonic() - min(record.sent_at for record in records)
-        self.questions += len(addresses_by_target)
         replies = await asyncio.gather(
             *(
                 fence(
--- a/src/cassiaturn/server/_successor.py
+++ b/src/cassiaturn/server/_successor.py
@@ -90,8 +90,6 @@
         self._shortest_memory_ms = ticket_valid_ms
         self._done: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self.writes = 0
-        self.reads = 0
 
     async def owner_of(self, home: str) -> str | None:
         """Return who decides for a home's submissions now.
@@ -163,7 +161,6 @@
         """Whether a takeover row names an incarnation; None: not known."""
         if self._store is None or not self._budget.may_read(time.monotonic()):
             return None
-        self.reads += 1
         key = takeover_key(incarnation)
         match await self._store.read([key]):
             case Success(rows):
@@ -177,10 +174,6 @@
         """Note that the process of an incarnation has certainly ended."""
         self._table.proved_dead(dead, now)
 
-    def tick(self) -> None:
-        """Send the rows and fences that are due."""
-        self._start(self._step())
-
     async def _step(self) -> None:
         self._table.observe_targets(tuple(self._addresses_by_target()))
         now = time.monotonic()
@@ -199,7 +192,6 @@
 
     async def _insert(self, row: TakeoverRow) -> None:
         assert self._store is not None
-        self.writes += 1
         put = Put(
             key=row.key, value=_ROWS.dump_json(row).decode(), expected_version=ABSENT
         )
