Let what can still be in time go before what cannot, and play the users' load without a network

In the second after an outage the callers of its last 1.5 s come at once; by strict priority their late urgent jobs took the places of others that were still in time (13 of 186 in time in that window).

Change: first what can be in time (its due time is later than now and half its expected run), then priority, then begun jobs, then time due.

--- a/src/cassiaturn/platform/tests/standin_runner.py
+++ b/src/cassiaturn/platform/tests/standin_runner.py
@@ -11,7 +11,7 @@
 from cassiaturn.entities import Resources, RunEnd, StartAnswer, TaskGroup, TaskRef
 from cassiaturn.platform._decode import decode_ref, encode_ref
 from cassiaturn.platform.tests.standin_store import LOOPBACK
-from cassiaturn.workload.tests.virtual_targets import VirtualTarget
+from cassiaturn.standins.virtual_targets import VirtualTarget
 
 SERVICE = "svc"
 
--- a/src/cassiaturn/policy/_due_order.py
+++ b/src/cassiaturn/policy/_due_order.py
@@ -1,19 +1,28 @@
 """Order of jobs that wait for room.
 
 Load pattern: more work than places, in kinds of different urgency, each with a
-time after which its answer is worth less. In order of arrival the short urgent
-jobs wait behind long ones and are all late; by time due alone, a job that is late
-in any case takes the place of one that could be in time.
-
-Grounds: strict priority, since operators set it to say who goes first. Within one
-priority the earliest time due first is optimal while all can be in time; what is
-late already goes after what is not, and is still served.
+time after which its answer is worth less; above all the second after an outage, when
+the callers of the outage come at once, most of them late already. In order of arrival
+the short urgent jobs wait behind long ones and are all late; by priority alone the
+late urgent jobs take the places of others that could be in time.
+
+Grounds: a late answer is worth a fifth of one in time, so what can be in time goes
+first, and what cannot is still served. Among those, strict priority, since operators
+set it to say who goes first. Within one priority jobs that have begun go first, since
+their other tasks hold places for nothing until the last one is done; then the earliest
+time due, which is optimal while all can be in time.
+
+Gain: on the load ``after-outage`` of the shared benchmarks (mean of eight seeds) the
+share of worth that callers get rises from 0.766 to 0.780 (Kwabena) and 0.790 to 0.802
+(Registre), in the two worst windows from 0.432 to 0.461 and 0.457 to 0.477.
 """
 
 from typing import NamedTuple
 
 import xxhash
 
+from cassiaturn.policy._outlook import HOPE
+
 _HASH_RANGE = float(1 << 64)
 
 RETRY_SPREAD = 1.0
@@ -24,24 +33,32 @@
 class OrderKey(NamedTuple):
     """Place in the queue; the lowest goes first."""
 
+    late: bool
+    """Whether it can hardly be in time any more."""
+
     priority: int
     """Of its route; 0 goes first."""
 
-    late: bool
-    """Whether its time due has passed."""
+    is_new: bool
+    """Whether none of its tasks has started."""
 
     due_at: float
     """When it is due, in seconds."""
 
 
-def order_key(*, priority: int, due_at: float, now: float) -> OrderKey:
+def order_key(
+    *, priority: int, due_at: float, expected_run_s: float, is_new: bool, now: float
+) -> OrderKey:
     """Return the place of a job in the queue.
 
     :param priority: of its route; 0 goes first.
     :param due_at: until when its answer is as good as an immediate one, in seconds.
+    :param expected_run_s: expected length of its longest chain, in seconds.
+    :param is_new: whether none of its tasks has started.
     :param now: time in seconds.
     """
-    return OrderKey(priority, due_at < now, due_at)
+    late = due_at < now + HOPE * expected_run_s
+    return OrderKey(late, priority, is_new, due_at)
 
 
 def spread_retry_after(job_id: str, least_s: float) -> float:
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -1,6 +1,6 @@
 """How long a job waits for room behind what is queued before it."""
 
-from cassiaturn.policy import order_key
+from cassiaturn.policy import OrderKey, order_key
 from cassiaturn.workload._tables import Job, Tables, Target
 
 
@@ -32,14 +32,24 @@
     )
     if cpu_millis == 0:
         return 0.0
-    own_key = order_key(priority=job.route.priority, due_at=job.due_at, now=now)
+    own_key = queue_key(job, now)
     ahead = 0.0
     for other in tables.jobs_by_id.values():
         if not other.waiting or other.route.service != job.route.service:
             continue
-        key = order_key(priority=other.route.priority, due_at=other.due_at, now=now)
-        if key <= own_key:
+        if queue_key(other, now) <= own_key:
             ahead += other.expected_run_s * sum(
                 task.group.resources.cpu_millis for task in other.waiting
             )
     return ahead / cpu_millis
+
+
+def queue_key(job: Job, now: float) -> OrderKey:
+    """Return a job's place in the queue."""
+    return order_key(
+        priority=job.route.priority,
+        due_at=job.due_at,
+        expected_run_s=job.expected_run_s,
+        is_new=len(job.waiting) == len(job.tasks_by_ref),
+        now=now,
+    )
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -2,8 +2,8 @@
 
 from cassiaturn.entities import TaskRef
 from cassiaturn.observability import Event
-from cassiaturn.policy import choose_shared, latest_start, order_key
-from cassiaturn.workload._backlog import usable_targets
+from cassiaturn.policy import choose_shared, latest_start
+from cassiaturn.workload._backlog import queue_key, usable_targets
 from cassiaturn.workload._ports import Ports, StartOrder
 from cassiaturn.workload._tables import Job, Run, RunState, Tables, Target, Task
 
@@ -17,11 +17,7 @@
     for service, jobs in waiting_by_service.items():
         targets = usable_targets(tables, service, now)
         if targets:
-            jobs.sort(
-                key=lambda job: order_key(
-                    priority=job.route.priority, due_at=job.due_at, now=now
-                )
-            )
+            jobs.sort(key=lambda job: queue_key(job, now))
             _start_in_order(tables, ports, jobs, targets, now)
 
 
--- a/src/cassiaturn/workload/tests/test_any_order.py
+++ b/src/cassiaturn/workload/tests/test_any_order.py
@@ -5,8 +5,8 @@
 import pytest
 
 from cassiaturn import workload
+from cassiaturn.standins.virtual_targets import Play
 from cassiaturn.workload import Verdict
-from cassiaturn.workload.tests.virtual_targets import Play
 
 SEEDS = range(60)
 
--- a/src/cassiaturn/workload/tests/test_target_failures.py
+++ b/src/cassiaturn/workload/tests/test_target_failures.py
@@ -12,8 +12,8 @@
     TaskRef,
 )
 from cassiaturn.observability import Event
+from cassiaturn.standins.virtual_targets import Play
 from cassiaturn.workload import RunState, Verdict
-from cassiaturn.workload.tests.virtual_targets import Play
 
 
 def _play(count: int = 4, **traits: object) -> Play:
