Refuse what is not served before anything runs, and take leases from the settings

Cause: a best-effort gang would have been started task by task, a schedule at once, and a queue with advice answered with refused starts: accepted and not done. Each is refused now, with its own reason in the log. Orders by heartbeat are refused when the settings are read. The longest lease comes from the settings (capped at 1 s, so that callers who come back after 1.3 s meet nothing), and figures of the settings may be fractions: one such figure would have kept every process from starting.

Ruled out: serving gangs now; it needs room for all at once and one number of the run.

--- a/src/cassiaturn/fleet/_desk.py
+++ b/src/cassiaturn/fleet/_desk.py
@@ -8,7 +8,7 @@
 from cassiaturn.entities import JobRequest, Route
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.policy import spread_retry_after
-from cassiaturn.workload import Outcome, Verdict
+from cassiaturn.workload import Outcome, Verdict, unserved_feature
 
 LEADERLESS_WAIT_S = 0.35
 """How long a job waits for a leader before it is refused: a leader whose process
@@ -123,8 +123,15 @@
 
         :param limit_s: how long its caller waits, in seconds; None: not told.
         """
-        if request.must_be_stored:
-            return _refused(request, "stored_jobs_not_served", 0.0)
+        unserved = unserved_feature(request, route)
+        if unserved is not None:
+            log_event(
+                Event.JOB_REFUSED,
+                id=request.job_id,
+                route=route.name,
+                reason=unserved,
+            )
+            return _refused(request, unserved, 0.0)
         job = self._jobs_by_id.get(request.job_id)
         if job is None:
             job = self._open(request, route, limit_s)
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -35,7 +35,7 @@
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.settings import FleetSettings
 from cassiaturn.v1 import fleet_pb2 as pb
-from cassiaturn.workload import WorkloadSettings
+from cassiaturn.workload import settings_for_lease
 
 ROUTING_WAIT_S = 2.5
 """Longest wait for a change of the configuration in one call, in seconds: a
@@ -56,6 +56,8 @@
 SUPERSEDED_CHECK_S = 0.5
 """Least time between two looks for a later leader, in seconds."""
 
+MILLISECONDS = 1000
+
 SUPERSEDED_CHECKS = 1
 """Looks without a later leader after which a leader raises its token: a successor
 whose claim is on its way is seen by the second one."""
@@ -338,7 +340,7 @@
             routing=self.routing,
             desk=self.desk,
             metrics=self.metrics,
-            settings=WorkloadSettings(),
+            settings=settings_for_lease(self.settings.lease_ms / MILLISECONDS),
             known_targets=self._roster.targets_by_id or {},
             on_superseded=self._suspicion.set,
         )
--- a/src/cassiaturn/platform/tests/test_whole_path.py
+++ b/src/cassiaturn/platform/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """Members over real sockets: what callers get, also when parts of it fail."""
 
 import asyncio
+from typing import Any
 
 import pytest
 
@@ -76,10 +77,24 @@
     assert not _starts(fleet, JOB)
 
 
-async def test_a_job_that_must_be_stored_is_refused_and_never_runs(
-    fleet: Fleet,
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"bestEffort": False},
+        {"repetitions": 2, "startAtMs": 5, "intervalMs": 10},
+        {"steps": [{"count": 2, "cpu": 4_000, "gang": True}]},
+        {"steps": [{"count": 2, "cpu": 4_000, "longRunning": True}]},
+    ],
+)
+async def test_a_job_that_cannot_be_served_yet_is_refused_and_never_runs(
+    fleet: Fleet, fields: dict[str, Any]
 ) -> None:
-    answer = await fleet.submit(fleet.members[0], JOB, bestEffort=False)
+    """A caller asks for what the program cannot do, and must not hear that it did.
+
+    Taken in, a gang's tasks would wait for each other one by one, a scheduled job
+    run at once, and a job to be kept be lost with its leader.
+    """
+    answer = await fleet.submit(fleet.members[0], JOB, **fields)
     assert answer[0] == 503
     assert not _starts(fleet, JOB)
 
--- a/src/cassiaturn/settings/_fleet.py
+++ b/src/cassiaturn/settings/_fleet.py
@@ -13,7 +13,7 @@
     load_document,
     validate_document,
 )
-from cassiaturn.settings._fields import STRICT_KEYS, Label, Positive
+from cassiaturn.settings._fields import STRICT_KEYS, Label
 
 KIND = "fleet"
 """Value of ``kind`` in the settings of a member."""
@@ -55,7 +55,14 @@
     table_service: AddressField
     """The platform's table service."""
 
-    grace_s: Positive = 6
+    orders: Annotated[str, Field(pattern="^(call)?$")] = "call"
+    """How targets take orders: by calls. Orders that wait for a target's own
+    heartbeat are not served: a member that gave some would start nothing."""
+
+    lease_ms: Annotated[float, Field(gt=0)] = 1_000.0
+    """Longest lease that a target grants, in milliseconds."""
+
+    grace_s: Annotated[float, Field(gt=0)] = 6.0
     """Time from the order to stop to the kill, in seconds."""
 
 
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -21,7 +21,8 @@
     on_start_answer,
     on_stop_answer,
 )
-from cassiaturn.workload._settings import WorkloadSettings
+from cassiaturn.workload._served import unserved_feature
+from cassiaturn.workload._settings import WorkloadSettings, settings_for_lease
 from cassiaturn.workload._tables import (
     Counters,
     Job,
@@ -63,6 +64,8 @@
     "on_target_lost",
     "on_target_silent",
     "submit",
+    "settings_for_lease",
     "tick",
+    "unserved_feature",
     "usable_targets",
 ]
--- a/src/cassiaturn/workload/_settings.py
+++ b/src/cassiaturn/workload/_settings.py
@@ -2,12 +2,22 @@
 
 from dataclasses import dataclass
 
+LONGEST_LEASE_S = 1.0
+"""Longest lease that is asked for, in seconds: whatever runs for a leader that is gone
+is over before its callers come back after 1.3 s."""
+
+CLOCK_DRIFT = 0.02
+"""Share by which a target's clock may be slow."""
+
+ORDER_WAY_S = 0.08
+"""Longest way of an order that is answered in time, in seconds."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorkloadSettings:
     """Times of the decisions about jobs and runs, all in seconds."""
 
-    lease_s: float = 1.0
+    lease_s: float = LONGEST_LEASE_S
     """Longest lease that a target grants."""
 
     lease_over_s: float = 1.1
@@ -72,3 +82,14 @@
     runs_per_term: int = 64
     """Distance of the run numbers of one leadership from those of the next; more
     starts of one task than fit into a caller's deadline."""
+
+
+def settings_for_lease(granted_s: float) -> WorkloadSettings:
+    """Return the times for targets that grant leases up to a length.
+
+    :param granted_s: longest lease that they grant, in seconds.
+    """
+    lease_s = min(LONGEST_LEASE_S, granted_s)
+    return WorkloadSettings(
+        lease_s=lease_s, lease_over_s=lease_s * (1 + CLOCK_DRIFT) + ORDER_WAY_S
+    )
--- a/src/cassiaturn/workload/tests/test_successors.py
+++ b/src/cassiaturn/workload/tests/test_successors.py
@@ -4,8 +4,8 @@
 
 from cassiaturn import workload
 from cassiaturn.entities import Resources, StartAnswer, TaskGroup, TaskRef
+from cassiaturn.standins.virtual_targets import Play
 from cassiaturn.workload import Verdict
-from cassiaturn.workload.tests.virtual_targets import Play
 
 GROUP = TaskGroup(count=1, resources=Resources(cpu_millis=6_800))
 
@@ -144,3 +144,14 @@
     play.submit("b", run_s=0.4, origin="m1")
     assert workload.cancel(play.tables, play, "b", "m9", play.now)
     assert "b" in play.tables.jobs_by_id
+
+
+@pytest.mark.parametrize(
+    ("granted_s", "lease_s", "over_s"), [(3.0, 1.0, 1.1), (0.5, 0.5, 0.59)]
+)
+def test_leases_are_no_longer_than_targets_grant(
+    granted_s: float, lease_s: float, over_s: float
+) -> None:
+    settings = workload.settings_for_lease(granted_s)
+    assert settings.lease_s == lease_s
+    assert settings.lease_over_s == pytest.approx(over_s)
