Ask a target again before it counts as silent, and wait less for the answer to an order

From the logs: 16 to 21 target_silent lines a second; one lost list silenced a target, which got no start until its next list, 0.3 s later, came.

Change: after a list that does not come the target gets no start for 0.1 s and is asked again, unless it has answered something since; two in a row silence it. Starts and stops wait 0.15 s for their answer (0.25), and a stop is sent again after 0.15 s (0.3).

Ruled out: to count a stopped run as over when the stop is answered, without a list (it may have been done before, and its end would be told after the task has begun again).

The load of unanswered orders itself stays open: targets are heard, but each lost start holds its place for 0.16 s.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -274,6 +274,11 @@
         """Take in that an order to stop was obeyed."""
         workload.on_stop_answer(self._tables, target_id, ref, number, time.monotonic())
 
+    def on_unanswered(self, target_id: str) -> None:
+        """Send a target nothing new until it is asked again."""
+        log_event(Event.TARGET_UNANSWERED, target=target_id, asked_again=True)
+        workload.on_target_unanswered(self._tables, target_id, time.monotonic())
+
     def on_silent(self, target_id: str) -> None:
         """Send a target nothing new until it answers."""
         workload.on_target_silent(self._tables, self, target_id)
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -25,6 +25,7 @@
     Superseded,
     TargetCalls,
 )
+from cassiaturn.observability import Event, log_event
 from cassiaturn.workload import Run, StartOrder, WorkloadSettings
 
 BUSY_WAIT_S = 0.9
@@ -46,8 +47,16 @@
 """Pause between looks at a target that does not answer, in seconds."""
 
 ANSWER_TIMEOUT_S = 0.25
-"""Time after which a target that should answer at once counts as silent, in
-seconds: a hundred times its usual answer, a quarter of a lease."""
+"""Longest wait for a list that should come at once, in seconds: a hundred times the
+usual one, a quarter of a lease."""
+
+ORDER_TIMEOUT_S = 0.15
+"""Longest wait for the answer to a start or a stop, in seconds: fifty times the usual
+one. A start without an answer holds its place and its caller for that long."""
+
+SECOND_LOOK_S = 0.1
+"""Longest wait for the second list, after one that did not come, in seconds: thirty
+times the usual one."""
 
 MILLISECONDS = 1000
 
@@ -68,6 +77,9 @@
     def on_stop_answer(self, target_id: str, ref: TaskRef, number: int) -> None:
         """Take in that an order to stop was obeyed."""
 
+    def on_unanswered(self, target_id: str) -> None:
+        """Take in that the target left a request unanswered, and is asked again."""
+
     def on_silent(self, target_id: str) -> None:
         """Take in that the target does not answer."""
 
@@ -109,6 +121,7 @@
         self._clock_at: float | None = None
         self._lease_over_at = time.monotonic() + settings.lease_over_s
         self._renewed_at = 0.0
+        self._answered_at = 0.0
         self._is_silent = False
         self._is_renewing = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -181,6 +194,38 @@
             self._is_renewing = False
 
     async def _ask(self, *, wait_s: float, renew: bool) -> None:
+        asked_at = time.monotonic()
+        problem = await self._take_list(
+            wait_s=wait_s, renew=renew, timeout_s=wait_s + ANSWER_TIMEOUT_S
+        )
+        if isinstance(problem, NoAnswer) and await self._answers_after(asked_at):
+            return
+        if problem is not None:
+            self._take_problem(problem)
+            await self._pause_after(problem)
+
+    async def _answers_after(self, asked_at: float) -> bool:
+        """Return whether a target lives that left a request unanswered.
+
+        Single answers get lost while a target works on. Taken for silent at the first
+        one, it gets no starts until it is heard again, and where a third of all orders
+        is lost nearly every target is silent at any time and callers get nothing.
+        """
+        if self._is_silent:
+            return False
+        if self._answered_at > asked_at:
+            log_event(Event.TARGET_UNANSWERED, target=self.authority.target_id)
+            return True
+        self._events.on_unanswered(self.authority.target_id)
+        problem = await self._take_list(
+            wait_s=0.0, renew=False, timeout_s=SECOND_LOOK_S
+        )
+        return problem is None
+
+    async def _take_list(
+        self, *, wait_s: float, renew: bool, timeout_s: float
+    ) -> CallProblem | None:
+        """Ask once what runs there; returns why there is no answer, if so."""
         asked_at = time.monotonic()
         lease_until_ms = self._lease_end(asked_at) if renew else None
         if lease_until_ms is not None:
@@ -190,10 +235,10 @@
             ended_seen=self._ended_seen(),
             lease_until_ms=lease_until_ms,
             wait_s=wait_s,
-            timeout_s=wait_s + ANSWER_TIMEOUT_S,
+            timeout_s=timeout_s,
         )
         if self._closed:
-            return
+            return None
         match result:
             case Success(report):
                 self._note_clock(report.clock_ms)
@@ -201,9 +246,11 @@
                 self._events.on_report(
                     self.authority.target_id, report, asked_at=asked_at
                 )
+                return None
             case Failure(problem):
-                self._take_problem(problem)
-                await self._pause_after(problem)
+                unanswered: CallProblem = problem
+                return unanswered
+        raise AssertionError("a result is a success or a failure")
 
     async def _pause_after(self, problem: CallProblem) -> None:
         if not isinstance(problem, NoAnswer):
@@ -215,7 +262,7 @@
             self.authority,
             order,
             lease_until_ms=self._lease_end(now),
-            timeout_s=ANSWER_TIMEOUT_S,
+            timeout_s=ORDER_TIMEOUT_S,
         )
         if self._closed:
             return
@@ -233,7 +280,7 @@
 
     async def _stop(self, ref: TaskRef, number: int, is_uncertain: bool) -> None:
         stopped = await self._calls.stop(
-            self.authority, ref, number, timeout_s=ANSWER_TIMEOUT_S
+            self.authority, ref, number, timeout_s=ORDER_TIMEOUT_S
         )
         match stopped:
             case Success(clock_ms):
@@ -265,6 +312,7 @@
 
     def _note_clock(self, clock_ms: int) -> None:
         now = time.monotonic()
+        self._answered_at = now
         if self._clock_at is None or clock_ms > self._clock_ms:
             self._clock_ms = clock_ms
             self._clock_at = now
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -83,6 +83,9 @@
     TARGET_ADDED = _info("target_added", "A target joined the directory.")
     TARGET_REMOVED = _info("target_removed", "A target left the directory.")
     TARGET_SILENT = _warning("target_silent", "A target stopped answering.")
+    TARGET_UNANSWERED = _info(
+        "target_unanswered", "A target left a request unanswered; it is asked again."
+    )
     TARGET_HEARD = _info("target_heard", "A target answers and told what it runs.")
     LEADER_ELECTED = _info("leader_elected", "This member leads from now on.")
     LEADER_RESIGNED = _info("leader_resigned", "This member no longer leads.")
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -12,6 +12,7 @@
     on_target_gone,
     on_target_lost,
     on_target_silent,
+    on_target_unanswered,
 )
 from cassiaturn.workload._dispatch import dispatch
 from cassiaturn.workload._intake import Submission, cancel, on_member_gone, submit
@@ -63,6 +64,7 @@
     "on_target_gone",
     "on_target_lost",
     "on_target_silent",
+    "on_target_unanswered",
     "submit",
     "settings_for_lease",
     "tick",
--- a/src/cassiaturn/workload/_directory.py
+++ b/src/cassiaturn/workload/_directory.py
@@ -45,6 +45,14 @@
         del tables.targets_by_id[target_id]
 
 
+def on_target_unanswered(tables: Tables, target_id: str, now: float) -> None:
+    """Send a target nothing new until its second list can have come."""
+    target = tables.targets_by_id.get(target_id)
+    if target is not None:
+        pause_until = now + tables.settings.unanswered_pause_s
+        target.paused_until = max(target.paused_until, pause_until)
+
+
 def on_target_silent(tables: Tables, ports: Ports, target_id: str) -> None:
     """Send a target nothing new until it answers again."""
     target = tables.targets_by_id.get(target_id)
--- a/src/cassiaturn/workload/_settings.py
+++ b/src/cassiaturn/workload/_settings.py
@@ -66,12 +66,18 @@
     unhealthy_pause_s: float = 0.2
     """How long a target that refused work as unhealthy gets no start."""
 
+    unanswered_pause_s: float = 0.1
+    """How long a target that left a request unanswered gets no start: the second one
+    tells within it whether the target lives, and a start on one that does not would
+    wait for its lease."""
+
     no_room_pause_s: float = 0.05
     """How long a target that had no room gets no start: something runs there that
     is not counted here, and the shortest tasks last 50 ms."""
 
-    stop_again_s: float = 0.3
-    """Pause before an order to stop is sent again: several times its usual 3 ms."""
+    stop_again_s: float = 0.15
+    """Pause before an order to stop is sent again: fifty times its usual 3 ms. Until
+    it is answered its task cannot start elsewhere."""
 
     refusal_margin_s: float = 0.02
     """Time kept for the way of an answer to its caller."""
--- a/src/cassiaturn/workload/tests/test_target_failures.py
+++ b/src/cassiaturn/workload/tests/test_target_failures.py
@@ -247,3 +247,20 @@
     play.run(0.5)
     assert play.running("a") == 0
     assert not play.tables.runs_by_ref
+
+
+def test_a_target_that_left_a_request_unanswered_gets_no_start_for_a_moment() -> None:
+    """A target is cut off, and its second list has not come yet.
+
+    A task started there meanwhile would wait for the lease, most of its caller's time.
+    """
+    play = Play()
+    play.add_target("t0")
+    play.add_target("t1")
+    play.run(0.1)
+    workload.on_target_unanswered(play.tables, "t0", play.now)
+    play.submit("a", count=8, run_s=0.06)
+    assert not play.tables.targets_by_id["t0"].runs_by_ref
+    play.run(1.0)
+    assert play.targets["t0"].blocked
+    assert play.verdict("a") is Verdict.COMPLETED
