--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import secrets
-from collections.abc import Iterable
 
 from cassiaturn.entities import RoutingTable
+from cassiaturn.fleet._configuration import ConfigurationSource
 from cassiaturn.fleet._desk import JobDesk
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._follow import (
@@ -31,17 +31,12 @@
 from cassiaturn.fleet._ports import PlatformServices
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.fleet._service import FleetService
-from cassiaturn.fleet._watch import Watch
+from cassiaturn.fleet._suspicion import Suspicion
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.settings import FleetSettings
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import settings_for_lease
 
-ROUTING_WAIT_S = 2.5
-"""Longest wait for a change of the configuration in one call, in seconds: a
-connection that went silent is noticed within it, and a version is in force 2 s
-after its acknowledgement at members that are not cut off."""
-
 WAIT_S = 0.12
 """Pause before a member without a leader looks again, in seconds."""
 
@@ -53,9 +48,6 @@
 """How long a leader that stops waits for its successor, in seconds: the claim takes
 two calls to the table service."""
 
-SUPERSEDED_CHECK_S = 0.5
-"""Least time between two looks for a later leader, in seconds."""
-
 MILLISECONDS = 1000
 
 SUPERSEDED_CHECKS = 1
@@ -86,14 +78,16 @@
         self.known: Leadership | None = None
         self.service = FleetService(member=self, routing=self.routing)
         self._services = services
+        self._configuration = ConfigurationSource(
+            services=services, routing=self.routing
+        )
         self._row = LeaderRow(table=services.table)
         self._roster = Roster()
         self._neighbours = Neighbours(settings=settings, roster=self._roster)
         self._following: Following | None = None
-        self._suspicion = asyncio.Event()
+        self._suspicion = Suspicion()
         self._resigned = asyncio.Event()
         self._news = asyncio.Event()
-        self._was_suspicious = False
         self._stopping = False
         self._leftovers: asyncio.Future[None] | None = None
         self._tried_token = NO_TOKEN
@@ -130,13 +124,7 @@
 
     def read_routing(self, document: pb.RoutingDocument) -> None:
         """Take in a configuration that another member handed on."""
-        if document.version <= self.routing.version:
-            return
-        table = self._services.read_routing(document.document)
-        if table is None:
-            log_event(Event.CONFIGURATION_REJECTED, version=document.version)
-            return
-        self.routing.offer(table, "member")
+        self._configuration.read(document)
 
     def hear_of(self, leadership: Leadership) -> None:
         """Take in that a member leads that can be reached.
@@ -149,25 +137,19 @@
         self.known = leadership
         self._news.set()
         if self.leader is not None:
-            self._suspicion.set()
+            self._suspicion.arouse()
         elif self._following is not None:
             self._following.leave_for(leadership)
 
     def note_token(self, token: int) -> None:
         """Take in that somebody has seen a later leadership."""
         if self.leader is not None and token > self.leader.leadership.token:
-            self._suspicion.set()
+            self._suspicion.arouse()
 
     async def run(self) -> None:
         """Lead or follow until cancelled."""
-        watch = Watch(
-            name="configuration",
-            source=self._services.routing,
-            on_snapshot=lambda entries: self._offer(entries.values()),
-            on_change=lambda _, entry: self._offer([entry] if entry else []),
-            wait_s=ROUTING_WAIT_S,
-        )
-        watching = asyncio.get_running_loop().create_task(watch.run())
+        loop = asyncio.get_running_loop()
+        watching = loop.create_task(self._configuration.watch())
         try:
             await self._take_part()
         finally:
@@ -333,7 +315,7 @@
         leadership = self.known
         if leadership is None:
             raise AssertionError("a claim sets the leadership")
-        self._was_suspicious = False
+        self._suspicion.settle()
         leader = Leader(
             leadership=leadership,
             services=self._services,
@@ -342,7 +324,7 @@
             metrics=self.metrics,
             settings=settings_for_lease(self.settings.lease_ms / MILLISECONDS),
             known_targets=self._roster.targets_by_id or {},
-            on_superseded=self._suspicion.set,
+            on_superseded=self._suspicion.arouse,
         )
         leader.on_directory_change = self.service.send_roster
         self.leader = leader
@@ -377,7 +359,7 @@
             checks = checks + 1 if stands else 0
             if checks > SUPERSEDED_CHECKS:
                 await self._raise_token(leader, terms=1 << (checks - 2))
-            await self._wait_for_suspicion()
+            await self._suspicion.wait(RENEW_ROW_S)
 
     async def _raise_token(self, leader: Leader, terms: int) -> None:
         """Overtake a token that targets obey and nobody leads by.
@@ -412,18 +394,6 @@
             self.hear_of(known)
         return bool(later)
 
-    async def _wait_for_suspicion(self) -> None:
-        """Wait for the next renewal, or less if a target obeys somebody else."""
-        self._suspicion.clear()
-        # Every target of the far side of a cut raises the suspicion anew.
-        await asyncio.sleep(SUPERSEDED_CHECK_S if self._was_suspicious else 0.0)
-        try:
-            async with asyncio.timeout(RENEW_ROW_S):
-                await self._suspicion.wait()
-            self._was_suspicious = True
-        except TimeoutError:
-            self._was_suspicious = False
-
     async def _is_reachable(self, leadership: Leadership) -> bool:
         look = await look_at(to_address(leadership.address), leadership.token)
         return look is not None and look.highest is not None
@@ -451,10 +421,6 @@
     def _known_token(self) -> int:
         return self.known.token if self.known is not None else NO_TOKEN
 
-    def _offer(self, tables: Iterable[RoutingTable]) -> None:
-        for table in tables:
-            self.routing.offer(table, "store")
-
     def _apply_routing(self, table: RoutingTable) -> None:
         if self.leader is not None:
             self.leader.apply_routing(table)
