Import less before a member can serve

Change: those names are imported when first used; the client is imported without certificates; the interface of the table service has a module without its HTTP client.

Ruled out: invalid byte code (it matches its sources), another HTTP client (the next of kin import more).

--- a/src/cassiaturn/observability/__init__.py
+++ b/src/cassiaturn/observability/__init__.py
@@ -1,9 +1,12 @@
 """What a process shows of itself: log lines, metrics and HTTP pages."""
 
+from typing import TYPE_CHECKING
+
+from cassiaturn._lazy import lazy_exports
 from cassiaturn.observability._bounded import BoundedOutput
 from cassiaturn.observability._event import Event, EventKind, Level
+from cassiaturn.observability._export import EXPOSITION
 from cassiaturn.observability._fleet_metrics import FleetMetrics
-from cassiaturn.observability._http import EXPOSITION, HttpServer
 from cassiaturn.observability._log import (
     LogOutput,
     configure_logging,
@@ -18,19 +21,40 @@
     StoreOperation,
     WastedMessage,
 )
-from cassiaturn.observability._status import (
-    BreakerState,
-    ConfigurationStatus,
-    InstanceState,
-    PeerStatus,
-    QueueStatus,
-    Ready,
-    StatusDocument,
-    StatusSource,
-    TargetStatus,
-    TenantStatus,
+
+if TYPE_CHECKING:
+    from cassiaturn.observability._http import HttpServer
+    from cassiaturn.observability._status import (
+        BreakerState,
+        ConfigurationStatus,
+        InstanceState,
+        PeerStatus,
+        QueueStatus,
+        Ready,
+        StatusDocument,
+        StatusSource,
+        TargetStatus,
+        TenantStatus,
+    )
+    from cassiaturn.observability._table import ObservedTable
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "BreakerState": "_status",
+        "ConfigurationStatus": "_status",
+        "HttpServer": "_http",
+        "InstanceState": "_status",
+        "ObservedTable": "_table",
+        "PeerStatus": "_status",
+        "QueueStatus": "_status",
+        "Ready": "_status",
+        "StatusDocument": "_status",
+        "StatusSource": "_status",
+        "TargetStatus": "_status",
+        "TenantStatus": "_status",
+    },
 )
-from cassiaturn.observability._table import ObservedTable
 
 __all__ = [
     "BoundedOutput",
--- a/src/cassiaturn/observability/_http.py
+++ b/src/cassiaturn/observability/_http.py
@@ -8,6 +8,7 @@
 from tornado.web import Application, RequestHandler
 
 from cassiaturn.entities import Address
+from cassiaturn.observability._export import EXPOSITION
 from cassiaturn.observability._metrics import Metrics
 from cassiaturn.observability._page import render_page
 from cassiaturn.observability._status import StatusSource
@@ -15,12 +16,10 @@
 TEXT = "text/plain; charset=utf-8"
 JSON = "application/json"
 HTML = "text/html; charset=utf-8"
-EXPOSITION = "text/plain; version=0.0.4; charset=utf-8"
 
 RETRY_AFTER_S = 1
 """When a balancer should ask again of an instance that is not ready."""
 
-
 IDLE_TIMEOUT_S = 60.0
 """Time after which a connection without a request is closed, in seconds."""
 
--- a/src/cassiaturn/platform/_client.py
+++ b/src/cassiaturn/platform/_client.py
@@ -5,9 +5,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-import aiohttp
 from returns.result import Failure, Result, Success
 
+from cassiaturn.platform._plain_http import aiohttp
+
 KEEP_OPEN_S = 20.0
 """How long an unused connection is kept, in seconds: new ones cost a round trip, and
 targets take 64 each."""
--- a/src/cassiaturn/services/__init__.py
+++ b/src/cassiaturn/services/__init__.py
@@ -1,5 +1,8 @@
 """The platform's table service, object store and list of hosts."""
 
+from typing import TYPE_CHECKING
+
+from cassiaturn._lazy import lazy_exports
 from cassiaturn.services._errors import (
     AnswerLost,
     Conflict,
@@ -10,21 +13,48 @@
     Unavailable,
     WriteError,
 )
-from cassiaturn.services._hosts import Host, HostList, HostState, HttpHostList
-from cassiaturn.services._http import HttpCaller, HttpMethod
-from cassiaturn.services._objects import HttpObjectStore, ObjectStore
 from cassiaturn.services._rows import ABSENT_VERSION, Committed, Delete, Put, Row, Write
-from cassiaturn.services._table import HttpTableService, TableService
-from cassiaturn.services._wire import (
-    HostDocument,
-    HostsReply,
-    ReadRequest,
-    RowDocument,
-    RowsReply,
-    ScanRequest,
-    TransactReply,
-    TransactRequest,
-    to_write,
+from cassiaturn.services._table_service import TableService
+
+if TYPE_CHECKING:
+    from cassiaturn.services._hosts import Host, HostList, HostState, HttpHostList
+    from cassiaturn.services._http import HttpCaller, HttpMethod
+    from cassiaturn.services._objects import HttpObjectStore, ObjectStore
+    from cassiaturn.services._table import HttpTableService
+    from cassiaturn.services._wire import (
+        HostDocument,
+        HostsReply,
+        ReadRequest,
+        RowDocument,
+        RowsReply,
+        ScanRequest,
+        TransactReply,
+        TransactRequest,
+        to_write,
+    )
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "Host": "_hosts",
+        "HostDocument": "_wire",
+        "HostList": "_hosts",
+        "HostState": "_hosts",
+        "HostsReply": "_wire",
+        "HttpCaller": "_http",
+        "HttpHostList": "_hosts",
+        "HttpMethod": "_http",
+        "HttpObjectStore": "_objects",
+        "HttpTableService": "_table",
+        "ObjectStore": "_objects",
+        "ReadRequest": "_wire",
+        "RowDocument": "_wire",
+        "RowsReply": "_wire",
+        "ScanRequest": "_wire",
+        "TransactReply": "_wire",
+        "TransactRequest": "_wire",
+        "to_write": "_wire",
+    },
 )
 
 __all__ = [
--- a/src/cassiaturn/settings/__init__.py
+++ b/src/cassiaturn/settings/__init__.py
@@ -1,5 +1,8 @@
 """Settings of a process: YAML files, validated as a whole, as data classes."""
 
+from typing import TYPE_CHECKING
+
+from cassiaturn._lazy import lazy_exports
 from cassiaturn.entities import Address
 from cassiaturn.settings._address import AddressField, parse_address
 from cassiaturn.settings._classes import ClassName
@@ -24,16 +27,29 @@
     is_fleet_file,
     load_fleet_settings,
 )
-from cassiaturn.settings._instance import (
-    InstanceSettings,
-    PeerSettings,
-    PlatformSettings,
-    TargetSettings,
-)
 from cassiaturn.settings._limits import LimitSettings
-from cassiaturn.settings._load import load_instance_settings
 from cassiaturn.settings._timings import TimingSettings
 
+if TYPE_CHECKING:
+    from cassiaturn.settings._instance import (
+        InstanceSettings,
+        PeerSettings,
+        PlatformSettings,
+        TargetSettings,
+    )
+    from cassiaturn.settings._load import load_instance_settings
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "InstanceSettings": "_instance",
+        "PeerSettings": "_instance",
+        "PlatformSettings": "_instance",
+        "TargetSettings": "_instance",
+        "load_instance_settings": "_load",
+    },
+)
+
 __all__ = [
     "Address",
     "AddressField",
