--- a/src/cassiaturn/platform/_client.py
+++ b/src/cassiaturn/platform/_client.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from cassiaturn.platform._plain_http import aiohttp
+from cassiaturn.transport.plain_http import aiohttp
 
 KEEP_OPEN_S = 20.0
 """How long an unused connection is kept, in seconds: new ones cost a round trip, and
