--- a/src/cassiaturn/bench/__main__.py
+++ b/src/cassiaturn/bench/__main__.py
@@ -21,10 +21,10 @@
 from cassiaturn.bench._goals import judge
 from cassiaturn.bench._plot import PLOTS_PATH, plot_scenario
 from cassiaturn.bench._scenario import scenarios_by_name
-from cassiaturn.bench._shared_play import EXACT as EXACT_SHARED
-from cassiaturn.bench._shared_play import OURS as OURS_SHARED
-from cassiaturn.bench._shared_play import variants_by_name
 from cassiaturn.bench._shared_suite import run_shared, shared_ratios, shared_runs
+from cassiaturn.bench._shared_variants import EXACT as EXACT_SHARED
+from cassiaturn.bench._shared_variants import OURS as OURS_SHARED
+from cassiaturn.bench._shared_variants import variants_by_name
 from cassiaturn.bench._suite import (
     BASELINES,
     EXACT,
--- a/src/cassiaturn/bench/_shared_play.py
+++ b/src/cassiaturn/bench/_shared_play.py
@@ -1,11 +1,7 @@
 """Plays a load before the real tables of a leader, and counts what callers get."""
 
-import contextlib
-from collections.abc import Callable, Iterator, Mapping
-from contextlib import AbstractContextManager
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
-from typing import Any
-from unittest import mock
 
 from cassiaturn.bench._shared_load import (
     LIMIT_S,
@@ -15,19 +11,13 @@
     SharedSite,
     draw_jobs,
 )
-from cassiaturn.policy import ExpectedRuns, OrderKey
-from cassiaturn.standins import virtual_targets
+from cassiaturn.bench._shared_variants import EXACT, variants_by_name
 from cassiaturn.standins.virtual_targets import ROUTE, Play
 from cassiaturn.workload import Verdict
 
 WINDOW_S = 2.0
 """Length of the windows of which the two worst are told, in seconds."""
 
-EXACT = "exact"
-"""The bound: one queue without ways, which knows how long each task takes."""
-
-OURS = "ours"
-
 LATE_SHARE = 0.2
 """Worth of a late answer, as a share of one in time."""
 
@@ -248,70 +238,3 @@
     elif took_s <= LATE_FACTOR * job.due_s:
         tally.late += 1
         tally.earned += LATE_SHARE * job.full_worth
-
-
-# Variants: ours, the bound, and each module replaced by what one would do without it.
-
-
-def variants_by_name() -> Mapping[str, Callable[[], AbstractContextManager[Any]]]:
-    """Return a context for each variant, in which the play runs."""
-    return {
-        OURS: contextlib.nullcontext,
-        EXACT: _exact,
-        "no_order": lambda: _patched("_backlog.order_key", _by_arrival),
-        "priority_first": lambda: _patched("_backlog.order_key", _by_priority),
-        "no_packing": lambda: _patched("_dispatch.choose_shared", _least_loaded),
-        "no_pace": lambda: _patched("_tables.needs_fast_target", _never),
-        "no_outlook": lambda: _patched("_tick._cannot_finish", _never),
-        "no_refusal": lambda: _patched("_intake._refusal", _none),
-        "no_expected_runs": lambda: _patched(
-            "_tables.ExpectedRuns.expected_s", _declared
-        ),
-        "no_failure_pause": lambda: _patched("_ends.failed_target_pause_s", _no_pause),
-    }
-
-
-def _patched(name: str, replacement: object) -> AbstractContextManager[Any]:
-    return mock.patch(f"cassiaturn.workload.{name}", replacement)
-
-
-@contextlib.contextmanager
-def _exact() -> Iterator[None]:
-    with (
-        mock.patch.object(virtual_targets, "WAY_S", 0.0),
-        mock.patch.object(ExpectedRuns, "expected_s", _declared),
-    ):
-        yield
-
-
-def _by_arrival(**fields: object) -> OrderKey:
-    # The queue's rows are kept in order of arrival, and sorting keeps equal ones so.
-    return OrderKey(late=False, priority=0, is_new=False, due_at=0.0)
-
-
-def _by_priority(
-    *, priority: int, due_at: float, expected_run_s: float, is_new: bool, now: float
-) -> OrderKey:
-    rank = 2 * priority + (due_at < now)
-    return OrderKey(late=False, priority=rank, is_new=False, due_at=due_at)
-
-
-def _least_loaded(group, group_key, targets, **options):  # type: ignore[no-untyped-def]
-    fitting = [target for target in targets if target.has(group.resources)]
-    return min(fitting, key=lambda target: target.used_cpu_millis, default=None)
-
-
-def _declared(self: ExpectedRuns, route: str, declared_s: float) -> float:
-    return declared_s
-
-
-def _never(*args: object, **options: object) -> bool:
-    return False
-
-
-def _none(*args: object) -> None:
-    return None
-
-
-def _no_pause(failures_in_row: int) -> float:
-    return 0.0
--- a/src/cassiaturn/bench/_shared_suite.py
+++ b/src/cassiaturn/bench/_shared_suite.py
@@ -9,7 +9,8 @@
     SHARED_LOADS_BY_NAME,
     SHARED_SITES_BY_USER,
 )
-from cassiaturn.bench._shared_play import EXACT, OURS, SharedResult, play_shared
+from cassiaturn.bench._shared_play import SharedResult, play_shared
+from cassiaturn.bench._shared_variants import EXACT, OURS
 
 SHARED_SEEDS = (1, 2)
 """Seeds whose mean is compared: one load has some 60 jobs of the longest kind, of
--- a/src/cassiaturn/bench/tests/test_shared.py
+++ b/src/cassiaturn/bench/tests/test_shared.py
@@ -9,7 +9,8 @@
     SHARED_SITES_BY_USER,
     draw_jobs,
 )
-from cassiaturn.bench._shared_play import EXACT, OURS, play_shared
+from cassiaturn.bench._shared_play import play_shared
+from cassiaturn.bench._shared_variants import EXACT, OURS
 
 SEED = 1
 
