--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -137,14 +137,14 @@
         self.known = leadership
         self._news.set()
         if self.leader is not None:
-            self._suspicion.arouse()
+            self._suspicion.signal()
         elif self._following is not None:
             self._following.leave_for(leadership)
 
     def note_token(self, token: int) -> None:
         """Take in that somebody has seen a later leadership."""
         if self.leader is not None and token > self.leader.leadership.token:
-            self._suspicion.arouse()
+            self._suspicion.signal()
 
     async def run(self) -> None:
         """Lead or follow until cancelled."""
@@ -324,7 +324,7 @@
             metrics=self.metrics,
             settings=settings_for_lease(self.settings.lease_ms / MILLISECONDS),
             known_targets=self._roster.targets_by_id or {},
-            on_superseded=self._suspicion.arouse,
+            on_superseded=self._suspicion.signal,
         )
         leader.on_directory_change = self.service.send_roster
         self.leader = leader
--- a/src/cassiaturn/fleet/_suspicion.py
+++ b/src/cassiaturn/fleet/_suspicion.py
@@ -11,15 +11,15 @@
 
     def __init__(self) -> None:
         self._signs = asyncio.Event()
-        self._was_aroused = False
+        self._was_signalled = False
 
-    def arouse(self) -> None:
+    def signal(self) -> None:
         """Take in a sign: a target or a member has seen a higher token."""
         self._signs.set()
 
     def settle(self) -> None:
         """Forget earlier signs, as at the begin of a term."""
-        self._was_aroused = False
+        self._was_signalled = False
 
     async def wait(self, timeout_s: float) -> None:
         """Wait for a sign.
@@ -28,10 +28,10 @@
         """
         self._signs.clear()
         # Every target of the far side of a cut gives a sign again and again.
-        await asyncio.sleep(SUPERSEDED_CHECK_S if self._was_aroused else 0.0)
+        await asyncio.sleep(SUPERSEDED_CHECK_S if self._was_signalled else 0.0)
         try:
             async with asyncio.timeout(timeout_s):
                 await self._signs.wait()
-            self._was_aroused = True
+            self._was_signalled = True
         except TimeoutError:
-            self._was_aroused = False
+            self._was_signalled = False
