--- a/src/cassiaturn/server/tests/fleet.py
+++ b/src/cassiaturn/server/tests/fleet.py
@@ -164,8 +164,9 @@
             if isinstance(one, H2Protocol) and one.handler in handlers
         ]
         # A connection that was accepted in this turn of the loop is made in the next.
-        while not all(hasattr(one, "connection") for one in protocols):  # noqa: ASYNC110
-            await asyncio.sleep(0)
+        async with asyncio.timeout(1.0):
+            while not all(hasattr(one, "connection") for one in protocols):  # noqa: ASYNC110
+                await asyncio.sleep(0)
         for protocol in protocols:
             protocol.connection._transport.abort()
         await instance.close()
