Log how a call ended whose caller has gone

In a member that reaches the loop's exception handler and is logged as invariant_broken, a fault of the program.

Ruled out: that it ends the process (the handler does so only for tasks destroyed while pending).

Change: run_apart logs it as peer_lost. Test first: failed with that report, passes now. Nothing else measured: no caller saw it.

--- a/src/cassiaturn/transport/_cancellation.py
+++ b/src/cassiaturn/transport/_cancellation.py
@@ -4,6 +4,8 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from cassiaturn.observability import Event, log_event
+
 ResultT = TypeVar("ResultT")
 
 END_TIMEOUT_S = 1.0
@@ -25,8 +27,19 @@
         await asyncio.wait([task])
     finally:
         if not task.done():
+            task.add_done_callback(_log_failure)
             task.cancel()
             await asyncio.wait([task], timeout=END_TIMEOUT_S)
     if task.cancelled():
         raise ConnectionAbortedError("the stream ended during the call")
     return task.result()
+
+
+def _log_failure(task: "asyncio.Task[Any]") -> None:
+    """Log how a call ended whose caller has gone.
+
+    A connection that breaks at the same time makes the end of its stream fail.
+    Retrieved by nobody, that would be reported as a fault of the program.
+    """
+    if not task.cancelled() and task.exception() is not None:
+        log_event(Event.PEER_LOST, detail=repr(task.exception()))
--- a/src/cassiaturn/transport/tests/test_run_apart.py
+++ b/src/cassiaturn/transport/tests/test_run_apart.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 
 import pytest
 
@@ -53,3 +54,30 @@
     assert await run_apart(good()) == 7
     with pytest.raises(ValueError, match="wrong"):
         await run_apart(bad())
+
+
+async def test_a_connection_that_breaks_as_its_call_is_cancelled_is_no_fault() -> None:
+    """A leader ends while a follower leaves it: the end of the stream fails as well.
+
+    The follower's log must not report a fault of the program, on which an operator
+    would act.
+    """
+    reported: list[dict[str, object]] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: reported.append(context))
+
+    async def work() -> None:
+        try:
+            await asyncio.sleep(10.0)
+        finally:
+            raise ConnectionResetError("connection lost")
+
+    task = asyncio.create_task(run_apart(work()))
+    await asyncio.sleep(0.01)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    del task
+    gc.collect()
+    await asyncio.sleep(0)
+    assert not reported
