Log the end of a call that failed in the very turn its caller was cancelled

The call had failed already when its caller was cancelled, so that run_apart neither cancelled nor asked it.

Change: the callback is set in both cases. Test first: one of two cases failed, both pass.

--- a/src/cassiaturn/transport/_cancellation.py
+++ b/src/cassiaturn/transport/_cancellation.py
@@ -25,11 +25,11 @@
     task = asyncio.get_running_loop().create_task(work)
     try:
         await asyncio.wait([task])
-    finally:
-        if not task.done():
-            task.add_done_callback(_log_failure)
-            task.cancel()
-            await asyncio.wait([task], timeout=END_TIMEOUT_S)
+    except asyncio.CancelledError:
+        task.add_done_callback(_log_failure)
+        task.cancel()
+        await asyncio.wait([task], timeout=END_TIMEOUT_S)
+        raise
     if task.cancelled():
         raise ConnectionAbortedError("the stream ended during the call")
     return task.result()
--- a/src/cassiaturn/transport/tests/test_run_apart.py
+++ b/src/cassiaturn/transport/tests/test_run_apart.py
@@ -56,7 +56,10 @@
         await run_apart(bad())
 
 
-async def test_a_connection_that_breaks_as_its_call_is_cancelled_is_no_fault() -> None:
+@pytest.mark.parametrize("has_ended", [False, True])
+async def test_a_connection_that_breaks_as_its_call_is_cancelled_is_no_fault(
+    has_ended: bool,
+) -> None:
     """A leader ends while a follower leaves it: the end of the stream fails as well.
 
     The follower's log must not report a fault of the program, on which an operator
@@ -68,12 +71,13 @@
 
     async def work() -> None:
         try:
-            await asyncio.sleep(10.0)
+            await (asyncio.sleep(0.0) if has_ended else asyncio.sleep(10.0))
         finally:
             raise ConnectionResetError("connection lost")
 
     task = asyncio.create_task(run_apart(work()))
-    await asyncio.sleep(0.01)
+    for _ in range(2):
+        await asyncio.sleep(0.0)
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
         await task
