Do not suspect a peer whose heartbeats lie unread

Cause: since a leader counts as lost after 0.45 s, a follower whose own process stood still for that long (a quota, a collection of garbage of 0.37 s in the tests) finds it silent before it reads the heartbeats that came meanwhile.

Ruled out: a new leader (the silent one is asked first, and answers); the followers' silence at the leader, 0.75 s, stays bounded: 0.1 s more at the most, three times.

--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -22,7 +22,7 @@
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.fleet._service import BEAT_S
 from cassiaturn.observability import Event, log_event
-from cassiaturn.transport import run_apart
+from cassiaturn.transport import run_apart, sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.v1.fleet_grpc import FleetStub
 
@@ -304,7 +304,9 @@
                 return Followed(
                     end=FollowEnd.SILENT, welcomed=True, heard_at=self.heard_at
                 )
-            await asyncio.sleep(LEADER_SILENCE_S - silent_s)
+            await sleep_awake(
+                LEADER_SILENCE_S - silent_s, most_grace_s=LEADER_SILENCE_S
+            )
 
 
 async def look_at(
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -20,6 +20,7 @@
 from cassiaturn.fleet._leadership import Leadership
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.observability import Event, log_event
+from cassiaturn.transport import sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.v1.fleet_grpc import FleetBase
 from cassiaturn.workload import Outcome
@@ -32,6 +33,10 @@
 """Silence after which a follower is gone, in seconds. Its tasks must be over when
 its callers come back after 1.3 s; stopping them takes some 50 ms."""
 
+FOLLOWER_GRACE_S = 0.1
+"""Longest addition to that where the leader itself stood still, in seconds: its hosts
+take the processor away for a tenth of a second at a time."""
+
 RECONNECT_GRACE_S = 0.35
 """How long a follower whose stream broke may take to come back, in seconds: a
 connection that was reset is replaced in a few milliseconds, and an ended process
@@ -303,4 +308,4 @@
         silent_s = time.monotonic() - follower.heard_at
         if silent_s >= FOLLOWER_SILENCE_S:
             return
-        await asyncio.sleep(FOLLOWER_SILENCE_S - silent_s)
+        await sleep_awake(FOLLOWER_SILENCE_S - silent_s, most_grace_s=FOLLOWER_GRACE_S)
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -1,6 +1,7 @@
 """A leader falls silent without its connections ending: what callers get."""
 
 import asyncio
+import time
 
 from cassiaturn.entities import TaskRef
 from cassiaturn.platform.tests.fleet import Fleet, RunningMember
@@ -64,3 +65,20 @@
     assert (await waiting)[:2] == COMPLETED
     assert len(_starts(fleet, JOB)) == 4
     assert fleet.leader() is leader
+
+
+async def test_a_process_that_stood_still_does_not_suspect_its_leader(
+    fleet: Fleet,
+) -> None:
+    """A host takes the processor away for longer than a leader may be silent.
+
+    The leader's heartbeats lie unread meanwhile. Suspected at once, it would lose its
+    followers, who refuse callers until they are back.
+    """
+    leader = fleet.leader()
+    streams = leader.member.service.followers
+    for _ in range(3):
+        time.sleep(0.6)  # noqa: ASYNC251 - the process stands still
+        await asyncio.sleep(0.3)
+    assert leader.member.service.followers == streams
+    assert all(row.member.is_ready for row in fleet.members)
