Let the larger side of a cut lead when it heals

A leader behind the cut, with three of nine members, had claimed the next term; its token outranked that of the leader whom six followed. It took every target at 39.98; the other learnt from the row, written twice a second, at 40.52 who leads, and 44 jobs that changed over were given up (held_too_long). Two claims of one term were settled by their random part.

Ruled out: the smaller side asking nobody until it has looked around (targets that come back are heard by their next list, before any member is).

Change: a token carries the members that its claimant reaches, below the term; a leader that hears most of its followers goes on under a higher token when some fall silent, 0.3 s later, so that all of them are counted; a leader whose targets obey somebody else asks every member that it has ever met at once, not the row alone.

Tests first: two of tokens, two of members (the larger side raises its token with no run started again, the smaller does not).

--- a/src/cassiaturn/fleet/_leadership.py
+++ b/src/cassiaturn/fleet/_leadership.py
@@ -16,6 +16,11 @@
 from dataclasses import asdict, dataclass
 from enum import Enum, auto
 
+REACH_BITS = 8
+"""Bits of a token for the members that its claimant reaches. Of two claims of one term,
+on both sides of a cut, the larger side's wins when it heals: the smaller one's would
+take every target away from most callers' leader, whose jobs are then given up."""
+
 SALT_BITS = 20
 """Bits of a token that tell claimants of one term apart: two members cut off from
 the table service and from each other get equal tokens in one of a million cases."""
@@ -63,18 +68,26 @@
 
 
 def next_leadership(
-    highest: "Leadership | None", *, member_id: str, address: str, terms: int = 1
+    highest: "Leadership | None",
+    *,
+    member_id: str,
+    address: str,
+    reach: int,
+    terms: int = 1,
 ) -> Leadership:
     """Return the leadership that a member claims.
 
     :param highest: the latest leadership that it knows of.
     :param member_id: the member.
     :param address: where it serves other members.
+    :param reach: members that answer it or follow it.
     :param terms: terms to go ahead by; more if targets obey one that nobody knows.
     """
     term = highest.term + terms if highest is not None else 0
     # Term 0 has tokens above 0 as well: a target takes a missing token for 0.
-    token = ((term + 1) << SALT_BITS) | secrets.randbelow(1 << SALT_BITS)
+    size = min(reach, (1 << REACH_BITS) - 1)
+    salt = secrets.randbelow(1 << SALT_BITS)
+    token = (((term + 1) << REACH_BITS | size) << SALT_BITS) | salt
     return Leadership(token=token, term=term, member_id=member_id, address=address)
 
 
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -59,6 +59,10 @@
 in seconds: it is found in 0.5 to 0.8 s, or later where members that are gone are asked
 too. By then a leader that lives has dropped them."""
 
+CUT_SETTLE_S = 0.3
+"""How long a leader waits for further silent followers before it concludes on which
+side of a cut most of them are, in seconds: two heartbeats."""
+
 MILLISECONDS = 1000
 
 SUPERSEDED_CHECKS = 1
@@ -97,6 +101,7 @@
         self._neighbours = Neighbours(settings=settings, roster=self._roster)
         self._following: Following | None = None
         self._suspicion = Suspicion()
+        self._silent_members = 0
         self._resigned = asyncio.Event()
         self._news = asyncio.Event()
         self._stopping = False
@@ -152,6 +157,15 @@
         elif self._following is not None:
             self._following.leave_for(leadership)
 
+    def note_joined(self, address: str) -> None:
+        """Take in where a member that follows this one serves others."""
+        self._neighbours.note(address)
+
+    def note_silent_member(self) -> None:
+        """Take in that a follower does not answer."""
+        self._silent_members += 1
+        self._suspicion.signal()
+
     def note_token(self, token: int) -> None:
         """Take in that somebody has seen a later leadership."""
         if self.leader is not None and token > self.leader.leadership.token:
@@ -321,9 +335,7 @@
                 return Loss.GONE
 
     async def _claim(self, *, with_row: bool) -> bool:
-        claim = next_leadership(
-            self.known, member_id=self.member_id, address=str(self.settings.members)
-        )
+        claim = self._next_leadership(reach=self._neighbours.answering)
         if with_row:
             holder = await self._row.claim(claim)
             if holder is None:
@@ -335,6 +347,15 @@
         self.known = claim
         return True
 
+    def _next_leadership(self, *, reach: int, terms: int = 1) -> Leadership:
+        return next_leadership(
+            self.known,
+            member_id=self.member_id,
+            address=str(self.settings.members),
+            reach=reach,
+            terms=terms,
+        )
+
     async def _lead(self) -> None:
         leadership = self.known
         if leadership is None:
@@ -383,6 +404,12 @@
             checks = checks + 1 if stands else 0
             if checks > SUPERSEDED_CHECKS:
                 await self._raise_token(leader, terms=1 << (checks - 2))
+            elif stands and await self._announce(leadership):
+                # The row is written twice a second only, and callers of this side
+                # wait for targets that obey somebody else.
+                continue
+            if self._silent_members:
+                await self._outrank_far_side(leader)
             await self._suspicion.wait(RENEW_ROW_S)
 
     async def _raise_token(self, leader: Leader, terms: int) -> None:
@@ -392,18 +419,28 @@
         could write the row. Targets then refuse every order of the next leader, for
         ever, and callers get nothing.
         """
-        claim = next_leadership(
-            self.known,
-            member_id=self.member_id,
-            address=str(self.settings.members),
-            terms=terms,
-        )
+        claim = self._next_leadership(reach=len(self.service.followers), terms=terms)
         holder = await self._row.claim(claim)
         if holder is not None and holder != claim:
             return
         if holder is None and await self._announce(claim):
             # Somebody leads by a higher token; it was heard of just now.
             return
+        self._go_on_as(leader, claim)
+
+    async def _outrank_far_side(self, leader: Leader) -> None:
+        """Raise the token if followers fell silent and most are still heard.
+
+        Behind a cut they claim the next term. When it heals their leader would take
+        every target away from this one, whose callers are more.
+        """
+        await asyncio.sleep(CUT_SETTLE_S)
+        lost, self._silent_members = self._silent_members, 0
+        left = len(self.service.followers)
+        if left > lost:
+            self._go_on_as(leader, self._next_leadership(reach=left))
+
+    def _go_on_as(self, leader: Leader, claim: Leadership) -> None:
         self.known = claim
         leader.raise_token(claim)
         self.service.send_leadership(claim)
--- a/src/cassiaturn/fleet/_neighbours.py
+++ b/src/cassiaturn/fleet/_neighbours.py
@@ -1,6 +1,7 @@
 """Other members, wherever this one has heard of them."""
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -9,6 +10,9 @@
 from cassiaturn.fleet._leadership import NO_TOKEN, Leadership, Look
 from cassiaturn.settings import FleetSettings
 
+MOST_MET = 64
+"""Addresses of members that are remembered, several times those of a small site."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Around:
@@ -39,10 +43,21 @@
         self.led_by = ""
         """Address of the leader that was followed last."""
 
+        self.answering = 0
+        """Members that answered the last look."""
+
+        self._met: OrderedDict[str, None] = OrderedDict()
         self._own = str(settings.members)
         self._seeds = frozenset(str(seed) for seed in settings.seeds)
         self._roster = roster
 
+    def note(self, address: str) -> None:
+        """Take in where a member serves others, also after a cut from it."""
+        self._met[address] = None
+        self._met.move_to_end(address)
+        if len(self._met) > MOST_MET:
+            self._met.popitem(last=False)
+
     async def look(self, lost: Leadership | None) -> Around:
         """Ask every member what it knows, the lost leader among them.
 
@@ -59,6 +74,7 @@
             for address, look in zip(addresses, looks, strict=True)
             if look is not None and address < self._own
         ]
+        self.answering = sum(look is not None for look in looks)
         return Around(
             looks=[look for look in looks if look is not None],
             leader_answers=_still_leads(own_word, lost),
@@ -72,11 +88,12 @@
         return await look_at(to_address(lost.address), lost.token)
 
     async def announce(self, leadership: Leadership) -> Sequence[Look]:
-        """Tell every member that this one leads; returns what they know."""
+        """Tell every member ever met that this one leads; returns what they know."""
+        addresses = set(self._addresses(without="")) | self._met.keys()
         looks = await asyncio.gather(
             *(
                 look_at(to_address(address), leadership.token, announced=leadership)
-                for address in self._addresses(without="")
+                for address in sorted(addresses - {self._own})
             )
         )
         return [look for look in looks if look is not None]
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -70,6 +70,12 @@
     def note_token(self, token: int) -> None:
         """Take in that somebody has seen a token above the leader's own."""
 
+    def note_joined(self, address: str) -> None:
+        """Take in where a member that follows this one serves others."""
+
+    def note_silent_member(self) -> None:
+        """Take in that a follower does not answer."""
+
 
 class Follower:
     """A member that follows this leader, over one stream."""
@@ -165,6 +171,7 @@
         follower = Follower(hello=hello)
         self._followers_by_id[hello.member_id] = follower
         leader.followers_by_id[hello.member_id] = follower
+        self._member.note_joined(hello.address)
         log_event(
             Event.MEMBER_JOINED,
             member=hello.member_id,
@@ -288,6 +295,8 @@
             del self._followers_by_id[member_id]
         leader.drop_member(member_id)
         self.send_roster()
+        if silent:
+            self._member.note_silent_member()
 
     def _roster(self, leader: Leader) -> pb.Roster:
         members = [
--- a/src/cassiaturn/fleet/tests/test_leadership.py
+++ b/src/cassiaturn/fleet/tests/test_leadership.py
@@ -152,8 +152,8 @@
 
 
 def test_tokens_rise_with_each_term() -> None:
-    first = next_leadership(None, member_id="a", address="x:1")
-    second = next_leadership(first, member_id="b", address="y:1")
+    first = next_leadership(None, member_id="a", address="x:1", reach=0)
+    second = next_leadership(first, member_id="b", address="y:1", reach=0)
     assert 0 < first.token < second.token
     assert (first.term, second.term) == (0, 1)
     assert second.token < 1 << 53  # exact in JSON numbers of every reader
@@ -161,7 +161,8 @@
 
 def test_two_claims_of_one_term_have_different_tokens() -> None:
     tokens = {
-        next_leadership(OLD, member_id="a", address="x:1").token for _ in range(50)
+        next_leadership(OLD, member_id="a", address="x:1", reach=0).token
+        for _ in range(50)
     }
     assert len(tokens) > 45
 
@@ -179,3 +180,18 @@
 
 def test_a_row_names_who_wrote_it() -> None:
     assert Leadership.from_value(OLD.to_value(3)) == OLD
+
+
+def test_of_two_sides_of_a_cut_the_larger_one_leads_after_it() -> None:
+    """Both sides claim the same term, and targets obey the higher token at the heal."""
+    for _ in range(50):
+        small = next_leadership(OLD, member_id="a", address="x:1", reach=2)
+        large = next_leadership(OLD, member_id="b", address="y:1", reach=5)
+        assert small.term == large.term
+        assert small.token < large.token
+
+
+def test_a_claim_outranks_an_earlier_term_of_any_reach() -> None:
+    wide = next_leadership(None, member_id="a", address="x:1", reach=9_999)
+    alone = next_leadership(wide, member_id="b", address="y:1", reach=0)
+    assert wide.token < alone.token
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -97,3 +97,36 @@
         await asyncio.sleep(0.3)
     assert leader.member.service.followers == streams
     assert all(row.member.is_ready for row in fleet.members)
+
+
+async def test_the_larger_side_of_a_cut_outranks_what_the_other_claims(
+    fleet: Fleet,
+) -> None:
+    """A follower falls silent behind a cut, where the next term may be claimed.
+
+    The leader, which still hears the others, goes on under a higher token: no run of
+    a job under way is stopped or started again for it.
+    """
+    for runner in fleet.runners:
+        runner.run_s = 1.2
+    leader = fleet.leader()
+    before = leader.member.known
+    waiting = await _submit_and_start(fleet, fleet.followers()[0], count=4)
+    leader.member.note_silent_member()
+    await fleet.until(lambda: leader.member.known != before)
+    after = leader.member.known
+    assert before is not None
+    assert after is not None
+    assert after.term == before.term + 1
+    assert (await waiting)[:2] == COMPLETED
+    assert len(_starts(fleet, JOB)) == 4
+    await fleet.until(lambda: {row.token for row in fleet.runners} == {after.token})
+
+
+async def test_the_smaller_side_of_a_cut_claims_no_rank(fleet: Fleet) -> None:
+    leader = fleet.leader()
+    before = leader.member.known
+    for _ in range(3):
+        leader.member.note_silent_member()
+    await asyncio.sleep(1.0)
+    assert leader.member.known == before
