--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -13,13 +13,11 @@
     FollowEnd,
     Following,
     Roster,
-    look_at,
 )
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_row import (
     CALL_TIMEOUT_S,
     GLANCE_TIMEOUT_S,
-    RENEW_ROW_S,
     LeaderRow,
 )
 from cassiaturn.fleet._leadership import (
@@ -33,11 +31,12 @@
     next_step,
 )
 from cassiaturn.fleet._member_metrics import observe
-from cassiaturn.fleet._neighbours import Neighbours, to_address
+from cassiaturn.fleet._neighbours import Neighbours
 from cassiaturn.fleet._ports import PlatformServices
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.fleet._service import FleetService
 from cassiaturn.fleet._suspicion import Suspicion
+from cassiaturn.fleet._term import LeaderTerm
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.settings import FleetSettings
 from cassiaturn.v1 import fleet_pb2 as pb
@@ -59,16 +58,8 @@
 in seconds: it is found in 0.5 to 0.8 s, or later where members that are gone are asked
 too. By then a leader that lives has dropped them."""
 
-CUT_SETTLE_S = 0.3
-"""How long a leader waits for further silent followers before it concludes on which
-side of a cut most of them are, in seconds: two heartbeats."""
-
 MILLISECONDS = 1000
 
-SUPERSEDED_CHECKS = 1
-"""Looks without a later leader after which a leader raises its token: a successor
-whose claim is on its way is seen by the second one."""
-
 
 class Member:
     """The member's part in the fleet; servers and signals are its process's."""
@@ -101,7 +92,7 @@
         self._neighbours = Neighbours(settings=settings, roster=self._roster)
         self._following: Following | None = None
         self._suspicion = Suspicion()
-        self._silent_members = 0
+        self._term: LeaderTerm | None = None
         self._resigned = asyncio.Event()
         self._news = asyncio.Event()
         self._stopping = False
@@ -163,8 +154,8 @@
 
     def note_silent_member(self) -> None:
         """Take in that a follower does not answer."""
-        self._silent_members += 1
-        self._suspicion.signal()
+        if self._term is not None:
+            self._term.note_silent_member()
 
     def note_token(self, token: int) -> None:
         """Take in that somebody has seen a later leadership."""
@@ -335,7 +326,7 @@
                 return Loss.GONE
 
     async def _claim(self, *, with_row: bool) -> bool:
-        claim = self._next_leadership(reach=self._neighbours.answering)
+        claim = self.next_leadership(reach=self._neighbours.answering)
         if with_row:
             holder = await self._row.claim(claim)
             if holder is None:
@@ -347,7 +338,12 @@
         self.known = claim
         return True
 
-    def _next_leadership(self, *, reach: int, terms: int = 1) -> Leadership:
+    def next_leadership(self, *, reach: int, terms: int = 1) -> Leadership:
+        """Return the leadership that this member would claim now.
+
+        :param reach: members that answer it or follow it.
+        :param terms: terms to go ahead by.
+        """
         return next_leadership(
             self.known,
             member_id=self.member_id,
@@ -381,89 +377,21 @@
             targets=len(leader.reports_by_id),
         )
         leader.open()
-        announcing = asyncio.ensure_future(self._announce(leadership))
-        try:
-            self._step_down(await self._renew_until_superseded(leader))
-        finally:
-            announcing.cancel()
-
-    async def _renew_until_superseded(self, leader: Leader) -> Leadership:
-        """Write the row until another member leads; returns its leadership."""
-        checks = 0
-        while True:
-            leadership = leader.leadership
-            if self.known is not None and self.known.token > leadership.token:
-                return self.known
-            holder = await self._row.renew(leadership)
-            # A later leader that cannot be reached is on the far side of a cut: its
-            # side is served by it, and this side by this member.
-            is_later = holder is not None and holder.token > leadership.token
-            if holder is not None and is_later and await self._is_reachable(holder):
-                return holder
-            stands = holder in (leadership, None) and bool(leader.superseded_ids)
-            checks = checks + 1 if stands else 0
-            if checks > SUPERSEDED_CHECKS:
-                await self._raise_token(leader, terms=1 << (checks - 2))
-            elif stands and await self._announce(leadership):
-                # The row is written twice a second only, and callers of this side
-                # wait for targets that obey somebody else.
-                continue
-            if self._silent_members:
-                await self._outrank_far_side(leader)
-            await self._suspicion.wait(RENEW_ROW_S)
-
-    async def _raise_token(self, leader: Leader, terms: int) -> None:
-        """Overtake a token that targets obey and nobody leads by.
-
-        A leader that claimed without the table service may have ended before it
-        could write the row. Targets then refuse every order of the next leader, for
-        ever, and callers get nothing.
-        """
-        claim = self._next_leadership(reach=len(self.service.followers), terms=terms)
-        holder = await self._row.claim(claim)
-        if holder is not None and holder != claim:
-            return
-        if holder is None and await self._announce(claim):
-            # Somebody leads by a higher token; it was heard of just now.
-            return
-        self._go_on_as(leader, claim)
-
-    async def _outrank_far_side(self, leader: Leader) -> None:
-        """Raise the token if followers fell silent and most are still heard.
-
-        Behind a cut they claim the next term. When it heals their leader would take
-        every target away from this one, whose callers are more.
-        """
-        await asyncio.sleep(CUT_SETTLE_S)
-        lost, self._silent_members = self._silent_members, 0
-        left = len(self.service.followers)
-        if left > lost:
-            self._go_on_as(leader, self._next_leadership(reach=left))
-
-    def _go_on_as(self, leader: Leader, claim: Leadership) -> None:
-        self.known = claim
-        leader.raise_token(claim)
-        self.service.send_leadership(claim)
-        log_event(Event.LEADER_ELECTED, token=claim.token, term=claim.term, raised=True)
-
-    async def _announce(self, leadership: Leadership) -> bool:
-        """Tell every member that is known; returns whether one knows a later leader."""
-        looks = await self._neighbours.announce(leadership)
-        later = [look.highest for look in looks if look.highest is not None]
-        later = [known for known in later if known.token > leadership.token]
-        for known in later:
-            self.hear_of(known)
-        return bool(later)
-
-    async def _is_reachable(self, leadership: Leadership) -> bool:
-        look = await look_at(to_address(leadership.address), leadership.token)
-        return look is not None and look.highest is not None
+        self._term = LeaderTerm(
+            leader=leader,
+            member=self,
+            row=self._row,
+            neighbours=self._neighbours,
+            suspicion=self._suspicion,
+        )
+        self._step_down(await self._term.run())
 
     def _step_down(self, successor: Leadership | None) -> None:
         leader = self.leader
         if leader is None:
             return
         self.leader = None
+        self._term = None
         self._resigned.set()
         self._roster.targets_by_id = dict(leader.reports_by_id)
         leader.close()
