Measure preemption, and leave it out

Its limits in the trial: runs in the first third of their expected time, four at once, only for jobs that can still be in time.

--- a/src/cassiaturn/bench/_shared_variants.py
+++ b/src/cassiaturn/bench/_shared_variants.py
@@ -9,10 +9,22 @@
 from cassiaturn.entities import TaskGroup
 from cassiaturn.policy import ExpectedRuns, GroupKey, OrderKey
 from cassiaturn.standins import virtual_targets
-from cassiaturn.workload import Target
+from cassiaturn.workload import Job, Run, Tables, Target, dispatch
+from cassiaturn.workload._backlog import queue_key
+from cassiaturn.workload._dispatch import put_back
+from cassiaturn.workload._ports import Ports
+from cassiaturn.workload._settle import stop
+from cassiaturn.workload._tables import RunState
 
 OURS = "ours"
 
+PREEMPTED_SHARE = 0.3
+"""Part of its expected run up to which a run is stopped for an urgent job: of what is
+further, too much would be done twice."""
+
+MOST_PREEMPTED = 4
+"""Runs that are being stopped at any time: as many as one urgent job has tasks."""
+
 EXACT = "exact"
 """The bound: one queue without ways, which knows how long each task takes."""
 
@@ -97,6 +109,39 @@
     return _patched("_ends.failed_target_pause_s", _no_pause)
 
 
+@_variant
+def preemption() -> AbstractContextManager[Any]:
+    """Stop young runs of less urgent jobs for an urgent one that could be in time."""
+    return _patched("_tick.dispatch", _preempt)
+
+
+def _preempt(tables: Tables, ports: Ports, now: float) -> None:
+    dispatch(tables, ports, now)
+    waiting = [job for job in tables.jobs_by_id.values() if job.waiting]
+    urgent = min(waiting, key=lambda job: queue_key(job, now), default=None)
+    stopping = sum(
+        run.state is RunState.STOPPING for run in tables.runs_by_ref.values()
+    )
+    if urgent is None or queue_key(urgent, now).late or stopping >= MOST_PREEMPTED:
+        return
+    young = [
+        run
+        for run in tables.runs_by_ref.values()
+        if _may_be_preempted(tables, run, urgent, now)
+    ]
+    for run in sorted(young, key=lambda run: -run.started_at)[: len(urgent.waiting)]:
+        stop(tables, ports, run, now)
+        put_back(tables, run.ref)
+
+
+def _may_be_preempted(tables: Tables, run: Run, urgent: Job, now: float) -> bool:
+    job = tables.jobs_by_id.get(run.ref.job_id)
+    if job is None or run.state is not RunState.RUNNING:
+        return False
+    is_young = now - run.started_at < PREEMPTED_SHARE * job.expected_run_s
+    return is_young and job.route.priority > urgent.route.priority
+
+
 def _by_arrival(**fields: object) -> OrderKey:
     # The queue's rows are kept in order of arrival, and sorting keeps equal ones so.
     return OrderKey(late=False, priority=0, is_new=False, due_at=0.0)
--- a/src/cassiaturn/bench/tests/test_shared.py
+++ b/src/cassiaturn/bench/tests/test_shared.py
@@ -51,6 +51,17 @@
     assert _share(user, load, OURS) >= _share(user, load, variant) + gain
 
 
+@pytest.mark.parametrize("user", SHARED_SITES_BY_USER)
+def test_preemption_gains_callers_nothing(user: str) -> None:
+    """More work than places; urgent jobs stop what less urgent ones have begun.
+
+    The stopped runs are done twice, and their callers wait twice: more than the urgent
+    ones gain, which mostly find a place in time.
+    """
+    lost = _share(user, "heavy", OURS) - _share(user, "heavy", "preemption")
+    assert lost >= 0.01
+
+
 @pytest.mark.parametrize("user", SHARED_SITES_BY_USER)
 def test_callers_get_nearly_what_an_exact_queue_gives(user: str) -> None:
     """The bound knows how long every task takes, and its orders take no time."""
