Send starts again, and look sooner where answers get lost

A start without an answer held its place for 0.15 s and two more calls; the request that waits for ends, lost in turn, hid free places for up to 1.15 s, beside lists each 0.3 s.

Ruled out: overload (the same load is served in full before and after); silent targets (lists come, a fifth of them lost).

Change: up to three copies of a start, 0.08 s apart; each names the same run, which a target starts once, and a copy that is carried out late is refused by its end or its lease. Where an answer was lost within 2 s, lists come each 0.1 s. Lists are waited for 0.15 s.

Tests first: copies (seven orders of answers) and looks; they failed for want of both. A port that a connection took between its choice and its use failed one run of the tests here (address already in use): they choose below those that the system gives out.

--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -22,6 +22,7 @@
     CallProblem,
     Gone,
     NoAnswer,
+    StartReply,
     Superseded,
     TargetCalls,
 )
@@ -46,13 +47,25 @@
 RETRY_EVERY_S = 0.3
 """Pause between looks at a target that does not answer, in seconds."""
 
-ANSWER_TIMEOUT_S = 0.25
-"""Longest wait for a list that should come at once, in seconds: a hundred times the
-usual one, a quarter of a lease."""
+LOSSY_LOOK_EVERY_S = 0.1
+"""Period of renewals where an answer was lost lately, in seconds: the request that
+waits for ends may be lost, too. Two of the shortest tasks fit into it."""
 
-ORDER_TIMEOUT_S = 0.15
-"""Longest wait for the answer to a start or a stop, in seconds: fifty times the usual
-one. A start without an answer holds its place and its caller for that long."""
+LOSSY_S = 2.0
+"""How long a target counts as losing answers after one, in seconds: at one in twenty,
+some ten requests a second lose the next within it."""
+
+ANSWER_TIMEOUT_S = 0.15
+"""Longest wait for a list that should come at once, in seconds: fifty times the usual
+one, a seventh of a lease."""
+
+ORDER_TIMEOUT_S = 0.08
+"""Longest wait for the answer to one copy of a start or a stop, in seconds: 25 times
+the usual one, twice the way to another region and back."""
+
+START_COPIES = 3
+"""Copies of a start that are sent until one is answered: where a fifth of them is lost,
+one start in 125 is left to be settled by stopping it."""
 
 SECOND_LOOK_S = 0.1
 """Longest wait for the second list, after one that did not come, in seconds: thirty
@@ -122,6 +135,7 @@
         self._lease_over_at = time.monotonic() + settings.lease_over_s
         self._renewed_at = 0.0
         self._answered_at = 0.0
+        self._unanswered_at = float("-inf")
         self._is_silent = False
         self._is_renewing = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -159,6 +173,8 @@
         if self._is_renewing or not self._has_runs():
             return
         every_s = LOOK_EVERY_S if self._has_tight_runs() else RENEW_EVERY_S
+        if now - self._unanswered_at < LOSSY_S:
+            every_s = LOSSY_LOOK_EVERY_S
         if now - self._renewed_at >= every_s:
             self._spawn(self._renew())
 
@@ -249,6 +265,7 @@
                 return None
             case Failure(problem):
                 unanswered: CallProblem = problem
+                self._note_unanswered(unanswered)
                 return unanswered
         raise AssertionError("a result is a success or a failure")
 
@@ -257,13 +274,7 @@
             await asyncio.sleep(RETRY_EVERY_S)
 
     async def _start(self, order: StartOrder) -> None:
-        now = time.monotonic()
-        reply = await self._calls.start(
-            self.authority,
-            order,
-            lease_until_ms=self._lease_end(now),
-            timeout_s=ORDER_TIMEOUT_S,
-        )
+        reply = await self._send_start(order)
         if self._closed:
             return
         if reply.clock_ms is not None:
@@ -278,6 +289,31 @@
         elif reply.answer is StartAnswer.UNREACHABLE:
             self._take_problem(NoAnswer(detail="connection refused"))
 
+    async def _send_start(self, order: StartOrder) -> StartReply:
+        """Send copies of an order until one is answered.
+
+        Each names the same run, which a target starts once; one that is carried out
+        late comes after the end of its lease or of its run, and is refused.
+        """
+        reply = await self._send_copy(order)
+        for _ in range(START_COPIES - 1):
+            if reply.answer is not StartAnswer.UNKNOWN or self._closed:
+                return reply
+            self._unanswered_at = time.monotonic()
+            reply = await self._send_copy(order)
+            if reply.answer is StartAnswer.OUTDATED:
+                # An earlier copy began it, and it is over: the next list tells how.
+                return replace(reply, answer=StartAnswer.STARTED)
+        return reply
+
+    async def _send_copy(self, order: StartOrder) -> StartReply:
+        return await self._calls.start(
+            self.authority,
+            order,
+            lease_until_ms=self._lease_end(time.monotonic()),
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+
     async def _stop(self, ref: TaskRef, number: int, is_uncertain: bool) -> None:
         stopped = await self._calls.stop(
             self.authority, ref, number, timeout_s=ORDER_TIMEOUT_S
@@ -292,10 +328,15 @@
                         # next periodic one would hold its place ten times as long.
                         await self._ask(wait_s=0.0, renew=self._has_runs())
             case Failure(problem):
+                self._note_unanswered(problem)
                 # It is sent again while the target lists the run.
                 if not self._closed and not isinstance(problem, NoAnswer):
                     self._take_problem(problem)
 
+    def _note_unanswered(self, problem: CallProblem) -> None:
+        if isinstance(problem, NoAnswer):
+            self._unanswered_at = time.monotonic()
+
     def _take_problem(self, problem: CallProblem) -> None:
         target_id = self.authority.target_id
         match problem:
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -1,22 +1,29 @@
 """When a target that leaves requests unanswered counts as silent."""
 
 import asyncio
+import time
 
 import pytest
 from returns.result import Failure, Result, Success
 
-from cassiaturn.entities import LeaseReport, StartAnswer
+from cassiaturn.entities import LeaseReport, StartAnswer, TaskRef
 from cassiaturn.fleet._ports import Authority, CallProblem, NoAnswer, StartReply
-from cassiaturn.fleet._target_link import TargetLink
-from cassiaturn.workload import WorkloadSettings
+from cassiaturn.fleet._target_link import LOSSY_LOOK_EVERY_S, TargetLink
+from cassiaturn.workload import StartOrder, WorkloadSettings
+
+REF = TaskRef("5c0e7a21d94b36f8", 0, 0, 0)
 
 
 class Calls:
     """A target whose lists come or not, as a test says; starts are answered."""
 
-    def __init__(self, answers: list[bool]) -> None:
+    def __init__(
+        self, answers: list[bool], start_answers: tuple[StartAnswer, ...] = ()
+    ) -> None:
         self._answers = answers
+        self._start_answers = list(start_answers)
         self.asked = 0
+        self.started: list[int] = []
 
     async def renew(
         self, *args: object, timeout_s: float, **options: object
@@ -28,8 +35,13 @@
             return Failure(NoAnswer(detail="lost"))
         return Success(LeaseReport(clock_ms=1_000 + self.asked, running=(), ended=()))
 
-    async def start(self, *args: object, **options: object) -> StartReply:
-        return StartReply(answer=StartAnswer.STARTED, clock_ms=5_000)
+    async def start(
+        self, authority: Authority, order: StartOrder, **options: object
+    ) -> StartReply:
+        self.started.append(order.number)
+        answer = self._start_answers.pop(0)
+        clock_ms = None if answer is StartAnswer.UNKNOWN else 5_000
+        return StartReply(answer=answer, clock_ms=clock_ms)
 
 
 class Events:
@@ -39,6 +51,7 @@
         self.reports = 0
         self.silent = 0
         self.unanswered = 0
+        self.start_answers: list[StartAnswer] = []
 
     def on_report(self, *args: object, **options: object) -> None:
         self.reports += 1
@@ -49,8 +62,10 @@
     def on_silent(self, target_id: str) -> None:
         self.silent += 1
 
-    def on_start_answer(self, *args: object) -> None:
-        """Nothing to count."""
+    def on_start_answer(
+        self, target_id: str, ref: TaskRef, number: int, answer: StartAnswer
+    ) -> None:
+        self.start_answers.append(answer)
 
 
 @pytest.mark.parametrize(
@@ -90,6 +105,65 @@
     assert calls.asked == 1
 
 
+LOST = StartAnswer.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("answers", "told"),
+    [
+        ((StartAnswer.STARTED,), StartAnswer.STARTED),
+        ((LOST, StartAnswer.STARTED), StartAnswer.STARTED),
+        ((LOST, LOST, StartAnswer.STARTED), StartAnswer.STARTED),
+        ((LOST, LOST, LOST), LOST),
+        ((LOST, StartAnswer.NO_ROOM), StartAnswer.NO_ROOM),
+        ((StartAnswer.OUTDATED,), StartAnswer.OUTDATED),
+        # The first copy began it, its answer was lost, and it is over already.
+        ((LOST, StartAnswer.OUTDATED), StartAnswer.STARTED),
+    ],
+)
+async def test_a_start_without_an_answer_is_sent_again(
+    answers: tuple[StartAnswer, ...], told: StartAnswer
+) -> None:
+    """A fifth of all orders gets no answer, and some of them are carried out.
+
+    Each holds its place and its caller until it is settled. A copy names the same run,
+    of which a target starts one only, so that sending it again settles most of them at
+    once; stopping it first and looking for it takes four times as long.
+    """
+    calls = Calls([True], answers)
+    events = Events()
+    link = _link(calls, events)
+    await link._start(StartOrder(target_id="t", ref=REF, number=65, payload="x"))
+    assert events.start_answers == [told]
+    assert calls.started == [65] * len(answers)
+
+
+async def test_ends_are_looked_for_sooner_where_answers_get_lost() -> None:
+    """The request that waits for the next end was lost, and nobody can tell.
+
+    Until it times out, places that are free look taken; with periodic lists at a
+    third of a second, tasks of 60 ms use a fifth of their target.
+    """
+    calls = Calls([True, False, True])
+    link = _link(calls, Events())
+    for _ in range(3):
+        await link._renew()
+    asked = calls.asked
+    link.tick(time.monotonic() + LOSSY_LOOK_EVERY_S)
+    await asyncio.sleep(0.01)
+    assert calls.asked == asked + 1
+
+
+async def test_a_sound_target_is_not_looked_at_more_often() -> None:
+    calls = Calls([True])
+    link = _link(calls, Events())
+    for _ in range(3):
+        await link._renew()
+    link.tick(time.monotonic() + LOSSY_LOOK_EVERY_S)
+    await asyncio.sleep(0.01)
+    assert calls.asked == 3
+
+
 def _link(calls: Calls, events: Events) -> TargetLink:
     return TargetLink(
         authority=Authority(target_id="t", address="127.0.0.1:1", token=1),
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -1,6 +1,8 @@
 """Real members in one event loop, over the stand-ins of the platform."""
 
 import asyncio
+import itertools
+import random
 import socket
 from typing import Any
 
@@ -41,11 +43,25 @@
 }
 
 
+_ports = itertools.count(random.randrange(10_000, 30_000))
+"""Below those that the system gives to connections: one of them could take a port
+between its choice and its use. Two runs of the tests beside each other begin apart."""
+
+
 def free_address() -> Address:
-    """Return an address on loopback that nobody listens at."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return Address(host=LOOPBACK, port=probe.getsockname()[1])
+    """Return an address on loopback that nobody listens at.
+
+    :raises AssertionError: no port is free.
+    """
+    for port in itertools.islice(_ports, 1_000):
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return Address(host=LOOPBACK, port=port)
+    raise AssertionError("no port is free")
 
 
 class _SilencedClient(PlatformClient):
