Choose the tests' ports in one place

What earlier work left: free ports were chosen in three places, two of them from the range that the system gives to connections, which failed a run of the tests once (address already in use). load/_ports.py chose them well already; the others use it.

--- a/src/cassiaturn/client/tests/test_client.py
+++ b/src/cassiaturn/client/tests/test_client.py
@@ -2,7 +2,7 @@
 
 from cassiaturn.client import Client
 from cassiaturn.entities import Address, Outcome, Reason
-from cassiaturn.server.tests.fleet import LOOPBACK, free_ports
+from cassiaturn.load._ports import LOOPBACK, free_ports
 
 METHOD = "kwabena.v1.Props/OrderDeck"
 
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -1,9 +1,8 @@
 """Real members in one event loop, over the stand-ins of the platform."""
 
 import asyncio
-import itertools
-import random
 import socket
+from collections.abc import Sequence
 from typing import Any
 
 import aiohttp
@@ -12,6 +11,7 @@
 from cassiaturn.entities import Address
 from cassiaturn.fleet import Member, MemberDesk
 from cassiaturn.load import Relay, RelayPlace
+from cassiaturn.load._ports import free_ports
 from cassiaturn.platform import PlatformAdapter
 from cassiaturn.platform._client import CallFailure, NoReply, PlatformClient, Reply
 from cassiaturn.platform._entry import CallerServer
@@ -43,25 +43,9 @@
 }
 
 
-_ports = itertools.count(random.randrange(10_000, 30_000))
-"""Below those that the system gives to connections: one of them could take a port
-between its choice and its use. Two runs of the tests beside each other begin apart."""
-
-
-def free_address() -> Address:
-    """Return an address on loopback that nobody listens at.
-
-    :raises AssertionError: no port is free.
-    """
-    for port in itertools.islice(_ports, 1_000):
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            return Address(host=LOOPBACK, port=port)
-    raise AssertionError("no port is free")
+def free_addresses(count: int) -> Sequence[Address]:
+    """Return addresses on loopback that nobody listens at."""
+    return [Address(host=LOOPBACK, port=port) for port in free_ports(count)]
 
 
 class _SilencedClient(PlatformClient):
@@ -85,14 +69,15 @@
 
     def __init__(self, name: str, *, store: str, seeds: tuple[Address, ...]) -> None:
         host, _, port = store.rpartition(":")
+        callers, readiness, members, metrics, behind_relay = free_addresses(5)
         self.settings = FleetSettings(
             kind="fleet",
             member_name=name,
             failure_domain="a",
-            callers=free_address(),
-            readiness=free_address(),
-            members=free_address(),
-            metrics=free_address(),
+            callers=callers,
+            readiness=readiness,
+            members=members,
+            metrics=metrics,
             seeds=seeds,
             table_service=Address(host=host, port=int(port)),
         )
@@ -104,7 +89,7 @@
             socket.create_server((LOOPBACK, self.settings.callers.port)),
         )
         self._members = ClosingServer([self.member.service])
-        self._behind_relay = free_address()
+        self._behind_relay = behind_relay
         self._relay = Relay(
             place=RelayPlace(
                 listen=self.settings.members,
--- a/src/cassiaturn/platform/tests/test_start.py
+++ b/src/cassiaturn/platform/tests/test_start.py
@@ -10,7 +10,7 @@
 import pytest
 
 from cassiaturn.entities import Address
-from cassiaturn.platform.tests.fleet import CONFIGURATION, HOST, PREFIX, free_address
+from cassiaturn.platform.tests.fleet import CONFIGURATION, HOST, PREFIX, free_addresses
 from cassiaturn.platform.tests.standin_runner import StandinRunner
 from cassiaturn.platform.tests.standin_store import StandinStore
 
@@ -76,10 +76,17 @@
     runner = StandinRunner("i-0")
     runner.start()
     store.state.put("servers", "i-0", runner.entry())
-    callers = free_address()
+    callers, readiness, members, metrics = free_addresses(4)
     path = tmp_path / "settings.yaml"
-    others = {name: free_address() for name in ("readiness", "members", "metrics")}
-    path.write_text(SETTINGS.format(callers=callers, store=store.address, **others))
+    path.write_text(
+        SETTINGS.format(
+            callers=callers,
+            readiness=readiness,
+            members=members,
+            metrics=metrics,
+            store=store.address,
+        )
+    )
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "cassiaturn", "serve", "--settings", str(path)
     )
--- a/src/cassiaturn/server/tests/fleet.py
+++ b/src/cassiaturn/server/tests/fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import socket
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from importlib.resources import files
@@ -12,6 +11,7 @@
 
 from cassiaturn.client import Client
 from cassiaturn.entities import Address, Answer, Schema, TaskKey
+from cassiaturn.load._ports import LOOPBACK, free_ports
 from cassiaturn.policy import TargetRow
 from cassiaturn.server import Instance
 from cassiaturn.settings import (
@@ -32,7 +32,6 @@
 )
 from cassiaturn_examples.kwabena import props_pb2
 
-LOOPBACK = "127.0.0.1"
 EXAMPLES = Path(str(files("cassiaturn_examples")))
 SCHEMAS = (
     EXAMPLES / "kwabena" / "props.binpb",
@@ -54,17 +53,6 @@
 )
 
 
-def free_ports(count: int) -> Sequence[int]:
-    """Return ports that nothing listens at now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((LOOPBACK, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 async def eventually(is_true: Callable[[], bool]) -> None:
     """Wait until something holds; fail if it does not within the patience."""
     async with asyncio.timeout(PATIENCE_S):
