Act at once on a leader that was heard of during a look around

Change: news is forgotten when a leader is followed, not before the wait for it. Test first: failed by its timeout, passes.

--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -215,12 +215,13 @@
                     loss = await self._follow_known()
 
     async def _wait_for_news(self) -> None:
-        self._news.clear()
+        # What was heard while this member looked around counts, too.
         try:
             async with asyncio.timeout(WAIT_S):
                 await self._news.wait()
         except TimeoutError:
             return
+        self._news.clear()
 
     def _is_untried(self, leadership: Leadership | None) -> bool:
         return (
@@ -291,6 +292,7 @@
             on_leadership=self._note_leadership,
         )
         self._following = following
+        self._news.clear()
         self._neighbours.led_by = leadership.address
         followed = await following.run()
         self._following = None
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -3,9 +3,13 @@
 import asyncio
 import time
 
+import pytest
+
 from cassiaturn.entities import TaskRef
+from cassiaturn.fleet import _member
+from cassiaturn.fleet._leadership import next_leadership
 from cassiaturn.platform.tests.fleet import Fleet, RunningMember
-from cassiaturn.platform.tests.standin_store import Fault
+from cassiaturn.platform.tests.standin_store import LOOPBACK, Fault
 
 JOB = "5c0e7a21d94b36f8"
 
@@ -123,6 +127,23 @@
     await fleet.until(lambda: {row.token for row in fleet.runners} == {after.token})
 
 
+async def test_a_leader_that_announced_itself_during_a_look_is_followed_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A successor announces itself while another member still looks around.
+
+    Forgotten before the wait for it, the news would be acted on a wait later, and the
+    member's callers be refused meanwhile.
+    """
+    monkeypatch.setattr(_member, "WAIT_S", 30.0)
+    member = RunningMember("front-0", store=f"{LOOPBACK}:1", seeds=()).member
+    member.hear_of(
+        next_leadership(None, member_id="front-1/x", address="127.0.0.1:2", reach=1)
+    )
+    async with asyncio.timeout(5.0):
+        await member._wait_for_news()
+
+
 async def test_the_smaller_side_of_a_cut_claims_no_rank(fleet: Fleet) -> None:
     leader = fleet.leader()
     before = leader.member.known
