--- a/src/cassiaturn/model/leases/_explore.py
+++ b/src/cassiaturn/model/leases/_explore.py
@@ -23,6 +23,8 @@
     "member_killed": Scenario(Budget(kills=1)),
     "target_cut": Scenario(Budget(claims=0, target_cuts=1)),
     "late_order": Scenario(Budget(claims=0, late=1)),
+    "late_order_copied": Scenario(Budget(claims=0, late=1, copies=1, resets=1)),
+    "late_copy_killed": Scenario(Budget(late=1, copies=1, kills=1)),
     "late_order_target_cut": Scenario(Budget(claims=0, late=1, target_cuts=1)),
     "late_order_reset": Scenario(Budget(claims=0, late=1, resets=1)),
     "late_order_killed": Scenario(Budget(late=1, kills=1)),
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -68,6 +68,9 @@
     stop_leftovers: bool = True
     """A superseded leader stops what runs where its successor was not heard yet."""
 
+    copies_name_their_run: bool = True
+    """A copy of a start has its run's number, which a target starts once."""
+
     survey_first: bool = True
     """A new leader starts nothing before every target that answers was heard."""
 
@@ -93,6 +96,9 @@
     late: int = 0
     """Orders without an answer, carried out at any time."""
 
+    copies: int = 0
+    """Starts that are sent again for want of an answer."""
+
     claims: int = 1
     """Leaderships that members claim, for whatever reason."""
 
@@ -137,6 +143,9 @@
     answered: bool
     """Whether its answer will reach the sender."""
 
+    is_copy: bool = False
+    """Whether it repeats one that got no answer."""
+
 
 class Run(NamedTuple):
     """A run as a leader knows it."""
--- a/src/cassiaturn/model/leases/_targets.py
+++ b/src/cassiaturn/model/leases/_targets.py
@@ -67,6 +67,29 @@
         )
 
 
+@action
+def send_again(state: State, rules: Rules) -> Iterator[Step]:
+    """Send a copy of a start that got no answer, with a lease of its own."""
+    after = spend(state, "copies")
+    if after is None:
+        return
+    for order in state.orders:
+        run = state.tables[order.sender].run
+        is_open = run is not None and run.number == order.number and not run.settled
+        if order.answered or not is_open or not leads(state, order.sender):
+            continue
+        if not reaches(state, order.sender, order.target):
+            continue
+        copy = order._replace(ticks_left=LEASE_TICKS, answered=True, is_copy=True)
+        if not rules.copies_name_their_run:
+            copy = copy._replace(number=order.number + 1)
+        tables = put_tables(after, order.sender, lease_left=LEASE_OVER_TICKS)
+        yield Step(
+            f"member {order.sender} sends run {order.number} again",
+            tables._replace(orders=state.orders | {copy}),
+        )
+
+
 @action
 def carry_out(state: State, rules: Rules) -> Iterator[Step]:
     """Carry a start out; one without an answer at any later time."""
@@ -96,7 +119,9 @@
     run = state.tables[order.sender].run
     if run is None or run.number != order.number:
         return state
-    if began:
+    is_over = order.is_copy and order.token >= state.targets[order.target].token
+    if began or is_over:
+        # A copy that is refused comes after the run that an earlier one began.
         return put_tables(state, order.sender, run=run._replace(settled=True))
     heard = state.tables[order.sender].heard
     if order.token < state.targets[order.target].token:
