Let no answer to a copy of a start speak for the copy before it

A cut reset the connection of a start that was carried out at 33.499 and refused that of its copy; the refusal counted for the order, and the task was started elsewhere at 33.523.

Ruled out: two leaders (one started both runs), lists that overtake starts.

Change: after a copy without an answer only "started", "outdated" and another life of the target settle a run. One row of the table of answers said otherwise for want of room (a refusal of the copy ended the run) and now expects what is stricter: unknown.

--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -279,8 +279,6 @@
             return
         if reply.clock_ms is not None:
             self._note_clock(reply.clock_ms)
-        if reply.answer is StartAnswer.SUPERSEDED:
-            self._events.on_superseded(self.authority.target_id)
         self._events.on_start_answer(
             self.authority.target_id, order.ref, order.number, reply.answer
         )
@@ -301,18 +299,20 @@
                 return reply
             self._unanswered_at = time.monotonic()
             reply = await self._send_copy(order)
-            if reply.answer is StartAnswer.OUTDATED:
-                # An earlier copy began it, and it is over: the next list tells how.
-                return replace(reply, answer=StartAnswer.STARTED)
+            if reply.answer is not StartAnswer.UNKNOWN:
+                return replace(reply, answer=_after_lost_copy(reply.answer))
         return reply
 
     async def _send_copy(self, order: StartOrder) -> StartReply:
-        return await self._calls.start(
+        reply = await self._calls.start(
             self.authority,
             order,
             lease_until_ms=self._lease_end(time.monotonic()),
             timeout_s=ORDER_TIMEOUT_S,
         )
+        if reply.answer is StartAnswer.SUPERSEDED and not self._closed:
+            self._events.on_superseded(self.authority.target_id)
+        return reply
 
     async def _stop(self, ref: TaskRef, number: int, is_uncertain: bool) -> None:
         stopped = await self._calls.stop(
@@ -368,3 +368,20 @@
         self._lease_over_at = now + self._settings.lease_over_s
         since_ms = (now - self._clock_at + lease_s) * MILLISECONDS
         return self._clock_ms + int(since_ms)
+
+
+def _after_lost_copy(answer: StartAnswer) -> StartAnswer:
+    """Return what the answer to a copy tells of the run, if an earlier one got none.
+
+    A refusal says nothing of the earlier copy. A cut resets the connection that carried
+    it and refuses the next: taken for a start that never was, the task is started
+    elsewhere and runs twice at once. Unknown, it is stopped or outlived first.
+    """
+    match answer:
+        case StartAnswer.STARTED | StartAnswer.OTHER_LIFE:
+            return answer
+        case StartAnswer.OUTDATED:
+            # The earlier copy began it, and it is over: the next list tells how.
+            return StartAnswer.STARTED
+        case _:
+            return StartAnswer.UNKNOWN
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -51,6 +51,7 @@
         self.reports = 0
         self.silent = 0
         self.unanswered = 0
+        self.superseded = 0
         self.start_answers: list[StartAnswer] = []
 
     def on_report(self, *args: object, **options: object) -> None:
@@ -62,6 +63,12 @@
     def on_silent(self, target_id: str) -> None:
         self.silent += 1
 
+    def on_superseded(self, target_id: str) -> None:
+        self.superseded += 1
+
+    def on_lost(self, target_id: str, reason: str) -> None:
+        """Nothing to count."""
+
     def on_start_answer(
         self, target_id: str, ref: TaskRef, number: int, answer: StartAnswer
     ) -> None:
@@ -115,8 +122,16 @@
         ((LOST, StartAnswer.STARTED), StartAnswer.STARTED),
         ((LOST, LOST, StartAnswer.STARTED), StartAnswer.STARTED),
         ((LOST, LOST, LOST), LOST),
-        ((LOST, StartAnswer.NO_ROOM), StartAnswer.NO_ROOM),
+        ((StartAnswer.NO_ROOM,), StartAnswer.NO_ROOM),
         ((StartAnswer.OUTDATED,), StartAnswer.OUTDATED),
+        ((StartAnswer.UNREACHABLE,), StartAnswer.UNREACHABLE),
+        # What a copy meets says nothing of the one before, which may have begun it.
+        ((LOST, StartAnswer.UNREACHABLE), LOST),
+        ((LOST, StartAnswer.NO_ROOM), LOST),
+        ((LOST, StartAnswer.UNHEALTHY), LOST),
+        ((LOST, StartAnswer.SUPERSEDED), LOST),
+        ((LOST, StartAnswer.LATE), LOST),
+        ((LOST, StartAnswer.OTHER_LIFE), StartAnswer.OTHER_LIFE),
         # The first copy began it, its answer was lost, and it is over already.
         ((LOST, StartAnswer.OUTDATED), StartAnswer.STARTED),
     ],
@@ -129,6 +144,8 @@
     Each holds its place and its caller until it is settled. A copy names the same run,
     of which a target starts one only, so that sending it again settles most of them at
     once; stopping it first and looking for it takes four times as long.
+    A cut may swallow the first answer and refuse the copy's connection: taken for a
+    start that never was, the task would be started elsewhere and run twice at once.
     """
     calls = Calls([True], answers)
     events = Events()
@@ -136,6 +153,7 @@
     await link._start(StartOrder(target_id="t", ref=REF, number=65, payload="x"))
     assert events.start_answers == [told]
     assert calls.started == [65] * len(answers)
+    assert events.superseded == (answers[-1] is StartAnswer.SUPERSEDED)
 
 
 async def test_ends_are_looked_for_sooner_where_answers_get_lost() -> None:
