--- a/src/cassiaturn/transport/tests/test_patience.py
+++ b/src/cassiaturn/transport/tests/test_patience.py
@@ -54,9 +54,13 @@
 
 
 async def test_a_wait_that_is_over_leaves_no_timer() -> None:
+    reported: list[dict[str, object]] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: reported.append(context))
     async with answer_timeout(0.01):
         pass
     await asyncio.sleep(0.05)
+    assert not reported
 
 
 async def test_a_cancelled_wait_is_no_timeout() -> None:
