Let entries by other writers name no target, and hurt no other entry

Cause: an entry of the directory was read with every missing field filled in and every type converted; an unknown state counted as leaving, an unknown service as a pool like any other. Each such entry got a connection and a lease, and a new leader waited for its list. A leader's row with an infinite or very long number, or nested deeply, raised what nothing caught and ended each process that read it.

Change: what an order needs is required and no type is converted; states are the two that are named; a target is called only while the configuration names its service; a known key whose entry can no longer be read counts as missing. The leader's row is a validated model with bounds.

The old test of a draining target used an entry without room, failure domain or sequence, which names no target any more; its entry is now complete and it checks the same.

Ruled out: tolerating single rows of the store's own reply; another writer sets the value of a row only, and the store makes the rest.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -20,7 +20,7 @@
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.fleet._target_link import TargetLink
 from cassiaturn.fleet._watch import Watch
-from cassiaturn.observability import Event, FleetMetrics, log_event
+from cassiaturn.observability import Event, FleetMetrics, SeldomLog, log_event
 from cassiaturn.workload import (
     Job,
     Outcome,
@@ -98,6 +98,7 @@
         )
         self._links_by_id: dict[str, TargetLink] = {}
         self._missing_since: dict[str, float] = {}
+        self._ignored = SeldomLog()
         self.superseded_ids: set[str] = set()
         """Targets that last answered that they obey a later leader."""
         self._tasks: list[asyncio.Task[None]] = []
@@ -315,13 +316,30 @@
         self._missing_since.pop(target_id, None)
         changed = self.reports_by_id.get(target_id) != report
         self.reports_by_id[target_id] = report
-        workload.on_target(self._tables, self, report)
-        if target_id not in self._links_by_id:
-            self._open_link(report)
+        if self._is_configured(report):
+            workload.on_target(self._tables, self, report)
+            if target_id not in self._links_by_id:
+                self._open_link(report)
+        elif changed:
+            self._ignored.log(
+                Event.TARGET_IGNORED,
+                key=target_id,
+                service=report.service,
+                version=self._routing.version,
+            )
         if changed:
             self.on_directory_change()
             self._dispatch_soon()
 
+    def _is_configured(self, report: TargetReport) -> bool:
+        """Return whether a target's service is one that jobs can be meant for.
+
+        Others may write into the directory. What no queue is sent to is not called: it
+        may be no target, and one that never answers would keep a new leader waiting.
+        """
+        table = self._routing.current
+        return table is None or report.service in table.services_by_name
+
     def _open_link(self, report: TargetReport) -> None:
         target = self._tables.targets_by_id[report.target_id]
         link = TargetLink(
@@ -402,3 +420,19 @@
     def apply_routing(self, table: RoutingTable) -> None:
         """Put a configuration in force for what is decided from now on."""
         self._tables.routing = table
+        for report in list(self.reports_by_id.values()):
+            has_link = report.target_id in self._links_by_id
+            if self._is_configured(report) and not has_link:
+                self._take_report(report)
+            elif has_link and not self._is_configured(report):
+                self._let_go(report.target_id)
+
+    def _let_go(self, target_id: str) -> None:
+        """Give up a target whose service is gone, unless something still runs there."""
+        target = self._tables.targets_by_id[target_id]
+        if target.runs_by_ref:
+            return
+        self._links_by_id.pop(target_id).close()
+        now = time.monotonic()
+        workload.on_target_gone(self._tables, self, target_id, "service_gone", now)
+        log_event(Event.TARGET_REMOVED, target=target_id, reason="service_gone")
--- a/src/cassiaturn/fleet/_leader_row.py
+++ b/src/cassiaturn/fleet/_leader_row.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from cassiaturn.fleet._leadership import Leadership, RowState
-from cassiaturn.observability import Event, log_event
+from cassiaturn.observability import Event, SeldomLog
 from cassiaturn.services import ABSENT_VERSION, Conflict, Put, Row, TableService
 
 ReplyT = TypeVar("ReplyT")
@@ -56,6 +56,7 @@
         self._seen_at = 0.0
         self._renewed = False
         self._renewal = 0
+        self._malformed = SeldomLog()
 
     def forget(self) -> None:
         """Begin to watch the row anew, as after the loss of a leader."""
@@ -118,7 +119,12 @@
         now = time.monotonic()
         leadership = Leadership.from_value(row.value)
         if leadership is None:
-            log_event(Event.FRAME_MALFORMED, row=ROW_KEY, value=row.value[:80])
+            self._malformed.log(
+                Event.ENTRY_MALFORMED,
+                key=ROW_KEY,
+                version=row.version,
+                size=len(row.value),
+            )
         if row.version != self._version:
             self._renewed = self._version != ABSENT_VERSION
             self._version = row.version
--- a/src/cassiaturn/fleet/_leadership.py
+++ b/src/cassiaturn/fleet/_leadership.py
@@ -15,6 +15,9 @@
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 from enum import Enum, auto
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 REACH_BITS = 8
 """Bits of a token for the members that its claimant reaches. Of two claims of one term,
@@ -29,6 +32,29 @@
 """Below every token."""
 
 
+MAX_TERM = 2**32
+"""Above every term of a member: one a millisecond for seven weeks. A row by another
+writer with a larger one would leave no room for the token of the next claim."""
+
+MAX_TOKEN = (MAX_TERM + 1) << (REACH_BITS + SALT_BITS)
+"""Above every token of such a term."""
+
+
+class LeadershipRow(BaseModel):
+    """What the leader's row holds.
+
+    Anybody who may write to the table may have written it. A number of another type, or
+    one that members cannot hand on to each other, would end every member's process.
+    """
+
+    model_config = ConfigDict(strict=True, extra="ignore", frozen=True)
+
+    token: Annotated[int, Field(gt=0, lt=MAX_TOKEN)]
+    term: Annotated[int, Field(ge=0, lt=MAX_TERM)]
+    member_id: Annotated[str, Field(min_length=1, max_length=200)]
+    address: Annotated[str, Field(pattern=r"^[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}$")]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Leadership:
     """One term of one leader."""
@@ -56,15 +82,15 @@
     def from_value(cls, value: str) -> "Leadership | None":
         """Return what a row holds, or None if that is no leadership."""
         try:
-            document = json.loads(value)
-            return cls(
-                token=int(document["token"]),
-                term=int(document["term"]),
-                member_id=str(document["member_id"]),
-                address=str(document["address"]),
-            )
-        except (ValueError, TypeError, KeyError):
+            row = LeadershipRow.model_validate_json(value)
+        except ValidationError:
             return None
+        return cls(
+            token=row.token,
+            term=row.term,
+            member_id=row.member_id,
+            address=row.address,
+        )
 
 
 def next_leadership(
--- a/src/cassiaturn/observability/__init__.py
+++ b/src/cassiaturn/observability/__init__.py
@@ -21,6 +21,7 @@
     StoreOperation,
     WastedMessage,
 )
+from cassiaturn.observability._seldom import SeldomLog
 
 if TYPE_CHECKING:
     from cassiaturn.observability._http import HttpServer
@@ -75,6 +76,7 @@
     "QueueStatus",
     "Ready",
     "RequestMetrics",
+    "SeldomLog",
     "StatusDocument",
     "StatusSource",
     "StoreOperation",
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -111,6 +111,12 @@
     FRAME_MALFORMED = _error(
         "frame_malformed", "A peer or target sent what cannot be read; stream closed."
     )
+    ENTRY_MALFORMED = _warning(
+        "entry_malformed", "A shared list holds what no target or operator writes."
+    )
+    TARGET_IGNORED = _warning(
+        "target_ignored", "An entry names a `service` that the configuration lacks."
+    )
     CONFIGURATION_APPLIED = _info(
         "configuration_applied", "Shared configuration `version` is in force here."
     )
--- a/src/cassiaturn/platform/_decode.py
+++ b/src/cassiaturn/platform/_decode.py
@@ -120,14 +120,16 @@
         parsed = RunnerDocument.model_validate_json(document)
     except ValidationError:
         return None
+    if not (parsed.address.port and parsed.capacity.cpu):
+        return None
     return TargetReport(
         target_id=target_id,
-        address=parsed.address,
+        address=str(parsed.address),
         service=parsed.service,
         failure_domain=parsed.zone,
         capacity=to_resources(parsed.capacity),
         labels=frozenset(parsed.labels),
-        leaving=parsed.state != "ready",
+        leaving=parsed.state == "draining",
         remaining_s=parsed.remaining_ms / MILLISECONDS,
         slow_start_s=parsed.cold_remaining_ms / MILLISECONDS,
     )
--- a/src/cassiaturn/platform/_documents.py
+++ b/src/cassiaturn/platform/_documents.py
@@ -6,13 +6,18 @@
 A comment stands where a name says something else than the field holds.
 """
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field
 from pydantic.alias_generators import to_camel
 
+from cassiaturn.settings import AddressField
+
 Count = Annotated[int, Field(ge=0)]
 
+MAX_WIRE_INT = 2**63 - 1
+"""Largest number that members hand on to each other."""
+
 
 class Document(BaseModel):
     """Base of every message."""
@@ -99,7 +104,7 @@
 class ConfigurationDocument(Document):
     """What operators publish."""
 
-    version: int
+    version: Annotated[int, Field(ge=0, le=MAX_WIRE_INT)]
     routes: list[RouteDocument] = []
     services: list[ServiceDocument] = []
     limits: LimitsDocument = LimitsDocument()
@@ -108,22 +113,35 @@
 class CapacityDocument(Document):
     """What a worker has for tasks."""
 
-    cpu: Count = 0  # Thousandths of a core.
-    mem_mb: Count = 0
-    gpu: Count = 0
+    model_config = ConfigDict(strict=True)
 
+    cpu: Annotated[int, Field(ge=0, le=MAX_WIRE_INT)] = 0  # Thousandths of a core.
+    mem_mb: Annotated[int, Field(ge=0, le=MAX_WIRE_INT)] = 0
+    gpu: Annotated[int, Field(ge=0, le=MAX_WIRE_INT)] = 0
 
-class RunnerDocument(Document):
-    """What a target publishes of itself; its key is its id."""
 
-    service: str
-    address: str
-    zone: str = ""
-    state: str = "ready"
-    cold_remaining_ms: Annotated[float, Field(ge=0)] = 0
-    capacity: CapacityDocument = CapacityDocument()
+class RunnerDocument(Document):
+    """What a target publishes of itself; its key is its id.
+
+    Others may write into the same list. What an order needs is required, and no type is
+    converted: an entry that is wrong in one field may be wrong in its address, and a
+    start would go to a process that is no target.
+    """
+
+    model_config = ConfigDict(strict=True)
+
+    service: Annotated[str, Field(min_length=1)]
+    address: AddressField
+    zone: str
+    version: str = ""
+    slots: Count = 0
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0
+    capacity: CapacityDocument
     labels: list[str] = []
-    remaining_ms: Annotated[float, Field(ge=0)] = 0  # Only while it drains.
+    sequence: int
+    # Only while it drains.
+    remaining_ms: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0
 
 
 class RowDocument(Document):
--- a/src/cassiaturn/platform/_services.py
+++ b/src/cassiaturn/platform/_services.py
@@ -3,7 +3,6 @@
 from socket import socket
 
 from cassiaturn.fleet import CallerDesk, PlatformServices
-from cassiaturn.platform._client import PlatformClient
 from cassiaturn.platform._decode import decode_configuration, decode_target
 from cassiaturn.platform._entry import CallerServer
 from cassiaturn.platform._store_calls import StoreCaller
@@ -11,6 +10,7 @@
 from cassiaturn.platform._targets import RunnerCalls
 from cassiaturn.platform._watched import WatchedTable
 from cassiaturn.settings import FleetSettings
+from cassiaturn.transport.http_client import HttpClient
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -24,7 +24,7 @@
     """Connects a member to this platform."""
 
     def __init__(
-        self, settings: FleetSettings, *, client: PlatformClient | None = None
+        self, settings: FleetSettings, *, client: HttpClient | None = None
     ) -> None:
         """Prepare; connections open on use.
 
@@ -32,7 +32,7 @@
         :param client: makes the calls; None: one of its own.
         """
         self._settings = settings
-        self._client = client or PlatformClient()
+        self._client = client or HttpClient()
 
     def services(self) -> PlatformServices:
         """Return what the member asks of the platform."""
--- a/src/cassiaturn/platform/_store_calls.py
+++ b/src/cassiaturn/platform/_store_calls.py
@@ -9,12 +9,6 @@
 from pydantic import BaseModel, ValidationError
 from returns.result import Failure, Result, Success
 
-from cassiaturn.platform._client import (
-    CallFailure,
-    ConnectionRefused,
-    PlatformClient,
-    Reply,
-)
 from cassiaturn.platform._documents import RowDocument
 from cassiaturn.services import (
     AnswerLost,
@@ -24,6 +18,12 @@
     Unavailable,
     WriteError,
 )
+from cassiaturn.transport.http_client import (
+    CallFailure,
+    ConnectionRefused,
+    HttpClient,
+    Reply,
+)
 
 CALL_TIMEOUT_S = 1.5
 """Longest wait for an answer, in seconds: some 300 times the usual one."""
@@ -37,7 +37,7 @@
 class StoreCaller:
     """Calls to the store, with what each answer means for the call's effect."""
 
-    def __init__(self, *, client: PlatformClient, address: str) -> None:
+    def __init__(self, *, client: HttpClient, address: str) -> None:
         """Use a client.
 
         :param address: the store's ``host:port``.
--- a/src/cassiaturn/platform/_table.py
+++ b/src/cassiaturn/platform/_table.py
@@ -7,9 +7,6 @@
 from pydantic import ValidationError
 from returns.result import Failure, Result, Success
 
-from cassiaturn.platform._client import (
-    Reply,
-)
 from cassiaturn.platform._documents import CommitReply, RowsReply
 from cassiaturn.platform._store_calls import (
     CALL_TIMEOUT_S,
@@ -31,6 +28,9 @@
     Write,
     WriteError,
 )
+from cassiaturn.transport.http_client import (
+    Reply,
+)
 
 TRANSACT_PATH = "/api/rows-tx"
 
--- a/src/cassiaturn/platform/_targets.py
+++ b/src/cassiaturn/platform/_targets.py
@@ -15,14 +15,14 @@
     StartReply,
     Superseded,
 )
-from cassiaturn.platform._client import (
+from cassiaturn.platform._decode import decode_lease_report, encode_ref
+from cassiaturn.platform._documents import ClockReply
+from cassiaturn.transport.http_client import (
     CallFailure,
     ConnectionRefused,
-    PlatformClient,
+    HttpClient,
     Reply,
 )
-from cassiaturn.platform._decode import decode_lease_report, encode_ref
-from cassiaturn.platform._documents import ClockReply
 from cassiaturn.workload import StartOrder
 
 START_PATH = "/api/run-start"
@@ -54,7 +54,7 @@
 class RunnerCalls:
     """Implements the product's orders to targets."""
 
-    def __init__(self, *, client: PlatformClient) -> None:
+    def __init__(self, *, client: HttpClient) -> None:
         self._client = client
 
     async def start(
--- a/src/cassiaturn/platform/_watched.py
+++ b/src/cassiaturn/platform/_watched.py
@@ -7,8 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from cassiaturn.fleet import Changes, EntryT, HistoryLost, Snapshot
-from cassiaturn.observability import Event, log_event
-from cassiaturn.platform._client import Reply
+from cassiaturn.observability import Event, SeldomLog
 from cassiaturn.platform._documents import RowsReply
 from cassiaturn.platform._store_calls import (
     CALL_TIMEOUT_S,
@@ -20,6 +19,7 @@
 from cassiaturn.services import (
     ReadError,
 )
+from cassiaturn.transport.http_client import Reply
 
 FEED_PATH = "/api/rows-feed"
 
@@ -50,6 +50,7 @@
         self._table = table
         self._decode = decode
         self._keys = keys
+        self._malformed = SeldomLog()
 
     async def snapshot(self) -> "Result[Snapshot[EntryT], ReadError]":
         """Return every entry."""
@@ -113,7 +114,8 @@
             value = value_of(row)
             entry = self._decode(row.key, value) if value is not None else None
             if entry is None:
-                log_event(Event.FRAME_MALFORMED, table=self._table, key=row.key)
-            else:
-                found.append((row.key, entry))
+                event, version = Event.ENTRY_MALFORMED, row.row_version
+                self._malformed.log(event, key=row.key, version=version)
+            # Whatever it named before, it names nothing now.
+            found.append((row.key, entry))
         return found
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -13,12 +13,12 @@
 from cassiaturn.load import Relay, RelayPlace
 from cassiaturn.load._ports import free_ports
 from cassiaturn.platform import PlatformAdapter
-from cassiaturn.platform._client import CallFailure, NoReply, PlatformClient, Reply
 from cassiaturn.platform._entry import CallerServer
 from cassiaturn.platform.tests.standin_runner import SERVICE, StandinRunner
 from cassiaturn.platform.tests.standin_store import LOOPBACK, StandinStore
 from cassiaturn.settings import FleetSettings
 from cassiaturn.transport import ClosingServer
+from cassiaturn.transport.http_client import CallFailure, HttpClient, NoReply, Reply
 
 HOST = "quick.example"
 
@@ -48,7 +48,7 @@
     return [Address(host=LOOPBACK, port=port) for port in free_ports(count)]
 
 
-class _SilencedClient(PlatformClient):
+class _SilencedClient(HttpClient):
     """A client whose calls can be kept from leaving the host."""
 
     def __init__(self) -> None:
--- a/src/cassiaturn/platform/tests/test_decode.py
+++ b/src/cassiaturn/platform/tests/test_decode.py
@@ -167,7 +167,15 @@
 
 
 def test_a_draining_target_is_leaving() -> None:
-    entry = {"service": "s", "address": "h:1", "state": "draining", "labels": ["a"]}
+    entry = {
+        "service": "s",
+        "address": "10.0.0.9:1",
+        "zone": "a",
+        "state": "draining",
+        "capacity": {"cpu": 1},
+        "labels": ["a"],
+        "sequence": 1,
+    }
     report = decode_target("i-1", json.dumps(entry).encode())
     assert report is not None
     assert report.leaving
--- /dev/null
+++ b/src/cassiaturn/platform/tests/test_foreign_entries.py
@@ -0,0 +1,180 @@
+"""Entries of the directory that another writer made."""
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cassiaturn.fleet._leadership import Leadership
+from cassiaturn.platform._decode import decode_configuration, decode_target
+from cassiaturn.platform.tests.fleet import CONFIGURATION, Fleet
+
+GOOD: dict[str, Any] = {
+    "service": "svc",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clockMs": 482_113,
+    "sequence": 4,
+}
+
+LEADERSHIP = Leadership(token=1 << 30, term=3, member_id="m", address="10.0.0.1:7720")
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner)
+    ),
+    max_leaves=6,
+)
+
+
+def _read(entry: object) -> object:
+    return decode_target("i-1", json.dumps(entry).encode())
+
+
+def test_a_good_entry_names_a_target() -> None:
+    assert _read(GOOD) is not None
+    assert _read({**GOOD, "state": "draining"}) is not None
+    assert _read({**GOOD, "somethingNew": [1]}) is not None
+
+
+@pytest.mark.parametrize(
+    "field", ["service", "address", "zone", "state", "capacity", "sequence"]
+)
+def test_an_entry_without_a_field_names_none(field: str) -> None:
+    assert _read({key: value for key, value in GOOD.items() if key != field}) is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "paused"},
+        {"state": "READY"},
+        {"state": 1},
+        {"service": ""},
+        {"service": 7},
+        {"address": 8080},
+        {"address": "10.128.0.9"},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:99999"},
+        {"address": "10.128.0.9:8080/x"},
+        {"address": "somewhere:8080"},
+        {"zone": None},
+        {"slots": "8"},
+        {"sequence": "4"},
+        {"sequence": None},
+        {"coldRemainingMs": "0"},
+        {"capacity": None},
+        {"capacity": {}},
+        {"capacity": 16_000},
+        {"capacity": {"cpu": "16000", "memMb": 1, "gpu": 0}},
+        {"capacity": {"cpu": -1, "memMb": 1, "gpu": 0}},
+        {"capacity": {"cpu": 10**30, "memMb": 1, "gpu": 0}},
+        {"labels": "a"},
+        {"labels": [1]},
+        {"labels": None},
+    ],
+)
+def test_an_entry_with_a_field_of_another_kind_names_none(
+    change: dict[str, Any],
+) -> None:
+    assert _read({**GOOD, **change}) is None
+
+
+@settings(max_examples=300)
+@given(st.sampled_from(sorted(GOOD)), JSON)
+def test_any_value_of_any_field_is_read_or_left_out(field: str, value: Any) -> None:
+    report = decode_target("i-1", json.dumps({**GOOD, field: value}).encode())
+    if report is not None:
+        assert report.service
+        assert report.address.count(":") >= 1
+        assert 0 < report.capacity.cpu_millis < 2**63
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_name_no_target(document: bytes) -> None:
+    assert decode_target("i-1", document) is None
+
+
+@pytest.mark.parametrize("depth", [10, 100_000])
+def test_deep_documents_are_malformed(depth: int) -> None:
+    document = b"[" * depth + b"]" * depth
+    assert decode_target("i-1", document) is None
+    assert decode_configuration(document) is None
+    assert Leadership.from_value(document.decode()) is None
+
+
+@settings(max_examples=300)
+@given(st.sampled_from(["token", "term", "member_id", "address"]), JSON)
+def test_any_leader_row_is_handed_on_or_left_out(field: str, value: Any) -> None:
+    """A row by another writer is read by every member that lost its leader.
+
+    What it names is passed to others as 64-bit numbers and connected to. One that
+    does not fit ends the process of each member that reads it.
+    """
+    row = {**json.loads(LEADERSHIP.to_value(1)), field: value}
+    leadership = Leadership.from_value(json.dumps(row))
+    if leadership is not None:
+        assert 0 < leadership.token < 2**63
+        assert 0 <= leadership.term < 2**32
+        assert leadership.address.rpartition(":")[2].isdigit()
+
+
+async def test_foreign_entries_change_nothing_for_callers(fleet: Fleet) -> None:
+    """Another writer fills the directory while callers submit jobs.
+
+    An entry of a service that is not configured, of an unknown state, with fields
+    missing or of another type, or of bytes, stands beside those of four targets.
+    Called as a target, the process at its address would be sent callers' work; and a
+    leader that waits for its list would start nothing.
+    """
+    stranger = {**fleet.runners[0].entry(), "address": "127.0.0.1:9"}
+    foreign: dict[str, object] = {
+        "f-service": {**stranger, "service": "unnamed"},
+        "f-state": {**stranger, "state": "warming"},
+        "f-type": {**stranger, "capacity": "large"},
+        "f-missing": {"service": "svc", "address": "127.0.0.1:9"},
+        "f-bytes": "\x00\ufffd{",
+        "f-list": [1, 2],
+    }
+    for key, entry in foreign.items():
+        fleet.store.state.put("servers", key, entry)
+    # Members of a new leader read the whole list, those of the old one a change.
+    await fleet.kill(fleet.leader())
+    await fleet.until(lambda: all(row.member.is_ready for row in fleet.members))
+    await fleet.until(lambda: fleet.heard_targets() == 4)
+    leader = fleet.leader().member.leader
+    assert leader is not None
+    assert set(leader.tables.targets_by_id) == {f"i-{index}" for index in range(4)}
+    status, _, _ = await fleet.submit(fleet.members[0], "5c0e7a21d94b36f8", count=8)
+    assert status == 200
+
+
+async def test_a_target_of_a_service_that_comes_later_is_taken_then(
+    fleet: Fleet,
+) -> None:
+    """A pool is set up before the configuration names it, and taken away again."""
+    runner = fleet.runners[0]
+    entry = {**runner.entry(), "service": "later"}
+    fleet.store.state.put("servers", runner.target.target_id, entry)
+    # The entry of a target that is known moves to a service nobody has named.
+    leader = fleet.leader().member.leader
+    assert leader is not None
+    fleet.store.state.put("servers", "i-9", {**entry, "address": "127.0.0.1:9"})
+    fleet.store.state.put("op", "config", {**CONFIGURATION, "version": 4})
+    await fleet.until(lambda: "i-9" in leader.reports_by_id)
+    assert "i-9" not in leader.tables.targets_by_id
+    services = [*CONFIGURATION["services"], {"name": "later"}]  # type: ignore[misc]
+    document = {**CONFIGURATION, "version": 5, "services": services}
+    fleet.store.state.put("op", "config", document)
+    await fleet.until(lambda: "i-9" in leader.tables.targets_by_id)
+    fleet.store.state.put("op", "config", {**CONFIGURATION, "version": 6})
+    await fleet.until(lambda: "i-9" not in leader.tables.targets_by_id)
--- a/src/cassiaturn/platform/tests/test_store.py
+++ b/src/cassiaturn/platform/tests/test_store.py
@@ -9,7 +9,6 @@
 from cassiaturn.fleet import HistoryLost
 from cassiaturn.fleet._leader_row import LeaderRow
 from cassiaturn.fleet._leadership import Leadership, RowState
-from cassiaturn.platform._client import PlatformClient
 from cassiaturn.platform._store_calls import StoreCaller
 from cassiaturn.platform._table import PlatformObjects, PlatformTable
 from cassiaturn.platform._watched import WatchedTable
@@ -23,6 +22,7 @@
     Throttled,
     Unavailable,
 )
+from cassiaturn.transport.http_client import HttpClient
 
 
 class Connected:
@@ -32,7 +32,7 @@
         self.store = StandinStore()
         self.store.start()
         self.state = self.store.state
-        self.client = PlatformClient()
+        self.client = HttpClient()
         self.caller = StoreCaller(client=self.client, address=self.store.address)
         self.table = PlatformTable(caller=self.caller, table="own")
         self.objects = PlatformObjects(caller=self.caller)
@@ -95,7 +95,7 @@
 
 
 async def test_a_store_that_nobody_listens_for_had_no_effect() -> None:
-    client = PlatformClient()
+    client = HttpClient()
     caller = StoreCaller(client=client, address="127.0.0.1:1")
     table = PlatformTable(caller=caller, table="own")
     failure = (await table.transact([Put(key="a", value="1")])).failure()
--- a/src/cassiaturn/platform/_client.py
+++ b/src/cassiaturn/transport/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP calls to the platform and its targets, their failures as values."""
+"""HTTP calls whose failures are values; shares its connections among all calls."""
 
 import json
 from collections.abc import Mapping
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from cassiaturn.transport import answer_timeout
+from cassiaturn.transport._patience import answer_timeout
 from cassiaturn.transport.plain_http import aiohttp
 
 KEEP_OPEN_S = 20.0
@@ -50,8 +50,8 @@
 """Why a call has no response."""
 
 
-class PlatformClient:
-    """Every call of a process to the platform; share one."""
+class HttpClient:
+    """Every call of a process; share one."""
 
     def __init__(self) -> None:
         """Prepare calls; connections open on use."""
@@ -123,3 +123,12 @@
                 timeout=aiohttp.ClientTimeout(total=None),
             )
         return self._session
+
+
+__all__ = [
+    "CallFailure",
+    "ConnectionRefused",
+    "HttpClient",
+    "NoReply",
+    "Reply",
+]
