Start nothing beside runs of unknown size on targets that check nothing

Cause: a new leader hears within milliseconds what runs, by name only; what it takes is known once its member has passed the job on. Starts in between counted such runs as taking nothing. Targets that check refused them; those that do not (admission_check false) were brought over their capacity. A second run of a task that is being stopped was not counted either.

Change: a target of a service that does not check its room gets no start while its list holds a run whose size is not known, or a second run that is being stopped. An older list that comes late does not clear the latter.

--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -80,6 +80,8 @@
     fails: bool = False
     hangs: bool = False
     cut: bool = False
+    guards: bool = True
+    overfull: int = 0
     late_s: float = 0.0
     lease_until: float = 0.0
     sequence: int = 0
@@ -109,7 +111,9 @@
         if ref in self.works:
             return StartAnswer.STARTED
         if not self.room_for(group.resources):
-            return StartAnswer.NO_ROOM
+            if self.guards:
+                return StartAnswer.NO_ROOM
+            self.overfull += 1
         self.lease_until = max(self.lease_until, now + LEASE_S)
         work_s = float("inf") if self.hangs else length_s / self.speed
         self.works[ref] = Work(
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -7,8 +7,15 @@
 def usable_targets(tables: Tables, service: str, now: float) -> list[Target]:
     """Return the targets that may get a start now.
 
+    A target that checks nothing starts whatever it is told to. After a change of leader
+    it lists runs of jobs that nobody has passed on yet, so that what they take is not
+    known: a start beside them may bring the worker over its capacity, and everything
+    on it is late. It gets none until they are known or over; a target that checks
+    refuses such a start itself.
+
     :param service: service that they must belong to.
     """
+    checks_room = tables.checks_room(service)
     return [
         target
         for target in tables.targets_by_id.values()
@@ -17,6 +24,7 @@
         and not target.leaving
         and not target.silent
         and target.paused_until <= now
+        and (checks_room or target.room_is_known)
     ]
 
 
--- a/src/cassiaturn/workload/_reports.py
+++ b/src/cassiaturn/workload/_reports.py
@@ -102,9 +102,15 @@
             target.ended_seen = ended.sequence
             take_end(tables, ports, target, ended, now)
     listed: set[TaskRef] = set()
+    unexpected = 0
     for listing in report.running:
         listed.add(listing.ref)
-        _take_listing(tables, ports, target, listing, asked_at, now)
+        if not _take_listing(tables, ports, target, listing, asked_at, now):
+            unexpected += 1
+    if asked_at >= target.listed_at:
+        # Lists overtake each other: an older one does not tell what runs now.
+        target.listed_at = asked_at
+        target.unexpected_runs = unexpected
     for run in list(target.runs_by_ref.values()):
         if run.ref not in listed and run.settled and run.known_since < asked_at:
             _take_missing(tables, ports, target, run, now)
@@ -117,11 +123,12 @@
     listing: RunningTask,
     asked_at: float,
     now: float,
-) -> None:
+) -> bool:
+    """Take in one row of a list; returns whether that run is the task's own."""
     run = target.runs_by_ref.get(listing.ref)
     if run is not None and run.number == listing.run:
         _update(tables, target, run, listing, asked_at, now)
-        return
+        return True
     other = tables.runs_by_ref.get(listing.ref)
     found = Run(
         ref=listing.ref,
@@ -146,7 +153,7 @@
             target=target.target_id,
         )
         ports.stop(found)
-        return
+        return False
     target.runs_by_ref[found.ref] = found
     tables.runs_by_ref[found.ref] = found
     job = tables.jobs_by_id.get(found.ref.job_id)
@@ -155,6 +162,7 @@
         adopt(tables, job, task)
     elif now > tables.began_at + tables.settings.orphan_grace_s:
         stop(tables, ports, found, now)
+    return True
 
 
 def _update(
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -231,6 +231,19 @@
     ended_seen: int = 0
     """Sequence of the last end that was taken in."""
 
+    unexpected_runs: int = 0
+    """Second runs of tasks, told to stop, in the last list."""
+
+    listed_at: float = 0.0
+    """When the last list that was taken in was asked for, in seconds."""
+
+    @property
+    def room_is_known(self) -> bool:
+        """Whether all that runs there, or may, is counted with what it takes."""
+        return not self.unexpected_runs and all(
+            run.group is not None for run in self.runs_by_ref.values()
+        )
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Retired:
@@ -309,6 +322,11 @@
     counters: Counters = field(default_factory=Counters)
     """For the metrics."""
 
+    def checks_room(self, service: str) -> bool:
+        """Return whether a service's targets refuse a start that does not fit."""
+        known = self.routing.services_by_name if self.routing is not None else {}
+        return service in known and known[service].admission_check
+
     @property
     def hears_all(self) -> bool:
         """Whether every target has told this leader what runs there."""
