Explain from the logs why jobs were not served in time, and when

On-call engineers have the same question with nothing but logs.

`cassiaturn explain FILES` reads the key=value lines of any number of processes, gives each job that was not served in time one cause (17 rules in a registry, tried in order), prints them by cause and by second, and the starts of processes; `--id` tells one job's story with what befell its targets and leaders; `--json`. `job_queued` now says `due_ms`, so that late answers can be told from the log.

Ruled out: worth in the table; the product does not know what a caller pays. Jobs and the work of their tasks stand for it.

--- a/src/cassiaturn/cli/_app.py
+++ b/src/cassiaturn/cli/_app.py
@@ -2,7 +2,15 @@
 
 import typer
 
-from cassiaturn.cli import _configuration, _drain, _jobs, _offline, _serve, _status
+from cassiaturn.cli import (
+    _configuration,
+    _drain,
+    _explain,
+    _jobs,
+    _offline,
+    _serve,
+    _status,
+)
 
 PROGRAM = "cassiaturn"
 
@@ -21,6 +29,7 @@
 app.command()(_jobs.collect)
 app.command()(_jobs.cancel)
 app.command()(_status.status)
+app.command()(_explain.explain)
 app.add_typer(_offline.app, name="check")
 app.add_typer(_configuration.app, name="configuration")
 app.add_typer(_drain.app, name="drain")
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -76,6 +76,7 @@
         origin=submission.origin,
         tasks=len(job.tasks_by_ref),
         expected_ms=round(job.expected_run_s * 1000),
+        due_ms=round((job.due_at - job.arrived_at) * 1000),
         limit_ms=round((job.limit_at - now) * 1000),
         inherited=submission.begun_earlier,
         version=tables.routing.version if tables.routing is not None else 0,
