Give jobs that change leaders the ends that were listed before they came

Hypothesis: between a leader's last word and its successor's first lists most tasks end. The successor read their ends, knew no such job yet, acknowledged them, and ran the tasks again when the member passed the job on a few milliseconds later: work done twice, and an answer late or none for a caller whose work was all done.

Change: ends (done or failed) of unknown jobs are kept for 3 s and given to the job when it is passed on or submitted again. A job of which a task is known to have ended is not said not to have run.

Ruled out: holding back acknowledgements until a job is settled; a target answers a waiting request at once while it has unacknowledged ends, so every list would come without a wait.

--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -16,6 +16,7 @@
     Tables,
     Target,
     Task,
+    UnclaimedEnd,
     Verdict,
 )
 
@@ -35,6 +36,7 @@
         return
     job = tables.jobs_by_id.get(ended.ref.job_id)
     if job is None:
+        _keep_unclaimed(tables, target, ended, now)
         return
     task = job.tasks_by_ref.get(ended.ref)
     if task is None or task.done or (task.run is not None and task.run is not run):
@@ -56,6 +58,44 @@
         put_back(tables, ended.ref)
 
 
+def claim_ends(tables: Tables, ports: Ports, job: Job, now: float) -> None:
+    """Give a job the ends of its tasks that were listed before it was passed on.
+
+    Between a leader's last word and its successor's first list most tasks end, and a
+    target forgets an end once it is acknowledged. Started anew, those tasks cost
+    their time twice, and their callers get a late answer or none.
+    """
+    for task in list(job.tasks_by_ref.values()):
+        unclaimed = tables.unclaimed_ends_by_ref.pop(task.ref, None)
+        if unclaimed is None:
+            continue
+        job.begun = True
+        task.next_run = max(task.next_run, unclaimed.ended.run + 1)
+        ports.record(
+            Event.RUN_ENDED,
+            id=job.job_id,
+            task=task.ref.task_index,
+            target=unclaimed.target_id,
+            end=unclaimed.ended.end,
+            age_ms=round((now - unclaimed.at) * 1000),
+        )
+        if unclaimed.ended.end is RunEnd.DONE:
+            _complete(tables, ports, job, task, now)
+        else:
+            _fail(tables, ports, job, task, unclaimed.target_id, now)
+        if job.job_id not in tables.jobs_by_id:
+            return
+
+
+def _keep_unclaimed(
+    tables: Tables, target: Target, ended: EndedRun, now: float
+) -> None:
+    if ended.end in (RunEnd.DONE, RunEnd.FAILED):
+        tables.unclaimed_ends_by_ref[ended.ref] = UnclaimedEnd(
+            ended=ended, target_id=target.target_id, at=now
+        )
+
+
 def over(tables: Tables, target: Target, run: Run) -> None:
     """Count a run as certainly over."""
     del target.runs_by_ref[run.ref]
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -6,6 +6,7 @@
 from cassiaturn.observability import Event
 from cassiaturn.policy import latest_start, spread_retry_after
 from cassiaturn.workload._backlog import backlog_s
+from cassiaturn.workload._ends import claim_ends
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settle import retire
 from cassiaturn.workload._tables import (
@@ -63,7 +64,8 @@
         ports.record(Event.JOB_REPEATED, id=job_id, origin=submission.origin)
         return known
     job = _make_job(tables, submission, now, retired.next_run if retired else 0)
-    refusal = None if submission.begun_earlier else _refusal(tables, job, now)
+    has_begun = submission.begun_earlier or _has_ended_tasks(tables, job)
+    refusal = None if has_begun else _refusal(tables, job, now)
     if refusal is not None:
         tables.counters.refused += 1
         return refusal
@@ -81,6 +83,7 @@
         inherited=submission.begun_earlier,
         version=tables.routing.version if tables.routing is not None else 0,
     )
+    claim_ends(tables, ports, job, now)
     return None
 
 
@@ -115,6 +118,11 @@
         cancel(tables, ports, job.job_id, member, now)
 
 
+def _has_ended_tasks(tables: Tables, job: Job) -> bool:
+    """Return whether a task of a job is known to have ended under an earlier leader."""
+    return any(ref in tables.unclaimed_ends_by_ref for ref in job.tasks_by_ref)
+
+
 def _is_final(outcome: Outcome) -> bool:
     """Return whether a late resubmission gets this answer again.
 
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -4,7 +4,14 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from cassiaturn.entities import JobRequest, Route, RoutingTable, TaskGroup, TaskRef
+from cassiaturn.entities import (
+    EndedRun,
+    JobRequest,
+    Route,
+    RoutingTable,
+    TaskGroup,
+    TaskRef,
+)
 from cassiaturn.policy import (
     ExpectedRuns,
     GroupKey,
@@ -259,6 +266,20 @@
     """When it ended, in seconds."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnclaimedEnd:
+    """The end of a run whose job nobody has passed on to this leader yet."""
+
+    ended: EndedRun
+    """How it ended."""
+
+    target_id: str
+    """Where."""
+
+    at: float
+    """When it was listed, in seconds."""
+
+
 @dataclass(slots=True, kw_only=True)
 class Counters:
     """What a leader did, for its metrics."""
@@ -313,6 +334,11 @@
     runs_by_ref: dict[TaskRef, Run] = field(default_factory=dict)
     """Every run that is not certainly over, so that no task runs twice at once."""
 
+    unclaimed_ends_by_ref: "OrderedDict[TaskRef, UnclaimedEnd]" = field(
+        default_factory=OrderedDict
+    )
+    """Tasks that ended done or failed, of jobs unknown here, oldest first."""
+
     expected: ExpectedRuns = field(default_factory=ExpectedRuns)
     """Run times of the routes."""
 
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -146,9 +146,19 @@
 
 
 def _forget(tables: Tables, now: float) -> None:
+    _forget_unclaimed(tables, now)
     retired = tables.retired_by_id
     while retired:
         job_id, oldest = next(iter(retired.items()))
         if now - oldest.at < tables.settings.retired_s:
             return
         del retired[job_id]
+
+
+def _forget_unclaimed(tables: Tables, now: float) -> None:
+    unclaimed = tables.unclaimed_ends_by_ref
+    while unclaimed:
+        ref, oldest = next(iter(unclaimed.items()))
+        if now - oldest.at < tables.settings.unclaimed_s:
+            return
+        del unclaimed[ref]
--- a/src/cassiaturn/workload/tests/test_successors.py
+++ b/src/cassiaturn/workload/tests/test_successors.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cassiaturn import workload
-from cassiaturn.entities import Resources, StartAnswer, TaskGroup, TaskRef
+from cassiaturn.entities import Resources, RunEnd, StartAnswer, TaskGroup, TaskRef
 from cassiaturn.standins.virtual_targets import Play
 from cassiaturn.workload import Verdict
 
@@ -156,3 +156,64 @@
     settings = workload.settings_for_lease(granted_s)
     assert settings.lease_s == lease_s
     assert settings.lease_over_s == pytest.approx(over_s)
+
+
+def _ended(*ends: RunEnd) -> Play:
+    """Return a play in which tasks of "a" ended before this leader's first list."""
+    play = Play(term=1)
+    play.tables.knows_targets = True
+    play.add_target("t1")
+    play.add_target("t0")
+    target = play.targets["t0"]
+    for index, end in enumerate(ends):
+        ref = TaskRef("a", 0, 0, index)
+        target.start(ref, 1, GROUP, 0.3, play.now)
+        target.end(ref, end)
+    play.run(0.02)
+    return play
+
+
+def test_what_ended_before_a_successor_began_is_not_run_again() -> None:
+    """The leader falls silent for half a second, while tasks run and end.
+
+    The first lists of its successor tell of their ends, and targets forget what was
+    acknowledged. The member passes the job on a moment later. Run anew, its caller
+    gets a late answer though all the work was done in time.
+    """
+    play = _ended(RunEnd.DONE, RunEnd.DONE)
+    play.submit("a", count=2, run_s=0.3, begun_earlier=True)
+    assert play.verdict("a") is Verdict.COMPLETED
+    assert play.tables.counters.starts == 0
+
+
+def test_a_task_that_is_left_over_is_run() -> None:
+    play = _ended(RunEnd.DONE, RunEnd.FAILED)
+    play.submit("a", count=3, run_s=0.1, begun_earlier=True)
+    play.run(0.3)
+    assert play.verdict("a") is Verdict.COMPLETED
+    assert play.tables.counters.starts == 2
+    assert not play.targets["t0"].works
+
+
+def test_ends_that_say_nothing_of_the_task_are_not_kept() -> None:
+    play = _ended(RunEnd.STOPPED, RunEnd.LEASE_EXPIRED)
+    assert not play.tables.unclaimed_ends_by_ref
+
+
+def test_a_job_whose_task_has_ended_is_not_said_not_to_have_run() -> None:
+    """A caller whose member was killed submits again, while the service is full.
+
+    One of its tasks is done. "Not run" would be untrue; the rest is run.
+    """
+    play = _ended(RunEnd.DONE)
+    play.submit("a", count=2, run_s=1.4, limit_s=0.3)
+    assert play.verdict("a") is not Verdict.REFUSED
+    play.run(0.5)
+    assert play.verdict("a") is Verdict.ABANDONED
+
+
+def test_the_end_of_a_job_that_never_comes_is_forgotten() -> None:
+    play = _ended(RunEnd.DONE)
+    assert play.tables.unclaimed_ends_by_ref
+    play.run(3.2)
+    assert not play.tables.unclaimed_ends_by_ref
