Give the decisions on shared workers a package that its name explains

`policy` held two families side by side: queues of tenants with slots, and the sharing of workers by what tasks take. A newcomer could not tell which belongs to which leader, and a member imported both. The second family is `cassiaturn.sharing` now, with its tests; what both need (`Room`) is imported from there. No decision changed.

--- a/src/cassiaturn/bench/_shared_variants.py
+++ b/src/cassiaturn/bench/_shared_variants.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from cassiaturn.entities import TaskGroup
-from cassiaturn.policy import ExpectedRuns, GroupKey, OrderKey
+from cassiaturn.sharing import ExpectedRuns, GroupKey, OrderKey
 from cassiaturn.standins import virtual_targets
 from cassiaturn.workload import Job, Run, Tables, Target, dispatch
 from cassiaturn.workload._backlog import queue_key
--- a/src/cassiaturn/fleet/_desk.py
+++ b/src/cassiaturn/fleet/_desk.py
@@ -7,7 +7,7 @@
 
 from cassiaturn.entities import JobRequest, Route
 from cassiaturn.observability import Event, FleetMetrics, log_event
-from cassiaturn.policy import spread_retry_after
+from cassiaturn.sharing import spread_retry_after
 from cassiaturn.workload import Outcome, Verdict, unserved_feature
 
 LEADERLESS_WAIT_S = 0.35
--- a/src/cassiaturn/policy/_targets.py
+++ b/src/cassiaturn/policy/_targets.py
@@ -15,8 +15,8 @@
 
 from cassiaturn.entities import RequestClass, Resources
 from cassiaturn.policy._queued_task import QueuedTask
-from cassiaturn.policy._room import Room
 from cassiaturn.policy._settings import PlacementSettings
+from cassiaturn.sharing._room import Room
 
 _DEFAULT_SPARE = PlacementSettings().spare_share_by_class
 
--- /dev/null
+++ b/src/cassiaturn/sharing/__init__.py
@@ -0,0 +1,29 @@
+"""Decisions on workers that tasks share by what each takes: no network, no clock.
+
+A leader's queue, its choice of targets and what it concludes from their runs. The
+decisions of the other deployment, on slots and tenants, are in `cassiaturn.policy`.
+"""
+
+from cassiaturn.sharing._due_order import OrderKey, order_key, spread_retry_after
+from cassiaturn.sharing._expected_runs import ExpectedRuns
+from cassiaturn.sharing._failed_target import failed_target_pause_s
+from cassiaturn.sharing._outlook import Progress, latest_start
+from cassiaturn.sharing._pace import Pace, needs_fast_target
+from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared
+from cassiaturn.sharing._room import Room
+
+__all__ = [
+    "ExpectedRuns",
+    "GroupKey",
+    "OrderKey",
+    "Pace",
+    "Progress",
+    "Room",
+    "SharedTarget",
+    "choose_shared",
+    "failed_target_pause_s",
+    "latest_start",
+    "needs_fast_target",
+    "order_key",
+    "spread_retry_after",
+]
--- a/src/cassiaturn/policy/_due_order.py
+++ b/src/cassiaturn/sharing/_due_order.py
@@ -21,7 +21,7 @@
 
 import xxhash
 
-from cassiaturn.policy._outlook import HOPE
+from cassiaturn.sharing._outlook import HOPE
 
 _HASH_RANGE = float(1 << 64)
 
--- a/src/cassiaturn/policy/_packing.py
+++ b/src/cassiaturn/sharing/_packing.py
@@ -16,8 +16,8 @@
 from typing import NamedTuple, TypeVar
 
 from cassiaturn.entities import Resources, TaskGroup
-from cassiaturn.policy._pace import Pace
-from cassiaturn.policy._room import Room
+from cassiaturn.sharing._pace import Pace
+from cassiaturn.sharing._room import Room
 
 SLOW_FACTOR = 1.8
 """Run time over the expected one from which a target counts as slow: speeds of
--- a/src/cassiaturn/policy/tests/test_job_timing.py
+++ b/src/cassiaturn/sharing/tests/test_job_timing.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cassiaturn.policy import (
+from cassiaturn.sharing import (
     ExpectedRuns,
     Pace,
     Progress,
--- a/src/cassiaturn/policy/tests/test_packing.py
+++ b/src/cassiaturn/sharing/tests/test_packing.py
@@ -1,7 +1,7 @@
 import pytest
 
 from cassiaturn.entities import Resources, TaskGroup
-from cassiaturn.policy import GroupKey, SharedTarget, choose_shared
+from cassiaturn.sharing import GroupKey, SharedTarget, choose_shared
 
 KEY = GroupKey("a", 0, 0)
 
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -1,6 +1,6 @@
 """How long a job waits for room behind what is queued before it."""
 
-from cassiaturn.policy import OrderKey, order_key
+from cassiaturn.sharing import OrderKey, order_key
 from cassiaturn.workload._tables import Job, Tables, Target
 
 
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -2,7 +2,7 @@
 
 from cassiaturn.entities import TaskRef
 from cassiaturn.observability import Event
-from cassiaturn.policy import choose_shared, latest_start
+from cassiaturn.sharing import choose_shared, latest_start
 from cassiaturn.workload._backlog import queue_key, usable_targets
 from cassiaturn.workload._ports import Ports, StartOrder
 from cassiaturn.workload._tables import Job, Run, RunState, Tables, Target, Task
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -5,7 +5,7 @@
     RunEnd,
 )
 from cassiaturn.observability import Event
-from cassiaturn.policy import failed_target_pause_s
+from cassiaturn.sharing import failed_target_pause_s
 from cassiaturn.workload._dispatch import put_back
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settle import settle
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -4,7 +4,7 @@
 
 from cassiaturn.entities import JobRequest, Route, TaskGroup, TaskRef
 from cassiaturn.observability import Event
-from cassiaturn.policy import latest_start, spread_retry_after
+from cassiaturn.sharing import latest_start, spread_retry_after
 from cassiaturn.workload._backlog import backlog_s
 from cassiaturn.workload._ends import claim_ends
 from cassiaturn.workload._ports import Ports
--- a/src/cassiaturn/workload/_reports.py
+++ b/src/cassiaturn/workload/_reports.py
@@ -7,7 +7,7 @@
     TaskRef,
 )
 from cassiaturn.observability import Event
-from cassiaturn.policy import Progress, failed_target_pause_s
+from cassiaturn.sharing import Progress, failed_target_pause_s
 from cassiaturn.workload._dispatch import put_back
 from cassiaturn.workload._ends import learn_speed, over, take_end
 from cassiaturn.workload._intake import adopt
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -12,12 +12,7 @@
     TaskGroup,
     TaskRef,
 )
-from cassiaturn.policy import (
-    ExpectedRuns,
-    GroupKey,
-    SharedTarget,
-    needs_fast_target,
-)
+from cassiaturn.sharing import ExpectedRuns, GroupKey, SharedTarget, needs_fast_target
 from cassiaturn.workload._settings import WorkloadSettings
 
 
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -1,7 +1,7 @@
 """What runs over the tables each tick: limits, stalls, stops, old entries."""
 
 from cassiaturn.observability import Event
-from cassiaturn.policy import latest_start
+from cassiaturn.sharing import latest_start
 from cassiaturn.workload._dispatch import dispatch, is_held, put_back
 from cassiaturn.workload._intake import refused
 from cassiaturn.workload._ports import Ports
