Drop the log lines of jobs that end well before those of jobs that fail

Past its bound the log dropped whatever came next. A leader logs several times the bound when an outage ends, and the lines that say why a job failed were missing with the rest.

Change: lines of jobs that are queued, started or complete leave two fifths of the burst to others; the notice of dropped lines says how many were ordinary.

--- a/src/cassiaturn/observability/_bounded.py
+++ b/src/cassiaturn/observability/_bounded.py
@@ -21,6 +21,14 @@
 """Lines that may be written at once, after quiet seconds: a change of leader logs
 some hundreds."""
 
+RESERVED_SHARE = 0.4
+"""Part of the burst that ordinary lines leave for others: at 1,400 lines a second, more
+than twice the bound, the ends of all jobs of a second of outage fit into it."""
+
+ORDINARY = (" event=job_queued ", " event=job_started ", " verdict=completed ")
+"""What the lines of jobs hold that end well. They are dropped first: a person who asks
+why a job failed needs the line that says so."""
+
 
 class BoundedOutput(io.TextIOBase):
     """Writes lines to a descriptor; what is over the bound is counted and dropped."""
@@ -50,6 +58,7 @@
         self._tokens = burst
         self._filled_at = clock()
         self._untold = 0
+        self._untold_ordinary = 0
         if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
             os.set_blocking(descriptor, False)
 
@@ -62,16 +71,19 @@
         if not text.strip():
             return len(text)
         self._refill()
-        if self._tokens < 1.0:
-            self._drop()
+        is_ordinary = any(part in text for part in ORDINARY)
+        reserved = self._burst * RESERVED_SHARE if is_ordinary else 0.0
+        if self._tokens < 1.0 + reserved:
+            self._drop(is_ordinary)
             return len(text)
         self._tokens -= 1.0
         if self._untold and not self._put(self._notice()):
-            self._drop()
+            self._drop(is_ordinary)
             return len(text)
         self._untold = 0
+        self._untold_ordinary = 0
         if not self._put(text if text.endswith("\n") else text + "\n"):
-            self._drop()
+            self._drop(is_ordinary)
         return len(text)
 
     def _refill(self) -> None:
@@ -80,12 +92,16 @@
         self._tokens = min(self._burst, self._tokens + earned)
         self._filled_at = now
 
-    def _drop(self) -> None:
+    def _drop(self, is_ordinary: bool) -> None:
         self.dropped += 1
         self._untold += 1
+        self._untold_ordinary += is_ordinary
 
     def _notice(self) -> str:
-        return f"level=warning event=lines_dropped count={self._untold}\n"
+        return (
+            f"level=warning event=lines_dropped count={self._untold}"
+            f" ordinary={self._untold_ordinary}\n"
+        )
 
     def _put(self, text: str) -> bool:
         try:
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -95,7 +95,10 @@
     MEMBER_JOINED = _info("member_joined", "A member follows this leader.")
     MEMBER_GONE = _warning("member_gone", "A follower is gone; its jobs end.")
     SETTINGS_RELOADED = _info("settings_reloaded", "The settings file was read again.")
-    LINES_DROPPED = _warning("lines_dropped", "`count` lines were over the bound.")
+    LINES_DROPPED = _warning(
+        "lines_dropped",
+        "`count` lines were dropped, `ordinary` of them of jobs that end well.",
+    )
     PEER_CONNECTED = _info("peer_connected", "The stream to a peer is up.")
     PEER_LOST = _warning("peer_lost", "The stream to a peer ended; it is tried again.")
     PEER_STATE = _info("peer_state", "Membership now has a peer as `state`.")
