--- a/src/cassiaturn/bench/_shared_load.py
+++ b/src/cassiaturn/bench/_shared_load.py
@@ -1,4 +1,4 @@
-"""The two users' jobs on targets that tasks share, drawn from a seed.
+"""The users' jobs on targets that tasks share, drawn from a seed.
 
 Shapes are those of their sheets: three kinds in jobs of a few tasks, each task asking
 for a part of a worker, on 24 workers of two sizes, at rates that use 0.7 of the places
@@ -119,6 +119,14 @@
         kinds=_kinds("chassis-check", "concours-confirm", "marque-lookup"),
         domains=3,
     ),
+    "relining": SharedSite(
+        user="relining",
+        cpu_millis=32_000,
+        task_cpu_millis=14_000,
+        speeds=(1.0, 1.0, 1.3),
+        kinds=_kinds("inspect-check", "cure-plan", "bypass-size"),
+        domains=4,
+    ),
 }
 """The users' sites, by user."""
 
