--- a/src/cassiaturn/sharing/_pace.py
+++ b/src/cassiaturn/sharing/_pace.py
@@ -18,10 +18,6 @@
 """Width of a step of speed, as a difference of logarithms: smaller differences are
 within the error and would only undo the packing."""
 
-CLASS_STEP = 0.25
-"""Width of a class of speed, as a difference of logarithms: targets of one speed, which
-are told to a twentieth, fall into one class, and a third faster is another."""
-
 LARGEST = 1.0
 """Largest logarithm of one ratio that counts: a stalled run says nothing of speed."""
 
@@ -48,11 +44,6 @@
         """How slow the target is, in steps; lower is faster."""
         return round(self._mean_log / STEP)
 
-    @property
-    def speed_class(self) -> int:
-        """Which class of speed it belongs to; lower is faster."""
-        return round(self._mean_log / CLASS_STEP)
-
 
 def needs_fast_target(*, expected_run_s: float, limit_s: float) -> bool:
     """Return whether a task should go to the fastest target that has room.
--- a/src/cassiaturn/sharing/_packing.py
+++ b/src/cassiaturn/sharing/_packing.py
@@ -125,12 +125,8 @@
     left_over = _left_over(target, wanted)
     if is_tight:
         return target.pace.step, left_over
-    # A target of a faster class stays free for what needs it: of long jobs that start
-    # on slow targets a third outlasts its callers, of those on fast ones a tenth. On
-    # the loads of the shared benchmarks (four seeds) callers of workers of two speeds
-    # get 0.9171 to 0.9244 of the worth when it is heavy and 0.8493 to 0.8575 after an
-    # outage; where all are equally fast the fit decides as before.
-    return -target.pace.speed_class, left_over
+    # The slower of two equal fits: the faster one stays free for what needs it.
+    return left_over, -target.pace.step
 
 
 def _left_over(target: SharedTarget, wanted: Resources) -> float:
--- a/src/cassiaturn/sharing/tests/test_packing.py
+++ b/src/cassiaturn/sharing/tests/test_packing.py
@@ -91,23 +91,3 @@
 def test_giving_back_what_was_never_taken_is_a_fault() -> None:
     with pytest.raises(AssertionError, match="never began"):
         _target("t", 16_000).give_back(Resources(cpu_millis=1), KEY)
-
-
-@pytest.mark.parametrize(
-    ("ratio", "chosen"),
-    [
-        (0.75, "usual"),  # A third faster: kept free, though a task fits there better.
-        (0.95, "quick"),  # Within the error of its measure: the fit decides.
-    ],
-)
-def test_short_tasks_leave_faster_targets_free(ratio: float, chosen: str) -> None:
-    """Long jobs come while short ones fill every rest that suits them.
-
-    On slow targets a third of the long ones outlasts its callers.
-    """
-    quick = _target("quick", 16_000, 8_000)
-    usual = _target("usual", 16_000)
-    for _ in range(200):
-        quick.pace.observe(ratio)
-        usual.pace.observe(1.0)
-    assert _chosen(_group(), quick, usual) == chosen
