Send orders and requests again sooner while answers of targets get lost

Change: what one link sees lost is known to all of a leader's (`_losses.py`): a target that answers after it left an order unanswered. For 2 s after such a sign copies of starts follow after 25 ms, four at most, lists come each 50 ms, and a list that tells of an end replaces the request that should have told of it. A target that answers nothing, as behind a cut, says nothing of the others.

Ruled out: shorter timeouts always (a host that takes its processor away for 0.1 s would send every order twice); counting any unanswered order as a sign.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -16,6 +16,7 @@
 from cassiaturn.fleet._desk import JobDesk, OpenJob
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._leadership import Leadership
+from cassiaturn.fleet._losses import Losses
 from cassiaturn.fleet._ports import Authority, PlatformServices
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.fleet._target_link import TargetLink
@@ -99,6 +100,7 @@
         self._links_by_id: dict[str, TargetLink] = {}
         self._missing_since: dict[str, float] = {}
         self._ignored = SeldomLog()
+        self._losses = Losses()
         self.superseded_ids: set[str] = set()
         """Targets that last answered that they obey a later leader."""
         self._tasks: list[asyncio.Task[None]] = []
@@ -353,6 +355,7 @@
             has_runs=lambda: bool(target.runs_by_ref),
             has_tight_runs=lambda: workload.has_tight_runs(self._tables, target),
             ended_seen=lambda: target.ended_seen,
+            losses=self._losses,
             settings=self._settings,
         )
         self._links_by_id[report.target_id] = link
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -17,6 +17,7 @@
 
 from cassiaturn.entities import LeaseReport, StartAnswer, TaskRef
 from cassiaturn.fleet._failures import report_failure
+from cassiaturn.fleet._losses import Losses
 from cassiaturn.fleet._ports import (
     Authority,
     CallProblem,
@@ -48,13 +49,9 @@
 RETRY_EVERY_S = 0.3
 """Pause between looks at a target that does not answer, in seconds."""
 
-LOSSY_LOOK_EVERY_S = 0.1
-"""Period of renewals where an answer was lost lately, in seconds: the request that
-waits for ends may be lost, too. Two of the shortest tasks fit into it."""
-
-LOSSY_S = 2.0
-"""How long a target counts as losing answers after one, in seconds: at one in twenty,
-some ten requests a second lose the next within it."""
+LOSSY_LOOK_EVERY_S = 0.05
+"""Period of renewals while answers get lost, in seconds: the request that waits for
+ends may be lost, too. It is the length of the shortest tasks."""
 
 ANSWER_TIMEOUT_S = 0.15
 """Longest wait for a list that should come at once, in seconds: fifty times the usual
@@ -64,10 +61,18 @@
 """Longest wait for the answer to one copy of a start or a stop, in seconds: 25 times
 the usual one, twice the way to another region and back."""
 
+LOSSY_ORDER_TIMEOUT_S = 0.025
+"""Longest wait for the answer to a copy of a start while answers get lost, in seconds:
+eight times the usual one. A job of eight short tasks that waits for the longer timeout
+once is late."""
+
 START_COPIES = 3
 """Copies of a start that are sent until one is answered: where a fifth of them is lost,
 one start in 125 is left to be settled by stopping it."""
 
+LOSSY_START_COPIES = 4
+"""The same while answers get lost: the last one is waited for as long as ever."""
+
 SECOND_LOOK_S = 0.1
 """Longest wait for the second list, after one that did not come, in seconds: thirty
 times the usual one."""
@@ -122,6 +127,7 @@
         has_runs: Callable[[], bool],
         has_tight_runs: Callable[[], bool],
         ended_seen: Callable[[], int],
+        losses: Losses,
         settings: WorkloadSettings,
     ) -> None:
         """Prepare the link; :meth:`open` starts it.
@@ -129,6 +135,7 @@
         :param has_runs: whether anything runs there that is to go on.
         :param has_tight_runs: whether some of it may end too late for its caller.
         :param ended_seen: sequence of the last end that was taken in.
+        :param losses: what all links of the leader have seen lost.
         """
         self.authority = authority
         self._calls = calls
@@ -136,13 +143,15 @@
         self._has_runs = has_runs
         self._has_tight_runs = has_tight_runs
         self._ended_seen = ended_seen
+        self._losses = losses
         self._settings = settings
+        self._waiting: asyncio.Task[None] | None = None
+        self._waiting_since = 0.0
         self._clock_ms = 0
         self._clock_at: float | None = None
         self._lease_over_at = time.monotonic() + settings.lease_over_s
         self._renewed_at = 0.0
         self._answered_at = 0.0
-        self._unanswered_at = float("-inf")
         self._is_silent = False
         self._is_renewing = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -180,16 +189,17 @@
         if self._is_renewing or not self._has_runs():
             return
         every_s = LOOK_EVERY_S if self._has_tight_runs() else RENEW_EVERY_S
-        if now - self._unanswered_at < LOSSY_S:
+        if self._losses.are_frequent(now):
             every_s = LOSSY_LOOK_EVERY_S
         if now - self._renewed_at >= every_s:
             self._spawn(self._renew())
 
-    def _spawn(self, work: "asyncio._CoroutineLike[None]") -> None:
+    def _spawn(self, work: "asyncio._CoroutineLike[None]") -> "asyncio.Task[None]":
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         task.add_done_callback(report_failure)
+        return task
 
     async def _listen(self) -> None:
         await self._survey()
@@ -200,7 +210,11 @@
                     await asyncio.sleep(RETRY_EVERY_S)
                 continue
             wait_s = BUSY_WAIT_S if self._has_runs() else IDLE_WAIT_S
-            await self._ask(wait_s=wait_s, renew=self._has_runs())
+            asking = self._ask(wait_s=wait_s, renew=self._has_runs())
+            self._waiting_since = time.monotonic()
+            self._waiting = self._spawn(asking)
+            await asyncio.wait([self._waiting])
+            self._waiting = None
 
     async def _survey(self) -> None:
         """Get the first list, by copies of the request until one is answered.
@@ -268,12 +282,15 @@
         if self._is_silent:
             return False
         if self._answered_at > asked_at:
+            self._losses.note(time.monotonic())
             log_event(Event.TARGET_UNANSWERED, target=self.authority.target_id)
             return True
         self._events.on_unanswered(self.authority.target_id)
         problem = await self._take_list(
             wait_s=0.0, renew=False, timeout_s=SECOND_LOOK_S
         )
+        if problem is None:
+            self._losses.note(time.monotonic())
         return problem is None
 
     async def _take_list(
@@ -297,16 +314,29 @@
             case Success(report):
                 self._note_clock(report.clock_ms)
                 self._is_silent = False
+                if report.ended and not wait_s:
+                    self._ask_anew_if_unheard(asked_at)
                 self._events.on_report(
                     self.authority.target_id, report, asked_at=asked_at
                 )
                 return None
             case Failure(problem):
                 unanswered: CallProblem = problem
-                self._note_unanswered(unanswered)
                 return unanswered
         raise AssertionError("a result is a success or a failure")
 
+    def _ask_anew_if_unheard(self, asked_at: float) -> None:
+        """Replace the request that waits for ends, if it should have told of one.
+
+        Lost, it is noticed only after its wait and its timeout, a second in all, and
+        the ends of that second are heard of by periodic looks alone.
+        """
+        waiting = self._waiting
+        if waiting is None or not self._losses.are_frequent(asked_at):
+            return
+        if self._waiting_since < asked_at:
+            waiting.cancel()
+
     async def _pause_after(self, problem: CallProblem) -> None:
         if not isinstance(problem, NoAnswer):
             await asyncio.sleep(RETRY_EVERY_S)
@@ -331,22 +361,26 @@
         Each names the same run, which a target starts once; one that is carried out
         late comes after the end of its lease or of its run, and is refused.
         """
-        reply = await self._send_copy(order)
-        for _ in range(START_COPIES - 1):
+        timeouts_s = [ORDER_TIMEOUT_S] * START_COPIES
+        if self._losses.are_frequent(time.monotonic()):
+            timeouts_s = [LOSSY_ORDER_TIMEOUT_S] * (LOSSY_START_COPIES - 1)
+            timeouts_s.append(ORDER_TIMEOUT_S)
+        reply = await self._send_copy(order, timeouts_s[0])
+        for timeout_s in timeouts_s[1:]:
             if reply.answer is not StartAnswer.UNKNOWN or self._closed:
                 return reply
-            self._unanswered_at = time.monotonic()
-            reply = await self._send_copy(order)
+            reply = await self._send_copy(order, timeout_s)
             if reply.answer is not StartAnswer.UNKNOWN:
+                self._losses.note(time.monotonic())
                 return replace(reply, answer=_after_lost_copy(reply.answer))
         return reply
 
-    async def _send_copy(self, order: StartOrder) -> StartReply:
+    async def _send_copy(self, order: StartOrder, timeout_s: float) -> StartReply:
         reply = await self._calls.start(
             self.authority,
             order,
             lease_until_ms=self._lease_end(time.monotonic()),
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=timeout_s,
         )
         if reply.answer is StartAnswer.SUPERSEDED and not self._closed:
             self._events.on_superseded(self.authority.target_id)
@@ -366,15 +400,10 @@
                         # next periodic one would hold its place ten times as long.
                         await self._ask(wait_s=0.0, renew=self._has_runs())
             case Failure(problem):
-                self._note_unanswered(problem)
                 # It is sent again while the target lists the run.
                 if not self._closed and not isinstance(problem, NoAnswer):
                     self._take_problem(problem)
 
-    def _note_unanswered(self, problem: CallProblem) -> None:
-        if isinstance(problem, NoAnswer):
-            self._unanswered_at = time.monotonic()
-
     def _take_problem(self, problem: CallProblem) -> None:
         target_id = self.authority.target_id
         match problem:
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -6,9 +6,15 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from cassiaturn.entities import LeaseReport, StartAnswer, TaskRef
+from cassiaturn.entities import EndedRun, LeaseReport, RunEnd, StartAnswer, TaskRef
+from cassiaturn.fleet._losses import Losses
 from cassiaturn.fleet._ports import Authority, CallProblem, NoAnswer, StartReply
-from cassiaturn.fleet._target_link import LOSSY_LOOK_EVERY_S, TargetLink
+from cassiaturn.fleet._target_link import (
+    LOSSY_LOOK_EVERY_S,
+    LOSSY_ORDER_TIMEOUT_S,
+    ORDER_TIMEOUT_S,
+    TargetLink,
+)
 from cassiaturn.workload import StartOrder, WorkloadSettings
 
 REF = TaskRef("5c0e7a21d94b36f8", 0, 0, 0)
@@ -24,6 +30,8 @@
         self._start_answers = list(start_answers)
         self.asked = 0
         self.started: list[int] = []
+        self.timeouts_s: list[float] = []
+        self.ended: tuple[EndedRun, ...] = ()
 
     async def renew(
         self, *args: object, timeout_s: float, **options: object
@@ -33,12 +41,20 @@
         if not comes:
             await asyncio.sleep(timeout_s)
             return Failure(NoAnswer(detail="lost"))
-        return Success(LeaseReport(clock_ms=1_000 + self.asked, running=(), ended=()))
+        return Success(
+            LeaseReport(clock_ms=1_000 + self.asked, running=(), ended=self.ended)
+        )
 
     async def start(
-        self, authority: Authority, order: StartOrder, **options: object
+        self,
+        authority: Authority,
+        order: StartOrder,
+        *,
+        timeout_s: float,
+        **options: object,
     ) -> StartReply:
         self.started.append(order.number)
+        self.timeouts_s.append(timeout_s)
         answer = self._start_answers.pop(0)
         clock_ms = None if answer is StartAnswer.UNKNOWN else 5_000
         return StartReply(answer=answer, clock_ms=clock_ms)
@@ -200,6 +216,47 @@
     assert calls.asked == asked + 1
 
 
+async def test_a_target_that_answers_nothing_says_nothing_of_the_others() -> None:
+    """A target is cut off. Asking all others more often would only cost time then."""
+    calls = Calls([False], (LOST, LOST, LOST))
+    link = _link(calls, Events())
+    await link._renew()
+    await link._start(StartOrder(target_id="t", ref=REF, number=65, payload="x"))
+    assert not link._losses.are_frequent(time.monotonic())
+
+
+async def test_copies_of_a_start_follow_sooner_where_answers_get_lost() -> None:
+    """Three orders in twenty get no answer; a job of eight short tasks needs eight.
+
+    With the timeout that a loaded host needs, three of four such jobs are late.
+    """
+    calls = Calls([True], (LOST, StartAnswer.STARTED, LOST, LOST, StartAnswer.STARTED))
+    link = _link(calls, Events())
+    order = StartOrder(target_id="t", ref=REF, number=65, payload="x")
+    await link._start(order)
+    assert calls.timeouts_s == [ORDER_TIMEOUT_S] * 2
+    await link._start(order)
+    assert calls.timeouts_s[2:] == [LOSSY_ORDER_TIMEOUT_S] * 3
+
+
+async def test_a_lost_request_for_ends_is_replaced_when_a_list_tells_of_one() -> None:
+    """The request that waits for the next end was lost; a periodic list tells of it.
+
+    Left alone, it would hold up the news of every end for a second more.
+    """
+    calls = Calls([True])
+    link = _link(calls, Events())
+    link._losses.note(time.monotonic())
+    lost = asyncio.get_running_loop().create_future()
+    link._waiting = asyncio.ensure_future(asyncio.wait_for(lost, 5.0))
+    link._waiting_since = time.monotonic()
+    await asyncio.sleep(0.002)
+    calls.ended = (EndedRun(sequence=1, ref=REF, run=1, end=RunEnd.DONE),)
+    await link._renew()
+    await asyncio.sleep(0)
+    assert lost.cancelled()
+
+
 async def test_a_sound_target_is_not_looked_at_more_often() -> None:
     calls = Calls([True])
     link = _link(calls, Events())
@@ -218,5 +275,6 @@
         has_runs=lambda: True,
         has_tight_runs=lambda: False,
         ended_seen=lambda: 0,
+        losses=Losses(),
         settings=WorkloadSettings(),
     )
