Wait for answers by what is usual, and ask more often, while answers get lost

Hypothesis: with 30 of 100 orders unanswered one look in ten fails twice, its target counts as silent and gets nothing for 0.3 s; after each single loss it is paused for 0.1 s.

Change: while answers get lost a target is asked three times more before it counts as silent, and is not paused meanwhile; orders and lists are waited for four times the usual answer of that target (an average of its last ten, 12 ms at least), as long as before where a target is far away.

--- a/src/cassiaturn/fleet/_losses.py
+++ b/src/cassiaturn/fleet/_losses.py
@@ -15,6 +15,39 @@
 ten requests a second lose the next within it."""
 
 
+USUAL_ANSWERS = 4.0
+"""How many times the usual answer an order is waited for while answers get lost: of
+those that come, one in a hundred takes longer."""
+
+SHORTEST_WAIT_S = 0.012
+"""Shortest such wait, in seconds: a turn of a leader's loop that starts a large job
+takes half of it."""
+
+FOLLOW = 0.1
+"""Weight of one answer in the usual time: about the last ten count."""
+
+
+class UsualAnswer:
+    """How long a target takes to answer at once."""
+
+    __slots__ = ("_mean_s",)
+
+    def __init__(self) -> None:
+        # Before the first answer: what a target of another region takes.
+        self._mean_s = 0.02
+
+    def observe(self, answer_s: float) -> None:
+        """Take in how long an answer took that was not waited for, in seconds."""
+        self._mean_s += FOLLOW * (answer_s - self._mean_s)
+
+    def timeout_s(self, longest_s: float) -> float:
+        """Return how long an answer is waited for while others get lost, in seconds.
+
+        :param longest_s: how long it would be waited for otherwise, in seconds.
+        """
+        return min(longest_s, max(SHORTEST_WAIT_S, USUAL_ANSWERS * self._mean_s))
+
+
 class Losses:
     """What a leader's links to targets have seen lost; share one."""
 
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -17,7 +17,7 @@
 
 from cassiaturn.entities import LeaseReport, StartAnswer, TaskRef
 from cassiaturn.fleet._failures import report_failure
-from cassiaturn.fleet._losses import Losses
+from cassiaturn.fleet._losses import Losses, UsualAnswer
 from cassiaturn.fleet._ports import (
     Authority,
     CallProblem,
@@ -61,11 +61,6 @@
 """Longest wait for the answer to one copy of a start or a stop, in seconds: 25 times
 the usual one, twice the way to another region and back."""
 
-LOSSY_ORDER_TIMEOUT_S = 0.025
-"""Longest wait for the answer to a copy of a start while answers get lost, in seconds:
-eight times the usual one. A job of eight short tasks that waits for the longer timeout
-once is late."""
-
 START_COPIES = 3
 """Copies of a start that are sent until one is answered: where a fifth of them is lost,
 one start in 125 is left to be settled by stopping it."""
@@ -73,6 +68,10 @@
 LOSSY_START_COPIES = 4
 """The same while answers get lost: the last one is waited for as long as ever."""
 
+LOSSY_LOOKS = 3
+"""Lists that are asked for while answers get lost, after one that did not come, before
+a target counts as silent: where three in ten are lost, all four are in one of 120."""
+
 SECOND_LOOK_S = 0.1
 """Longest wait for the second list, after one that did not come, in seconds: thirty
 times the usual one."""
@@ -144,6 +143,7 @@
         self._has_tight_runs = has_tight_runs
         self._ended_seen = ended_seen
         self._losses = losses
+        self._usual_answer = UsualAnswer()
         self._settings = settings
         self._waiting: asyncio.Task[None] | None = None
         self._waiting_since = 0.0
@@ -263,8 +263,11 @@
 
     async def _ask(self, *, wait_s: float, renew: bool) -> None:
         asked_at = time.monotonic()
+        timeout_s = ANSWER_TIMEOUT_S
+        if not wait_s and self._losses.are_frequent(asked_at):
+            timeout_s = self._usual_answer.timeout_s(ANSWER_TIMEOUT_S)
         problem = await self._take_list(
-            wait_s=wait_s, renew=renew, timeout_s=wait_s + ANSWER_TIMEOUT_S
+            wait_s=wait_s, renew=renew, timeout_s=wait_s + timeout_s
         )
         if isinstance(problem, NoAnswer) and await self._answers_after(asked_at):
             return
@@ -285,13 +288,26 @@
             self._losses.note(time.monotonic())
             log_event(Event.TARGET_UNANSWERED, target=self.authority.target_id)
             return True
+        if self._losses.are_frequent(asked_at):
+            return await self._answers_one_of(LOSSY_LOOKS)
         self._events.on_unanswered(self.authority.target_id)
-        problem = await self._take_list(
-            wait_s=0.0, renew=False, timeout_s=SECOND_LOOK_S
-        )
-        if problem is None:
-            self._losses.note(time.monotonic())
-        return problem is None
+        return await self._answers_one_of(1)
+
+    async def _answers_one_of(self, looks: int) -> bool:
+        """Ask again for a list until one comes; returns whether one did."""
+        timeout_s = SECOND_LOOK_S
+        if looks > 1:
+            timeout_s = self._usual_answer.timeout_s(SECOND_LOOK_S)
+        for _ in range(looks):
+            problem = await self._take_list(
+                wait_s=0.0, renew=False, timeout_s=timeout_s
+            )
+            if problem is None:
+                self._losses.note(time.monotonic())
+                return True
+            if not isinstance(problem, NoAnswer):
+                return False
+        return False
 
     async def _take_list(
         self, *, wait_s: float, renew: bool, timeout_s: float
@@ -313,6 +329,8 @@
         match result:
             case Success(report):
                 self._note_clock(report.clock_ms)
+                if not wait_s:
+                    self._usual_answer.observe(time.monotonic() - asked_at)
                 self._is_silent = False
                 if report.ended and not wait_s:
                     self._ask_anew_if_unheard(asked_at)
@@ -363,7 +381,8 @@
         """
         timeouts_s = [ORDER_TIMEOUT_S] * START_COPIES
         if self._losses.are_frequent(time.monotonic()):
-            timeouts_s = [LOSSY_ORDER_TIMEOUT_S] * (LOSSY_START_COPIES - 1)
+            short_s = self._usual_answer.timeout_s(ORDER_TIMEOUT_S)
+            timeouts_s = [short_s] * (LOSSY_START_COPIES - 1)
             timeouts_s.append(ORDER_TIMEOUT_S)
         reply = await self._send_copy(order, timeouts_s[0])
         for timeout_s in timeouts_s[1:]:
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -7,11 +7,10 @@
 from returns.result import Failure, Result, Success
 
 from cassiaturn.entities import EndedRun, LeaseReport, RunEnd, StartAnswer, TaskRef
-from cassiaturn.fleet._losses import Losses
+from cassiaturn.fleet._losses import SHORTEST_WAIT_S, Losses, UsualAnswer
 from cassiaturn.fleet._ports import Authority, CallProblem, NoAnswer, StartReply
 from cassiaturn.fleet._target_link import (
     LOSSY_LOOK_EVERY_S,
-    LOSSY_ORDER_TIMEOUT_S,
     ORDER_TIMEOUT_S,
     TargetLink,
 )
@@ -232,11 +231,49 @@
     """
     calls = Calls([True], (LOST, StartAnswer.STARTED, LOST, LOST, StartAnswer.STARTED))
     link = _link(calls, Events())
+    for _ in range(50):
+        link._usual_answer.observe(0.004)
     order = StartOrder(target_id="t", ref=REF, number=65, payload="x")
     await link._start(order)
     assert calls.timeouts_s == [ORDER_TIMEOUT_S] * 2
     await link._start(order)
-    assert calls.timeouts_s[2:] == [LOSSY_ORDER_TIMEOUT_S] * 3
+    short_s, again_s, last_s = calls.timeouts_s[2:]
+    assert short_s == again_s == last_s == link._usual_answer.timeout_s(1.0)
+    assert short_s < ORDER_TIMEOUT_S
+
+
+@pytest.mark.parametrize(
+    ("answers", "silent"),
+    [([False, False, False, True], 0), ([False], 1)],
+)
+async def test_a_target_is_asked_more_often_where_answers_get_lost(
+    answers: list[bool], silent: int
+) -> None:
+    """Three lists in ten are lost. Silent after two of them, and paused after each, one
+    target in three gets nothing at any time, and callers wait beside idle workers.
+    """
+    events = Events()
+    link = _link(Calls(answers), events)
+    link._losses.note(time.monotonic())
+    began_at = time.monotonic()
+    await link._renew()
+    assert events.silent == silent
+    assert events.unanswered == 0
+    assert time.monotonic() - began_at < 0.6
+    link.close()
+
+
+@pytest.mark.parametrize(
+    ("answer_s", "timeout_s"),
+    [(0.001, SHORTEST_WAIT_S), (0.005, 0.02), (0.04, 0.08)],
+)
+def test_an_answer_is_waited_for_by_what_is_usual(
+    answer_s: float, timeout_s: float
+) -> None:
+    usual = UsualAnswer()
+    for _ in range(100):
+        usual.observe(answer_s)
+    assert usual.timeout_s(0.08) == pytest.approx(timeout_s, rel=0.01)
 
 
 async def test_a_lost_request_for_ends_is_replaced_when_a_list_tells_of_one() -> None:
