Wait for the last of several lists as long as ever

Cause: found by reading. While answers get lost, lists are waited for four usual answers. Where all answers take longer at once (a slow link, a host that stalls), every target would miss all its lists, count as silent and get nothing until answers count as sound again, two seconds later.

Change: the last list before a target counts as silent, and those of a silent target, are waited for as long as outside such times. The test lets answers take twenty times the usual; it failed before.

--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -264,7 +264,7 @@
     async def _ask(self, *, wait_s: float, renew: bool) -> None:
         asked_at = time.monotonic()
         timeout_s = ANSWER_TIMEOUT_S
-        if not wait_s and self._losses.are_frequent(asked_at):
+        if not (wait_s or self._is_silent) and self._losses.are_frequent(asked_at):
             timeout_s = self._usual_answer.timeout_s(ANSWER_TIMEOUT_S)
         problem = await self._take_list(
             wait_s=wait_s, renew=renew, timeout_s=wait_s + timeout_s
@@ -294,11 +294,13 @@
         return await self._answers_one_of(1)
 
     async def _answers_one_of(self, looks: int) -> bool:
-        """Ask again for a list until one comes; returns whether one did."""
-        timeout_s = SECOND_LOOK_S
-        if looks > 1:
-            timeout_s = self._usual_answer.timeout_s(SECOND_LOOK_S)
-        for _ in range(looks):
+        """Ask again for a list until one comes; returns whether one did.
+
+        The last one is waited for as long as ever: where answers take longer all at
+        once, every target would count as silent by what was usual before.
+        """
+        timeouts_s = [self._usual_answer.timeout_s(SECOND_LOOK_S)] * (looks - 1)
+        for timeout_s in [*timeouts_s, SECOND_LOOK_S]:
             problem = await self._take_list(
                 wait_s=0.0, renew=False, timeout_s=timeout_s
             )
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -30,6 +30,7 @@
         self.asked = 0
         self.started: list[int] = []
         self.timeouts_s: list[float] = []
+        self.answer_s = 0.0
         self.ended: tuple[EndedRun, ...] = ()
 
     async def renew(
@@ -37,9 +38,10 @@
     ) -> Result[LeaseReport, CallProblem]:
         comes = self._answers[min(self.asked, len(self._answers) - 1)]
         self.asked += 1
-        if not comes:
+        if not comes or self.answer_s > timeout_s:
             await asyncio.sleep(timeout_s)
             return Failure(NoAnswer(detail="lost"))
+        await asyncio.sleep(self.answer_s)
         return Success(
             LeaseReport(clock_ms=1_000 + self.asked, running=(), ended=self.ended)
         )
@@ -276,6 +278,25 @@
     assert usual.timeout_s(0.08) == pytest.approx(timeout_s, rel=0.01)
 
 
+async def test_targets_that_answer_more_slowly_than_usual_are_not_silent() -> None:
+    """Answers get lost, and those that come take ten times as long from now on.
+
+    By what was usual every target would fall silent at once, and callers get nothing
+    until answers count as sound again.
+    """
+    calls = Calls([True])
+    calls.answer_s = 0.06
+    events = Events()
+    link = _link(calls, events)
+    for _ in range(100):
+        link._usual_answer.observe(0.003)
+    link._losses.note(time.monotonic())
+    await link._renew()
+    assert events.silent == 0
+    assert events.reports == 1
+    link.close()
+
+
 async def test_a_lost_request_for_ends_is_replaced_when_a_list_tells_of_one() -> None:
     """The request that waits for the next end was lost; a periodic list tells of it.
 
