Let a task that would end too late begin again on a sound target

Change: such a run is stopped once and begun elsewhere if what else runs on its target, or ended there just now, says that the target is slow, and the estimate fits.

Tried before it: the lengths of a job's other tasks instead of the target's other runs; a test of a task that is long by itself refuses that.

--- a/src/cassiaturn/workload/tests/test_target_failures.py
+++ b/src/cassiaturn/workload/tests/test_target_failures.py
@@ -264,3 +264,49 @@
     play.run(1.0)
     assert play.targets["t0"].blocked
     assert play.verdict("a") is Verdict.COMPLETED
+
+
+def test_a_long_task_on_a_target_that_turned_slow_begins_again_elsewhere() -> None:
+    """A target turns five times slower under a job of long tasks.
+
+    Its progress tells within a quarter of a second that it outlasts its caller, who was
+    given up then; a sound target is free, and there is time for it.
+    """
+    play = Play()
+    play.add_target("slow", cpu=16_000, speed=0.2)
+    play.run(0.01)
+    play.submit("short", run_s=0.05)
+    play.submit("long", run_s=0.7)
+    play.run(0.02)
+    play.add_target("sound")
+    play.run(1.4)
+    assert play.verdict("long") is Verdict.COMPLETED
+    assert play.tables.counters.starts == 3
+    assert not play.overlaps
+
+
+def test_a_task_that_is_long_by_itself_does_not_begin_again() -> None:
+    """What runs beside it is as fast as ever, so that it is long anywhere."""
+    play = Play()
+    play.add_target("t0")
+    play.run(0.01)
+    play.submit("short", run_s=0.4)
+    play.submit("long", run_s=0.7, lengths=[2.4])
+    play.run(0.02)
+    play.add_target("t1")
+    play.run(0.8)
+    assert play.verdict("long") is Verdict.ABANDONED
+    assert play.tables.counters.starts == 2
+
+
+def test_a_task_begins_again_once_only() -> None:
+    play = Play()
+    for name in ("t0", "t1", "t2"):
+        play.add_target(name, speed=0.2)
+    play.run(0.01)
+    for index in range(3):
+        play.submit(f"short-{index}", run_s=0.05)
+    play.submit("long", run_s=0.6)
+    play.run(1.6)
+    assert play.verdict("long") is Verdict.ABANDONED
+    assert play.tables.counters.starts <= 5
