--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -77,9 +77,6 @@
     RUN_ENDED = _info("run_ended", "A run ended otherwise than done or failed.")
     RUN_LOST = _warning("run_lost", "A run ended with its target or its lease.")
     RUN_STALLED = _warning("run_stalled", "A run stands still and is stopped.")
-    RUN_MOVED = _info(
-        "run_moved", "A run that would be late is stopped; its task runs elsewhere."
-    )
     RUN_UNEXPECTED = _warning("run_unexpected", "A second run of a task is stopped.")
     RUN_ORPHANED = _warning("run_orphaned", "A run of no known job is stopped.")
     START_REFUSED = _info("start_refused", "A target did not take a start.")
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -11,7 +11,6 @@
 from cassiaturn.sharing._pace import Pace, needs_fast_target
 from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared
 from cassiaturn.sharing._room import Room
-from cassiaturn.sharing._second_try import can_begin_again, slowdown_here
 
 __all__ = [
     "ExpectedRuns",
@@ -21,12 +20,10 @@
     "Progress",
     "Room",
     "SharedTarget",
-    "can_begin_again",
     "choose_shared",
     "failed_target_pause_s",
     "latest_start",
     "needs_fast_target",
     "order_key",
     "spread_retry_after",
-    "slowdown_here",
 ]
--- a/src/cassiaturn/sharing/_pace.py
+++ b/src/cassiaturn/sharing/_pace.py
@@ -39,11 +39,6 @@
         value = max(-LARGEST, min(LARGEST, math.log(max(ratio, 1e-3))))
         self._mean_log += FOLLOW * (value - self._mean_log)
 
-    @property
-    def ratio(self) -> float:
-        """How long the target takes, over what was expected."""
-        return math.exp(self._mean_log)
-
     @property
     def step(self) -> int:
         """How slow the target is, in steps; lower is faster."""
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -112,9 +112,7 @@
         target.failures_in_row = 0
         run_s = now - run.started_at
         learn_speed(target, job, run_s)
-        target.finished_ratio = run_s / max(job.expected_run_s, 1e-3)
-        target.finished_at = now
-        target.pace.observe(target.finished_ratio)
+        target.pace.observe(run_s / max(job.expected_run_s, 1e-3))
         if target.slowness < 1.5:
             tables.expected.observe(job.route.name, run_s)
     elif end is RunEnd.FAILED:
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -139,9 +139,6 @@
     avoided: frozenset[str] = frozenset()
     """Targets that failed it."""
 
-    began_again: bool = False
-    """Whether a run of it was stopped since it would have ended too late."""
-
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Job:
@@ -236,12 +233,6 @@
     ended_seen: int = 0
     """Sequence of the last end that was taken in."""
 
-    finished_ratio: float = 1.0
-    """Length of the last run that was done there, over the expected one."""
-
-    finished_at: float = float("-inf")
-    """When that run ended, in seconds."""
-
     unexpected_runs: int = 0
     """Second runs of tasks, told to stop, in the last list."""
 
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -1,13 +1,7 @@
 """What runs over the tables each tick: limits, stalls, stops, old entries."""
 
 from cassiaturn.observability import Event
-from cassiaturn.sharing import (
-    can_begin_again,
-    choose_shared,
-    latest_start,
-    slowdown_here,
-)
-from cassiaturn.workload._backlog import usable_targets
+from cassiaturn.sharing import latest_start
 from cassiaturn.workload._dispatch import dispatch, is_held, put_back
 from cassiaturn.workload._intake import refused
 from cassiaturn.workload._ports import Ports
@@ -19,7 +13,6 @@
     RunState,
     Tables,
     Target,
-    Task,
     Verdict,
 )
 
@@ -27,10 +20,6 @@
 """Part of a target's excess slowness that is left after a tick: half of it is gone
 in 1.7 s at 20 ticks a second, so that a recovered target is tried again."""
 
-FINISHED_LATELY_S = 0.5
-"""How long the last run that ended on a target tells its present speed, in seconds: a
-place is used by several short runs in that time."""
-
 
 def tick(tables: Tables, ports: Ports, now: float) -> None:
     """Run every system once."""
@@ -71,7 +60,7 @@
         elif _is_held_too_long(tables, job, now):
             outcome = Outcome(verdict=Verdict.ABANDONED, reason="held_too_long")
             settle(tables, ports, job, outcome, now)
-        elif _cannot_finish(job) and not _begin_again(tables, ports, job, now):
+        elif _cannot_finish(job):
             outcome = Outcome(verdict=Verdict.ABANDONED, reason="cannot_finish")
             settle(tables, ports, job, outcome, now)
 
@@ -104,80 +93,13 @@
 
 def _cannot_finish(job: Job) -> bool:
     """Return whether a task that runs will certainly end too late."""
-    return any(_ends_too_late(job, task) for task in job.tasks_by_ref.values())
-
-
-def _ends_too_late(job: Job, task: Task) -> bool:
-    run = task.run
-    return run is not None and run.started_at + run.least_run_s > job.limit_at
-
-
-def _begin_again(tables: Tables, ports: Ports, job: Job, now: float) -> bool:
-    """Let every task that would end too late begin on another target, if all can.
-
-    :returns: whether the job goes on.
-    """
-    late = [task for task in job.tasks_by_ref.values() if _ends_too_late(job, task)]
-    if not all(_has_second_try(tables, job, task, now) for task in late):
-        return False
-    for task in late:
-        run = task.run
-        if run is None:
-            continue
-        ports.record(
-            Event.RUN_MOVED,
-            id=job.job_id,
-            task=task.ref.task_index,
-            target=run.target_id,
-            percent=run.percent,
-            least_ms=round(run.least_run_s * 1000),
-            age_ms=round((now - run.started_at) * 1000),
-        )
-        task.began_again = True
-        task.avoided |= {run.target_id}
-        stop(tables, ports, run, now)
-        put_back(tables, run.ref)
-    return True
-
-
-def _has_second_try(tables: Tables, job: Job, task: Task, now: float) -> bool:
-    run = task.run
-    if run is None or task.began_again:
-        return False
-    target = choose_shared(
-        task.group,
-        run.group_key,
-        usable_targets(tables, job.route.service, now),
-        avoided=task.avoided | {run.target_id},
-        is_tight=True,
-    )
-    if target is None or target.target_id == run.target_id:
-        return False
-    here = slowdown_here(
-        _ratios_beside(tables, run, now),
-        pace_ratio=tables.targets_by_id[run.target_id].pace.ratio,
-    )
-    return can_begin_again(
-        length_s=run.least_run_s / here,
-        pace_ratio=target.pace.ratio,
-        now=now,
-        limit_at=job.limit_at,
+    return any(
+        task.run is not None
+        and task.run.started_at + task.run.least_run_s > job.limit_at
+        for task in job.tasks_by_ref.values()
     )
 
 
-def _ratios_beside(tables: Tables, own: Run, now: float) -> list[float]:
-    """Return run times over expected ones of what shares a run's target."""
-    target = tables.targets_by_id[own.target_id]
-    ratios: list[float] = []
-    if now - target.finished_at < FINISHED_LATELY_S:
-        ratios.append(target.finished_ratio)
-    for run in target.runs_by_ref.values():
-        job = tables.jobs_by_id.get(run.ref.job_id)
-        if run is not own and run.least_run_s and job is not None:
-            ratios.append(run.least_run_s / max(job.expected_run_s, 1e-3))
-    return ratios
-
-
 def _check_runs(tables: Tables, ports: Ports, now: float) -> None:
     settings = tables.settings
     for run in list(tables.runs_by_ref.values()):
