Show what leading costs: bytes by kind, waits, lateness, unanswered requests

Whether a leader's link or its processor is full could not be told from the log or the metrics: no byte count by kind of frame or follower, no depth or age of what waits for a follower, no lateness of the event loop, no time from a request to its answer.

Change: LeaderLoad counts these; metrics show them, and a leader writes one line a second, leader_load. Follower is a module of its own. No decision changes.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -15,6 +15,7 @@
 )
 from cassiaturn.fleet._desk import JobDesk, OpenJob
 from cassiaturn.fleet._failures import report_failure
+from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._leadership import Leadership
 from cassiaturn.fleet._losses import Losses
 from cassiaturn.fleet._ports import Authority, PlatformServices
@@ -75,11 +76,13 @@
         settings: WorkloadSettings,
         known_targets: Mapping[str, TargetReport],
         on_superseded: Callable[[], None],
+        load: LeaderLoad,
     ) -> None:
         """Prepare to lead; :meth:`open` starts it.
 
         :param known_targets: the directory as the last leader handed it on, by id.
         :param on_superseded: called when a target obeys a later leader.
+        :param load: counts what leading costs.
         """
         self.leadership = leadership
         self.reports_by_id: dict[str, TargetReport] = dict(known_targets)
@@ -89,6 +92,7 @@
         self._desk = desk
         self._metrics = metrics
         self._on_superseded = on_superseded
+        self._load = load
         self._settings = settings
         self._tables = Tables(
             settings=settings,
@@ -107,6 +111,7 @@
         self._dispatch_due = False
         self._closed = False
         self.on_directory_change: Callable[[], None] = lambda: None
+        self.on_tick: Callable[[], None] = lambda: None
 
     @property
     def tables(self) -> Tables:
@@ -356,6 +361,7 @@
             has_tight_runs=lambda: workload.has_tight_runs(self._tables, target),
             ended_seen=lambda: target.ended_seen,
             losses=self._losses,
+            load=self._load,
             settings=self._settings,
         )
         self._links_by_id[report.target_id] = link
@@ -393,8 +399,11 @@
 
     async def _tick(self) -> None:
         while True:
+            due_at = time.monotonic() + TICK_S
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
+            self._load.ticked(now - due_at)
+            self.on_tick()
             for link in list(self._links_by_id.values()):
                 link.tick(now)
             self._remove_missing(now)
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -15,6 +15,7 @@
     Roster,
 )
 from cassiaturn.fleet._leader import Leader
+from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._leader_row import (
     CALL_TIMEOUT_S,
     GLANCE_TIMEOUT_S,
@@ -82,7 +83,8 @@
         self.desk = JobDesk(metrics=self.metrics)
         self.leader: Leader | None = None
         self.known: Leadership | None = None
-        self.service = FleetService(member=self, routing=self.routing)
+        self.load = LeaderLoad(metrics=self.metrics)
+        self.service = FleetService(member=self, routing=self.routing, load=self.load)
         self._services = services
         self._configuration = ConfigurationSource(
             services=services, routing=self.routing
@@ -368,7 +370,9 @@
             settings=settings_for_lease(self.settings.lease_ms / MILLISECONDS),
             known_targets=self._roster.targets_by_id or {},
             on_superseded=self._suspicion.signal,
+            load=self.load,
         )
+        leader.on_tick = self._tell_load
         leader.on_directory_change = self.service.send_roster
         self.leader = leader
         self._resigned.clear()
@@ -388,6 +392,13 @@
         )
         self._step_down(await self._term.run())
 
+    def _tell_load(self) -> None:
+        self.load.tell(
+            followers=len(self.service.followers),
+            waiting=self.service.most_waiting,
+            called_bytes=self._services.bytes_sent(),
+        )
+
     def _step_down(self, successor: Leadership | None) -> None:
         leader = self.leader
         if leader is None:
--- a/src/cassiaturn/fleet/_ports.py
+++ b/src/cassiaturn/fleet/_ports.py
@@ -1,6 +1,6 @@
 """What the members of a fleet ask of the platform that they run on."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
@@ -181,3 +181,6 @@
 
     targets: TargetCalls
     """Orders to targets."""
+
+    bytes_sent: Callable[[], int] = lambda: 0
+    """Returns the bytes of all calls since the process began."""
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -10,20 +10,20 @@
 
 from cassiaturn.fleet._codec import (
     from_leadership,
-    from_outcome,
     from_target,
     to_leadership,
     to_submission,
 )
 from cassiaturn.fleet._failures import report_failure
+from cassiaturn.fleet._follower import Follower, QueuedFrame
 from cassiaturn.fleet._leader import Leader
+from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._leadership import Leadership
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.observability import Event, log_event
 from cassiaturn.transport import sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.v1.fleet_grpc import FleetBase
-from cassiaturn.workload import Outcome
 
 BEAT_S = 0.15
 """Period of heartbeats in both directions, in seconds: three of them fit into the
@@ -78,26 +78,18 @@
         """Take in that a follower does not answer."""
 
 
-class Follower:
-    """A member that follows this leader, over one stream."""
-
-    def __init__(self, *, hello: pb.Hello) -> None:
-        self.hello = hello
-        self.heard_at = time.monotonic()
-        self.routing_version = 0
-        self.leaving = False
-        self.frames: asyncio.Queue[pb.LeaderFrame] = asyncio.Queue()
-
-    def outcome(self, job_id: str, outcome: Outcome) -> None:
-        """Tell how a job ended."""
-        self.frames.put_nowait(pb.LeaderFrame(outcome=from_outcome(job_id, outcome)))
-
-
 class FleetService(FleetBase):
     """Serves followers while this member leads, and redirects them otherwise."""
 
-    def __init__(self, *, member: MemberState, routing: RoutingKeeper) -> None:
+    def __init__(
+        self, *, member: MemberState, routing: RoutingKeeper, load: LeaderLoad
+    ) -> None:
+        """Serve for a member.
+
+        :param load: counts what is sent to followers.
+        """
         self._member = member
+        self._load = load
         self._routing = routing
         self._followers_by_id: dict[str, Follower] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -107,18 +99,23 @@
         """Members that follow this one."""
         return list(self._followers_by_id.values())
 
+    @property
+    def most_waiting(self) -> int:
+        """Frames that wait for the follower with the most of them."""
+        return max((row.frames.qsize() for row in self.followers), default=0)
+
     def redirect_all(self, leadership: Leadership | None) -> None:
         """Send every follower to another leader."""
         for follower in self.followers:
             frame = pb.LeaderFrame(redirect=from_leadership(leadership))
-            follower.frames.put_nowait(frame)
+            follower.tell(frame)
         self._followers_by_id.clear()
 
     def send_leadership(self, leadership: Leadership) -> None:
         """Tell every follower that this leader goes on under a higher token."""
         frame = pb.LeaderFrame(welcome=from_leadership(leadership))
         for follower in self.followers:
-            follower.frames.put_nowait(frame)
+            follower.tell(frame)
 
     def hand_over(self, leadership: Leadership) -> bool:
         """Ask the member that was heard last to lead.
@@ -130,7 +127,7 @@
             return False
         successor = max(staying, key=lambda follower: follower.heard_at)
         frame = pb.LeaderFrame(hand_over=from_leadership(leadership))
-        successor.frames.put_nowait(frame)
+        successor.tell(frame)
         return True
 
     def send_roster(self) -> None:
@@ -140,7 +137,7 @@
             return
         frame = pb.LeaderFrame(roster=self._roster(leader))
         for follower in self.followers:
-            follower.frames.put_nowait(frame)
+            follower.tell(frame)
 
     def send_routing(self) -> None:
         """Hand the configuration in force to followers with an older one."""
@@ -153,7 +150,7 @@
         for follower in self.followers:
             if follower.routing_version < table.version:
                 follower.routing_version = table.version
-                follower.frames.put_nowait(frame)
+                follower.tell(frame)
 
     async def Follow(  # noqa: N802 - the name is the schema's
         self, stream: "Stream[pb.FollowerFrame, pb.LeaderFrame]"
@@ -240,11 +237,16 @@
         while True:
             try:
                 async with asyncio.timeout(BEAT_S):
-                    frame = await follower.frames.get()
+                    queued = await follower.frames.get()
             except TimeoutError:
-                frame = pb.LeaderFrame(beat=self._beat(leader))
+                beat = pb.LeaderFrame(beat=self._beat(leader))
+                queued = QueuedFrame(frame=beat, queued_at=time.monotonic())
+            frame = queued.frame
             await stream.send_message(frame)
-            if frame.HasField("redirect"):
+            kind = frame.WhichOneof("frame") or "unknown"
+            waited_s = time.monotonic() - queued.queued_at
+            self._load.sent(kind, follower.hello.member_id, frame.ByteSize(), waited_s)
+            if kind == "redirect":
                 return
 
     def _beat(self, leader: Leader) -> pb.LeaderBeat:
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -11,12 +11,13 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Protocol
+from typing import Any, Protocol
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from cassiaturn.entities import LeaseReport, StartAnswer, TaskRef
 from cassiaturn.fleet._failures import report_failure
+from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._losses import Losses, UsualAnswer
 from cassiaturn.fleet._ports import (
     Authority,
@@ -127,6 +128,7 @@
         has_tight_runs: Callable[[], bool],
         ended_seen: Callable[[], int],
         losses: Losses,
+        load: LeaderLoad,
         settings: WorkloadSettings,
     ) -> None:
         """Prepare the link; :meth:`open` starts it.
@@ -135,6 +137,7 @@
         :param has_tight_runs: whether some of it may end too late for its caller.
         :param ended_seen: sequence of the last end that was taken in.
         :param losses: what all links of the leader have seen lost.
+        :param load: counts the requests.
         """
         self.authority = authority
         self._calls = calls
@@ -143,6 +146,7 @@
         self._has_tight_runs = has_tight_runs
         self._ended_seen = ended_seen
         self._losses = losses
+        self._load = load
         self._usual_answer = UsualAnswer()
         self._settings = settings
         self._waiting: asyncio.Task[None] | None = None
@@ -326,6 +330,7 @@
             wait_s=wait_s,
             timeout_s=timeout_s,
         )
+        self._count("wait" if wait_s else "list", asked_at, _is_answered(result))
         if self._closed:
             return None
         match result:
@@ -397,20 +402,24 @@
         return reply
 
     async def _send_copy(self, order: StartOrder, timeout_s: float) -> StartReply:
+        sent_at = time.monotonic()
         reply = await self._calls.start(
             self.authority,
             order,
-            lease_until_ms=self._lease_end(time.monotonic()),
+            lease_until_ms=self._lease_end(sent_at),
             timeout_s=timeout_s,
         )
+        self._count("start", sent_at, reply.answer is not StartAnswer.UNKNOWN)
         if reply.answer is StartAnswer.SUPERSEDED and not self._closed:
             self._events.on_superseded(self.authority.target_id)
         return reply
 
     async def _stop(self, ref: TaskRef, number: int, is_uncertain: bool) -> None:
+        sent_at = time.monotonic()
         stopped = await self._calls.stop(
             self.authority, ref, number, timeout_s=ORDER_TIMEOUT_S
         )
+        self._count("stop", sent_at, _is_answered(stopped))
         match stopped:
             case Success(clock_ms):
                 if not self._closed:
@@ -425,6 +434,10 @@
                 if not self._closed and not isinstance(problem, NoAnswer):
                     self._take_problem(problem)
 
+    def _count(self, kind: str, sent_at: float, answered: bool) -> None:
+        answer_s = time.monotonic() - sent_at if answered else None
+        self._load.requested(kind, answer_s)
+
     def _take_problem(self, problem: CallProblem) -> None:
         target_id = self.authority.target_id
         match problem:
@@ -458,6 +471,13 @@
         return self._clock_ms + int(since_ms)
 
 
+def _is_answered(result: Result[Any, CallProblem]) -> bool:
+    match result:
+        case Failure(NoAnswer()):
+            return False
+    return True
+
+
 def _after_lost_copy(answer: StartAnswer) -> StartAnswer:
     """Return what the answer to a copy tells of the run, if an earlier one got none.
 
--- /dev/null
+++ b/src/cassiaturn/fleet/tests/test_leader_load.py
@@ -0,0 +1,60 @@
+"""What the log and the metrics tell of a leader whose link or processor is full."""
+
+import io
+import time
+
+from cassiaturn.fleet._leader_load import LINE_EVERY_S, LeaderLoad
+from cassiaturn.observability import FleetMetrics, configure_logging
+
+
+def test_a_full_link_can_be_told_from_a_full_processor() -> None:
+    """Targets seem silent while lists fill the leader's link.
+
+    On call, one line has to say that lists were sent, that answers waited behind them,
+    that targets left requests unanswered, and that the processor was not to blame.
+    """
+    stream = io.StringIO()
+    log = configure_logging(stream=stream)
+    load = LeaderLoad(metrics=FleetMetrics(member_name="m", failure_domain="a"))
+    load.sent("roster", "front-1/5c0e", 20_000, 0.7)
+    load.sent("outcome", "front-1/5c0e", 40, 0.7)
+    load.requested("start", None)
+    load.requested("start", 0.004)
+    load.ticked(0.002)
+    load._period.began_at = time.monotonic() - LINE_EVERY_S
+    load.tell(followers=1, waiting=31, called_bytes=5_000)
+    load.tell(followers=1, waiting=31, called_bytes=5_000)
+    log.close()
+    (line,) = stream.getvalue().splitlines()
+    for pair in (
+        "event=leader_load",
+        "roster_b=20000",
+        "outcome_b=40",
+        "calls_b=5000",
+        "requests=2",
+        "unanswered=1",
+        "waiting=31",
+        "longest_wait_ms=700",
+        "late_ms=2",
+    ):
+        assert pair in line
+
+
+def test_the_metrics_tell_kinds_and_followers_apart() -> None:
+    metrics = FleetMetrics(member_name="m", failure_domain="a")
+    load = LeaderLoad(metrics=metrics)
+    load.sent("roster", "front-1/5c0e", 20_000, 0.7)
+    load.sent("beat", "front-2/77aa", 6, 0.0)
+    load.requested("list", 0.004)
+    load.requested("stop", None)
+    load.ticked(0.002)
+    text = metrics.exposition().decode()
+    for line in (
+        'cassiaturn_follower_bytes_total{kind="roster"} 20000.0',
+        'cassiaturn_bytes_to_total{kind="front-2"} 6.0',
+        'cassiaturn_target_requests_total{kind="list"} 1.0',
+        'cassiaturn_target_unanswered_total{kind="stop"} 1.0',
+        'cassiaturn_target_answer_time_seconds_count{kind="list"} 1.0',
+        "cassiaturn_loop_late_seconds_count 1.0",
+    ):
+        assert line in text
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from cassiaturn.entities import EndedRun, LeaseReport, RunEnd, StartAnswer, TaskRef
+from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._losses import SHORTEST_WAIT_S, Losses, UsualAnswer
 from cassiaturn.fleet._ports import Authority, CallProblem, NoAnswer, StartReply
 from cassiaturn.fleet._target_link import (
@@ -14,6 +15,7 @@
     ORDER_TIMEOUT_S,
     TargetLink,
 )
+from cassiaturn.observability import FleetMetrics
 from cassiaturn.workload import StartOrder, WorkloadSettings
 
 REF = TaskRef("5c0e7a21d94b36f8", 0, 0, 0)
@@ -334,5 +336,6 @@
         has_tight_runs=lambda: False,
         ended_seen=lambda: 0,
         losses=Losses(),
+        load=LeaderLoad(metrics=FleetMetrics(member_name="m", failure_domain="a")),
         settings=WorkloadSettings(),
     )
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -93,6 +93,9 @@
     LEADER_LOST = _warning("leader_lost", "The leader is gone or silent.")
     LEADER_UNKNOWN = _warning("leader_unknown", "No leader can be reached from here.")
     MEMBER_JOINED = _info("member_joined", "A member follows this leader.")
+    LEADER_LOAD = _info(
+        "leader_load", "What leading cost this member in the last `period_s`."
+    )
     MEMBER_GONE = _warning("member_gone", "A follower is gone; its jobs end.")
     SETTINGS_RELOADED = _info("settings_reloaded", "The settings file was read again.")
     LINES_DROPPED = _warning(
--- a/src/cassiaturn/observability/_fleet_metrics.py
+++ b/src/cassiaturn/observability/_fleet_metrics.py
@@ -90,6 +90,24 @@
             description="From a job's request to its answer.",
             boundaries=TIME_BUCKETS_S,
         )
+        self._target_answers: TallyFamily[str] = TallyFamily(
+            name="cassiaturn.target_answer_time",
+            unit="s",
+            description="From a request to a target to its answer.",
+            boundaries=TIME_BUCKETS_S,
+        )
+        self._frame_waits: TallyFamily[str] = TallyFamily(
+            name="cassiaturn.frame_wait",
+            unit="s",
+            description="How long a frame waits for its follower's stream.",
+            boundaries=TIME_BUCKETS_S,
+        )
+        self._lateness: TallyFamily[str] = TallyFamily(
+            name="cassiaturn.loop_late",
+            unit="s",
+            description="By how much timers of a leader's event loop fire late.",
+            boundaries=TIME_BUCKETS_S,
+        )
         self._waits: TallyFamily[WaitKey] = TallyFamily(
             name="cassiaturn.task_wait",
             unit="s",
@@ -120,6 +138,29 @@
         key = WaitKey(route, priority)
         self._waits.bind(key, _labels(key)).record(wait_s)
 
+    def target_answered(self, kind: str, answer_s: float) -> None:
+        """Count the answer of a target to a request that it answers at once.
+
+        :param kind: of the request.
+        :param answer_s: time since the request, in seconds.
+        """
+        self._target_answers.bind(kind, {"kind": kind}).record(answer_s)
+
+    def frame_sent(self, kind: str, waited_s: float) -> None:
+        """Count a frame to a follower.
+
+        :param kind: of the frame.
+        :param waited_s: how long it waited for the stream, in seconds.
+        """
+        self._frame_waits.bind(kind, {"kind": kind}).record(waited_s)
+
+    def loop_late(self, late_s: float) -> None:
+        """Count a timer of the event loop.
+
+        :param late_s: by how much it fired late, in seconds.
+        """
+        self._lateness.bind("", {}).record(late_s)
+
     def observe_counts(
         self, name: str, description: str, read: Callable[[], Mapping[str, float]]
     ) -> None:
@@ -151,7 +192,13 @@
 
             self._export = FleetExport(
                 attributes=self._attributes,
-                families=[self._responses, self._waits],
+                families=[
+                    self._responses,
+                    self._waits,
+                    self._target_answers,
+                    self._frame_waits,
+                    self._lateness,
+                ],
                 counts=self._counts,
                 gauges=self._gauges,
                 started_ns=self._started_ns,
--- a/src/cassiaturn/platform/_services.py
+++ b/src/cassiaturn/platform/_services.py
@@ -51,6 +51,7 @@
                 caller=caller, table=TARGETS_TABLE, decode=decode_target
             ),
             targets=RunnerCalls(client=self._client),
+            bytes_sent=lambda: self._client.bytes_sent,
         )
 
     def caller_server(self, desk: CallerDesk, callers: socket) -> CallerServer:
--- a/src/cassiaturn/transport/http_client.py
+++ b/src/cassiaturn/transport/http_client.py
@@ -45,6 +45,9 @@
 
     def __init__(self) -> None:
         """Prepare calls; connections open on use."""
+        self.bytes_sent = 0
+        """Bytes of all requests so far."""
+
         self._idle_by_address: dict[str, list[HttpConnection]] = {}
         self._busy: set[HttpConnection] = set()
         self._sweep: asyncio.TimerHandle | None = None
@@ -83,6 +86,7 @@
             sent["Content-Type"] = "application/json"
         target = f"{path}?{urlencode(query, quote_via=quote)}" if query else path
         request = _to_bytes(method, target, sent, content)
+        self.bytes_sent += len(request)
         try:
             async with answer_timeout(timeout_s):
                 return Success(await self._exchange(address, request))
