--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -3,8 +3,9 @@
 import asyncio
 import secrets
 import time
+from collections.abc import Mapping
 
-from cassiaturn.entities import RoutingTable
+from cassiaturn.entities import RoutingTable, TargetReport
 from cassiaturn.fleet._configuration import ConfigurationSource
 from cassiaturn.fleet._desk import JobDesk
 from cassiaturn.fleet._failures import report_failure
@@ -131,6 +132,11 @@
             return 0
         return self.leader.heard_targets
 
+    @property
+    def known_targets(self) -> Mapping[str, TargetReport]:
+        """The directory of targets by id, as the leader last told it."""
+        return self._roster.targets_by_id or {}
+
     def read_routing(self, document: pb.RoutingDocument) -> None:
         """Take in a configuration that another member handed on."""
         self._configuration.read(document)
