Tell followers changes of the list, at a pace, instead of whole lists

Cause: a leader sent all members and all targets to each follower for each single change of either: changes x followers x targets. A target that counts its remaining time down in its entry was a change with each heartbeat: 5 MB a second after the last caller had gone.

In the code before, longer queues hid the age of what waits.

Change: a cursor a follower holds the ids it has not been told of; pages of 32 entries are made when they are sent, so that the newest state replaces an older one; what callers wait for goes first. Lists take a tenth of the link. A member that joins compares digests of 64 buckets and is sent those that differ. A successor knows whether its list was whole; if not, it holds inherited jobs as if it knew no targets.

--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -9,18 +9,18 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from cassiaturn.entities import Address, TargetReport
+from cassiaturn.entities import Address
 from cassiaturn.fleet._codec import (
     from_leadership,
     from_submission,
     to_leadership,
     to_outcome,
-    to_target,
 )
 from cassiaturn.fleet._desk import JobDesk, OpenJob
+from cassiaturn.fleet._follower import BEAT_S
 from cassiaturn.fleet._leadership import Leadership, Look
+from cassiaturn.fleet._roster import Roster
 from cassiaturn.fleet._routing import RoutingKeeper
-from cassiaturn.fleet._service import BEAT_S
 from cassiaturn.observability import Event, log_event
 from cassiaturn.transport import run_apart, sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
@@ -87,17 +87,6 @@
     """When it was heard last, in seconds; 0: never."""
 
 
-@dataclass(slots=True, kw_only=True)
-class Roster:
-    """Who else there is, as the leader last told."""
-
-    members: tuple[pb.Member, ...] = ()
-    """Followers, in the order in which they joined."""
-
-    targets_by_id: dict[str, TargetReport] | None = None
-    """The directory of targets; None: not told yet."""
-
-
 class Following:
     """One stream to one leader."""
 
@@ -207,6 +196,7 @@
     def _begin(self) -> None:
         self.welcomed = True
         self.heard_at = time.monotonic()
+        self._roster.begin()
         log_event(
             Event.LEADER_FOLLOWED,
             leader=self.leadership.member_id,
@@ -253,7 +243,7 @@
                 case "beat":
                     self._take_beat(frame.beat)
                 case "roster":
-                    self._take_roster(frame.roster)
+                    self._roster.take(frame.roster)
                 case "routing":
                     self._read_routing(frame.routing)
                 case "welcome":
@@ -287,12 +277,6 @@
         document = pb.RoutingDocument(version=table.version, document=table.document)
         self._frames.put_nowait(pb.FollowerFrame(routing=document))
 
-    def _take_roster(self, roster: pb.Roster) -> None:
-        self._roster.members = tuple(roster.members)
-        self._roster.targets_by_id = {
-            entry.target_id: to_target(entry) for entry in roster.targets
-        }
-
     async def _wait_for_successor(self) -> Followed:
         named = await asyncio.shield(self._successor)
         return Followed(end=FollowEnd.REDIRECTED, named=named, welcomed=True)
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import time
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cassiaturn.fleet._codec import from_outcome
+from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import Outcome
 
+BEAT_S = 0.15
+"""Period of heartbeats in both directions, in seconds: three of them fit into the
+time after which a leader counts as lost."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QueuedFrame:
@@ -21,23 +28,61 @@
 
 
 class Follower:
-    """A member that follows this leader, over one stream."""
+    """A member that follows this leader, over one stream.
+
+    What callers wait for goes first, and there is at most one answer to each of the
+    member's open jobs. Lists are made when it is their time, from what holds then: a
+    member that reads slowly is owed one page at a time, however much changes meanwhile.
+    """
 
-    def __init__(self, *, hello: pb.Hello) -> None:
+    def __init__(self, *, hello: pb.Hello, feed: RosterFeed) -> None:
         """Take on a member.
 
         :param hello: its first frame.
+        :param feed: what every follower is to know.
         """
         self.hello = hello
         self.heard_at = time.monotonic()
         self.routing_version = 0
         self.leaving = False
-        self.frames: asyncio.Queue[QueuedFrame] = asyncio.Queue()
+        self._frames: deque[QueuedFrame] = deque()
+        self._wake = asyncio.Event()
+        self._roster = feed.join(hello, on_change=self._wake.set)
+
+    @property
+    def waiting(self) -> int:
+        """Frames that wait, and entries of lists."""
+        return len(self._frames) + self._roster.waiting
 
     def tell(self, frame: pb.LeaderFrame) -> None:
-        """Send a frame after all that wait already."""
-        self.frames.put_nowait(QueuedFrame(frame=frame, queued_at=time.monotonic()))
+        """Send a frame after all that wait already, and before any list."""
+        self._frames.append(QueuedFrame(frame=frame, queued_at=time.monotonic()))
+        self._wake.set()
 
     def outcome(self, job_id: str, outcome: Outcome) -> None:
         """Tell how a job ended."""
         self.tell(pb.LeaderFrame(outcome=from_outcome(job_id, outcome)))
+
+    async def next_frame(self, beat: Callable[[], pb.LeaderBeat]) -> QueuedFrame:
+        """Wait for something to send; a heartbeat if there is nothing for long.
+
+        :param beat: returns the heartbeat.
+        """
+        beat_at = time.monotonic() + BEAT_S
+        while not self._frames:
+            now = time.monotonic()
+            page_at = self._roster.due_at
+            if page_at is not None and page_at <= now:
+                since = self._roster.since
+                frame = pb.LeaderFrame(roster=self._roster.next_page())
+                return QueuedFrame(frame=frame, queued_at=since)
+            if beat_at <= now:
+                return QueuedFrame(frame=pb.LeaderFrame(beat=beat()), queued_at=now)
+            self._wake.clear()
+            wait_s = min(beat_at, page_at or beat_at) - now
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+        return self._frames.popleft()
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -75,12 +75,14 @@
         metrics: FleetMetrics,
         settings: WorkloadSettings,
         known_targets: Mapping[str, TargetReport],
+        knows_all_targets: bool,
         on_superseded: Callable[[], None],
         load: LeaderLoad,
     ) -> None:
         """Prepare to lead; :meth:`open` starts it.
 
         :param known_targets: the directory as the last leader handed it on, by id.
+        :param knows_all_targets: whether that leader had handed on all of it.
         :param on_superseded: called when a target obeys a later leader.
         :param load: counts what leading costs.
         """
@@ -98,7 +100,7 @@
             settings=settings,
             term=leadership.term,
             began_at=time.monotonic(),
-            knows_targets=bool(known_targets),
+            knows_targets=knows_all_targets and bool(known_targets),
             routing=routing.current,
         )
         self._links_by_id: dict[str, TargetLink] = {}
@@ -110,7 +112,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._dispatch_due = False
         self._closed = False
-        self.on_directory_change: Callable[[], None] = lambda: None
+        self.on_directory_change: Callable[[str, TargetReport | None], None] = (
+            lambda target_id, report: None
+        )
         self.on_tick: Callable[[], None] = lambda: None
 
     @property
@@ -335,7 +339,7 @@
                 version=self._routing.version,
             )
         if changed:
-            self.on_directory_change()
+            self.on_directory_change(target_id, report)
             self._dispatch_soon()
 
     def _is_configured(self, report: TargetReport) -> bool:
@@ -393,7 +397,7 @@
             link.close()
         workload.on_target_gone(self._tables, self, target_id, reason, now)
         log_event(Event.TARGET_REMOVED, target=target_id, reason=reason)
-        self.on_directory_change()
+        self.on_directory_change(target_id, None)
 
     # Time.
 
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -13,7 +13,6 @@
     Followed,
     FollowEnd,
     Following,
-    Roster,
 )
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_load import LeaderLoad
@@ -32,9 +31,11 @@
     next_leadership,
     next_step,
 )
+from cassiaturn.fleet._list_pace import ListPace
 from cassiaturn.fleet._member_metrics import observe
 from cassiaturn.fleet._neighbours import Neighbours
 from cassiaturn.fleet._ports import PlatformServices
+from cassiaturn.fleet._roster import Roster
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.fleet._service import FleetService
 from cassiaturn.fleet._suspicion import Suspicion
@@ -85,7 +86,12 @@
         self.leader: Leader | None = None
         self.known: Leadership | None = None
         self.load = LeaderLoad(metrics=self.metrics)
-        self.service = FleetService(member=self, routing=self.routing, load=self.load)
+        self.service = FleetService(
+            member=self,
+            routing=self.routing,
+            load=self.load,
+            pace=ListPace(link_mbps=settings.link_mbps),
+        )
         self._services = services
         self._configuration = ConfigurationSource(
             services=services, routing=self.routing
@@ -135,7 +141,7 @@
     @property
     def known_targets(self) -> Mapping[str, TargetReport]:
         """The directory of targets by id, as the leader last told it."""
-        return self._roster.targets_by_id or {}
+        return self._roster.targets_by_id
 
     def read_routing(self, document: pb.RoutingDocument) -> None:
         """Take in a configuration that another member handed on."""
@@ -292,6 +298,7 @@
                 address=str(self.settings.members),
                 failure_domain=self.settings.failure_domain,
                 token=self._known_token(),
+                target_digests=self._roster.target_digests,
             ),
             desk=self.desk,
             routing=self.routing,
@@ -374,12 +381,14 @@
             desk=self.desk,
             metrics=self.metrics,
             settings=settings_for_lease(self.settings.lease_ms / MILLISECONDS),
-            known_targets=self._roster.targets_by_id or {},
+            known_targets=self._roster.targets_by_id,
+            knows_all_targets=self._roster.is_whole,
             on_superseded=self._suspicion.signal,
             load=self.load,
         )
         leader.on_tick = self._tell_load
-        leader.on_directory_change = self.service.send_roster
+        leader.on_directory_change = self.service.note_target
+        self.service.begin_term(leader.reports_by_id)
         self.leader = leader
         self._resigned.clear()
         log_event(
@@ -412,7 +421,7 @@
         self.leader = None
         self._term = None
         self._resigned.set()
-        self._roster.targets_by_id = dict(leader.reports_by_id)
+        self._roster.replace_targets(leader.reports_by_id)
         leader.close()
         if successor is not None:
             self.known = successor
--- a/src/cassiaturn/fleet/_neighbours.py
+++ b/src/cassiaturn/fleet/_neighbours.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 
 from cassiaturn.entities import Address
-from cassiaturn.fleet._follow import Roster, look_at
+from cassiaturn.fleet._follow import look_at
 from cassiaturn.fleet._leadership import NO_TOKEN, Leadership, Look
+from cassiaturn.fleet._roster import Roster
 from cassiaturn.settings import FleetSettings
 
 MOST_MET = 64
--- /dev/null
+++ b/src/cassiaturn/fleet/_roster.py
@@ -0,0 +1,98 @@
+"""What a follower knows of other members and of targets: all that it needs to lead."""
+
+from collections.abc import Mapping, Sequence
+
+from cassiaturn.entities import TargetReport
+from cassiaturn.fleet._codec import from_target, to_target
+from cassiaturn.fleet._digests import Digests, bucket_of
+from cassiaturn.v1 import fleet_pb2 as pb
+
+
+class Roster:
+    """A copy of the leader's list, kept up to date page by page."""
+
+    def __init__(self) -> None:
+        """Know nobody."""
+        self.is_whole = False
+        """Whether the copy holds all that its leader knew when it last told.
+
+        A successor that misses a target cannot tell whether a task of an earlier
+        leader still runs there, and must not start it elsewhere at once.
+        """
+
+        self._members_by_id: dict[str, pb.Member] = {}
+        self._targets_by_id: dict[str, TargetReport] = {}
+        self._digests = Digests()
+        self._unconfirmed_members: set[str] = set()
+        self._unconfirmed_targets: set[str] = set()
+
+    @property
+    def members(self) -> Sequence[pb.Member]:
+        """Followers of the leader."""
+        return tuple(self._members_by_id.values())
+
+    @property
+    def targets_by_id(self) -> Mapping[str, TargetReport]:
+        """The directory of targets."""
+        return self._targets_by_id
+
+    @property
+    def target_digests(self) -> Sequence[int]:
+        """Digests of the targets, by bucket; empty if none is known."""
+        return self._digests.by_bucket if self._targets_by_id else ()
+
+    def begin(self) -> None:
+        """Begin to follow a leader.
+
+        What was known stays until the leader has told all: it may fall silent before.
+        """
+        self.is_whole = False
+        self._unconfirmed_members = set(self._members_by_id)
+        self._unconfirmed_targets = set()
+
+    def replace_targets(self, reports_by_id: Mapping[str, TargetReport]) -> None:
+        """Take over what this member knew as the leader."""
+        self._targets_by_id = {}
+        self._digests = Digests()
+        for report in reports_by_id.values():
+            self._put_target(from_target(report))
+        self.is_whole = True
+
+    def take(self, page: pb.RosterPage) -> None:
+        """Take in what the leader tells."""
+        if page.differing_buckets:
+            buckets = frozenset(page.differing_buckets)
+            self._unconfirmed_targets |= {
+                target_id
+                for target_id in self._targets_by_id
+                if bucket_of(target_id) in buckets
+            }
+        for member in page.members:
+            self._members_by_id[member.member_id] = member
+            self._unconfirmed_members.discard(member.member_id)
+        for member_id in page.members_gone:
+            self._members_by_id.pop(member_id, None)
+        for entry in page.targets:
+            self._put_target(entry)
+            self._unconfirmed_targets.discard(entry.target_id)
+        for target_id in page.targets_gone:
+            self._remove_target(target_id)
+        if page.whole:
+            self._drop_unconfirmed()
+
+    def _put_target(self, entry: pb.TargetEntry) -> None:
+        self._targets_by_id[entry.target_id] = to_target(entry)
+        self._digests.put(entry)
+
+    def _remove_target(self, target_id: str) -> None:
+        self._targets_by_id.pop(target_id, None)
+        self._digests.remove(target_id)
+
+    def _drop_unconfirmed(self) -> None:
+        for member_id in self._unconfirmed_members:
+            self._members_by_id.pop(member_id, None)
+        for target_id in self._unconfirmed_targets:
+            self._remove_target(target_id)
+        self._unconfirmed_members = set()
+        self._unconfirmed_targets = set()
+        self.is_whole = True
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -2,33 +2,31 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from typing import Any, Protocol
 
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
 from grpclib.server import Stream
 
+from cassiaturn.entities import TargetReport
 from cassiaturn.fleet._codec import (
     from_leadership,
-    from_target,
     to_leadership,
     to_submission,
 )
 from cassiaturn.fleet._failures import report_failure
-from cassiaturn.fleet._follower import Follower, QueuedFrame
+from cassiaturn.fleet._follower import Follower
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._leadership import Leadership
+from cassiaturn.fleet._list_pace import ListPace
+from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.observability import Event, log_event
 from cassiaturn.transport import sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.v1.fleet_grpc import FleetBase
 
-BEAT_S = 0.15
-"""Period of heartbeats in both directions, in seconds: three of them fit into the
-time after which a leader counts as lost."""
-
 FOLLOWER_SILENCE_S = 0.75
 """Silence after which a follower is gone, in seconds. Its tasks must be over when
 its callers come back after 1.3 s; stopping them takes some 50 ms."""
@@ -82,14 +80,21 @@
     """Serves followers while this member leads, and redirects them otherwise."""
 
     def __init__(
-        self, *, member: MemberState, routing: RoutingKeeper, load: LeaderLoad
+        self,
+        *,
+        member: MemberState,
+        routing: RoutingKeeper,
+        load: LeaderLoad,
+        pace: ListPace,
     ) -> None:
         """Serve for a member.
 
         :param load: counts what is sent to followers.
+        :param pace: when lists may be sent to them.
         """
         self._member = member
         self._load = load
+        self._feed = RosterFeed(pace=pace)
         self._routing = routing
         self._followers_by_id: dict[str, Follower] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -101,8 +106,8 @@
 
     @property
     def most_waiting(self) -> int:
-        """Frames that wait for the follower with the most of them."""
-        return max((row.frames.qsize() for row in self.followers), default=0)
+        """Frames and entries of lists that wait for the follower with the most."""
+        return max((row.waiting for row in self.followers), default=0)
 
     def redirect_all(self, leadership: Leadership | None) -> None:
         """Send every follower to another leader."""
@@ -130,14 +135,19 @@
         successor.tell(frame)
         return True
 
-    def send_roster(self) -> None:
-        """Tell every follower who else follows, and which targets there are."""
-        leader = self._member.leader
-        if leader is None:
-            return
-        frame = pb.LeaderFrame(roster=self._roster(leader))
-        for follower in self.followers:
-            follower.tell(frame)
+    def begin_term(self, reports_by_id: Mapping[str, TargetReport]) -> None:
+        """Begin to lead, without followers.
+
+        :param reports_by_id: the directory of targets as this member knows it.
+        """
+        self._feed.begin(reports_by_id)
+
+    def note_target(self, target_id: str, report: TargetReport | None) -> None:
+        """Tell every follower of a target that changed; None: it is gone."""
+        if report is None:
+            self._feed.remove_target(target_id)
+        else:
+            self._feed.put_target(report)
 
     def send_routing(self) -> None:
         """Hand the configuration in force to followers with an older one."""
@@ -166,7 +176,7 @@
             redirect = from_leadership(self._member.known)
             await stream.send_message(pb.LeaderFrame(redirect=redirect))
             return
-        follower = Follower(hello=hello)
+        follower = Follower(hello=hello, feed=self._feed)
         self._followers_by_id[hello.member_id] = follower
         leader.followers_by_id[hello.member_id] = follower
         self._member.note_joined(hello.address)
@@ -179,7 +189,6 @@
         welcome = pb.LeaderFrame(welcome=from_leadership(leader.leadership))
         try:
             await stream.send_message(welcome)
-            self.send_roster()
             self.send_routing()
             await self._serve(stream, follower, leader)
         except STREAM_ERRORS as error:
@@ -235,12 +244,7 @@
         leader: Leader,
     ) -> None:
         while True:
-            try:
-                async with asyncio.timeout(BEAT_S):
-                    queued = await follower.frames.get()
-            except TimeoutError:
-                beat = pb.LeaderFrame(beat=self._beat(leader))
-                queued = QueuedFrame(frame=beat, queued_at=time.monotonic())
+            queued = await follower.next_frame(lambda: self._beat(leader))
             frame = queued.frame
             await stream.send_message(frame)
             kind = frame.WhichOneof("frame") or "unknown"
@@ -296,23 +300,11 @@
         log_event(Event.MEMBER_GONE, member=member_id, silent=silent)
         if self._followers_by_id.get(member_id) is follower:
             del self._followers_by_id[member_id]
+            self._feed.leave(member_id)
         leader.drop_member(member_id)
-        self.send_roster()
         if silent:
             self._member.note_silent_member()
 
-    def _roster(self, leader: Leader) -> pb.Roster:
-        members = [
-            pb.Member(
-                member_id=follower.hello.member_id,
-                address=follower.hello.address,
-                failure_domain=follower.hello.failure_domain,
-            )
-            for follower in self.followers
-        ]
-        targets = [from_target(report) for report in leader.reports_by_id.values()]
-        return pb.Roster(members=members, targets=targets)
-
 
 async def _silence(follower: Follower) -> None:
     """Return once a follower has been silent for too long."""
--- a/src/cassiaturn/settings/_fleet.py
+++ b/src/cassiaturn/settings/_fleet.py
@@ -62,6 +62,10 @@
     lease_ms: Annotated[float, Field(gt=0)] = 1_000.0
     """Longest lease that a target grants, in milliseconds."""
 
+    link_mbps: Annotated[float, Field(gt=0)] = 12.5
+    """Width of its host's link, in megabits a second: what the narrowest host of the
+    users has, where nothing else is told."""
+
     grace_s: Annotated[float, Field(gt=0)] = 6.0
     """Time from the order to stop to the kill, in seconds."""
 
