Hand the configuration on only to followers that stay behind

Cause: a new version, or a member that joined, had the whole document sent at once to every follower that had not told yet that it has it, and again for each of its heartbeats that named the old version, though every member reads the configuration from the table service itself. With 1,400 routes that is 0.25 MB for each.

Ruled out: leaving it out altogether (a member that is cut off from the service gets its configuration only this way).

Change: members tell which version they have in their first frame and as soon as a new one is in force; the leader sends the document to those that are still behind 0.4 s later, one at a time, at a pace that leaves nine tenths of its link, and once a second at the most.

Tests failed first: 509,100 bytes to two followers that can read it, now 0; 254,266 to a member that joins with it, now 0; 5 copies in 0.6 s to one that is cut off, now 1.

--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -222,16 +222,23 @@
                 job.cancel()
             await asyncio.gather(*jobs, return_exceptions=True)
 
+    def tell_routing(self) -> None:
+        """Say which configuration this member has now, before the leader sends it."""
+        self._frames.put_nowait(self._beat())
+
+    def _beat(self) -> pb.FollowerFrame:
+        beat = pb.FollowerBeat(
+            routing_version=self._routing.version, leaving=self.leaving
+        )
+        return pb.FollowerFrame(beat=beat)
+
     async def _send(self, stream) -> None:  # type: ignore[no-untyped-def]
         while True:
             try:
                 async with asyncio.timeout(BEAT_S):
                     frame = await self._frames.get()
             except TimeoutError:
-                beat = pb.FollowerBeat(
-                    routing_version=self._routing.version, leaving=self.leaving
-                )
-                frame = pb.FollowerFrame(beat=beat)
+                frame = self._beat()
             await stream.send_message(frame)
 
     async def _receive(self, stream) -> Followed | None:  # type: ignore[no-untyped-def]
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -8,6 +8,7 @@
 
 from cassiaturn.fleet._codec import from_outcome
 from cassiaturn.fleet._roster_feed import RosterFeed
+from cassiaturn.fleet._routing_feed import RoutingCursor, RoutingFeed
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import Outcome
 
@@ -35,19 +36,22 @@
     member that reads slowly is owed one page at a time, however much changes meanwhile.
     """
 
-    def __init__(self, *, hello: pb.Hello, feed: RosterFeed) -> None:
+    def __init__(
+        self, *, hello: pb.Hello, feed: RosterFeed, routing: RoutingFeed
+    ) -> None:
         """Take on a member.
 
         :param hello: its first frame.
-        :param feed: what every follower is to know.
+        :param feed: which members and targets every follower is to know.
+        :param routing: the configuration that it is to have.
         """
         self.hello = hello
         self.heard_at = time.monotonic()
-        self.routing_version = 0
         self.leaving = False
         self._frames: deque[QueuedFrame] = deque()
         self._wake = asyncio.Event()
         self._roster = feed.join(hello, on_change=self._wake.set)
+        self._routing = RoutingCursor(feed=routing, reported=hello.routing_version)
 
     @property
     def waiting(self) -> int:
@@ -59,6 +63,15 @@
         self._frames.append(QueuedFrame(frame=frame, queued_at=time.monotonic()))
         self._wake.set()
 
+    def note_routing(self, version: int | None = None) -> None:
+        """Take in that a version came into force, here or at the follower.
+
+        :param version: that of the follower; None: it came into force here.
+        """
+        if version is not None:
+            self._routing.report(version)
+        self._wake.set()
+
     def outcome(self, job_id: str, outcome: Outcome) -> None:
         """Tell how a job ended."""
         self.tell(pb.LeaderFrame(outcome=from_outcome(job_id, outcome)))
@@ -71,18 +84,32 @@
         beat_at = time.monotonic() + BEAT_S
         while not self._frames:
             now = time.monotonic()
-            page_at = self._roster.due_at
-            if page_at is not None and page_at <= now:
-                since = self._roster.since
-                frame = pb.LeaderFrame(roster=self._roster.next_page())
-                return QueuedFrame(frame=frame, queued_at=since)
+            listed = self._next_list(now)
+            if listed is not None:
+                return listed
             if beat_at <= now:
                 return QueuedFrame(frame=pb.LeaderFrame(beat=beat()), queued_at=now)
             self._wake.clear()
-            wait_s = min(beat_at, page_at or beat_at) - now
+            due_at = [beat_at, self._roster.due_at, self._routing.due_at]
+            wait_s = min(at for at in due_at if at is not None) - now
             try:
                 async with asyncio.timeout(wait_s):
                     await self._wake.wait()
             except TimeoutError:
                 continue
         return self._frames.popleft()
+
+    def _next_list(self, now: float) -> QueuedFrame | None:
+        """Return a list whose time has come."""
+        due_at = self._roster.due_at
+        if due_at is not None and due_at <= now:
+            since = self._roster.since
+            frame = pb.LeaderFrame(roster=self._roster.next_page())
+            return QueuedFrame(frame=frame, queued_at=since)
+        due_at = self._routing.due_at
+        if due_at is not None and due_at <= now:
+            document = self._routing.next_document(now)
+            if document is not None:
+                frame = pb.LeaderFrame(routing=document)
+                return QueuedFrame(frame=frame, queued_at=due_at)
+        return None
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -31,7 +31,6 @@
     next_leadership,
     next_step,
 )
-from cassiaturn.fleet._list_pace import ListPace
 from cassiaturn.fleet._member_metrics import observe
 from cassiaturn.fleet._neighbours import Neighbours
 from cassiaturn.fleet._ports import PlatformServices
@@ -90,7 +89,7 @@
             member=self,
             routing=self.routing,
             load=self.load,
-            pace=ListPace(link_mbps=settings.link_mbps),
+            link_mbps=settings.link_mbps,
         )
         self._services = services
         self._configuration = ConfigurationSource(
@@ -299,6 +298,7 @@
                 failure_domain=self.settings.failure_domain,
                 token=self._known_token(),
                 target_digests=self._roster.target_digests,
+                routing_version=self.routing.version,
             ),
             desk=self.desk,
             routing=self.routing,
@@ -441,4 +441,6 @@
     def _apply_routing(self, table: RoutingTable) -> None:
         if self.leader is not None:
             self.leader.apply_routing(table)
-            self.service.send_routing()
+            self.service.note_routing()
+        elif self._following is not None:
+            self._following.tell_routing()
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -22,6 +22,7 @@
 from cassiaturn.fleet._list_pace import ListPace
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing import RoutingKeeper
+from cassiaturn.fleet._routing_feed import RoutingFeed
 from cassiaturn.observability import Event, log_event
 from cassiaturn.transport import sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
@@ -85,16 +86,20 @@
         member: MemberState,
         routing: RoutingKeeper,
         load: LeaderLoad,
-        pace: ListPace,
+        link_mbps: float,
     ) -> None:
         """Serve for a member.
 
         :param load: counts what is sent to followers.
-        :param pace: when lists may be sent to them.
+        :param link_mbps: width of the host's link, in megabits a second.
         """
         self._member = member
         self._load = load
-        self._feed = RosterFeed(pace=pace)
+        self._feed = RosterFeed(pace=ListPace(link_mbps=link_mbps))
+        # A pace of its own: a large document would hold changes of targets up.
+        self._routing_feed = RoutingFeed(
+            routing=routing, pace=ListPace(link_mbps=link_mbps)
+        )
         self._routing = routing
         self._followers_by_id: dict[str, Follower] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -149,18 +154,11 @@
         else:
             self._feed.put_target(report)
 
-    def send_routing(self) -> None:
-        """Hand the configuration in force to followers with an older one."""
-        table = self._routing.current
-        if table is None:
-            return
-        frame = pb.LeaderFrame(
-            routing=pb.RoutingDocument(version=table.version, document=table.document)
-        )
+    def note_routing(self) -> None:
+        """Take in that a version of the configuration came into force here."""
+        self._routing_feed.note_change()
         for follower in self.followers:
-            if follower.routing_version < table.version:
-                follower.routing_version = table.version
-                follower.tell(frame)
+            follower.note_routing()
 
     async def Follow(  # noqa: N802 - the name is the schema's
         self, stream: "Stream[pb.FollowerFrame, pb.LeaderFrame]"
@@ -176,7 +174,7 @@
             redirect = from_leadership(self._member.known)
             await stream.send_message(pb.LeaderFrame(redirect=redirect))
             return
-        follower = Follower(hello=hello, feed=self._feed)
+        follower = Follower(hello=hello, feed=self._feed, routing=self._routing_feed)
         self._followers_by_id[hello.member_id] = follower
         leader.followers_by_id[hello.member_id] = follower
         self._member.note_joined(hello.address)
@@ -189,7 +187,6 @@
         welcome = pb.LeaderFrame(welcome=from_leadership(leader.leadership))
         try:
             await stream.send_message(welcome)
-            self.send_routing()
             await self._serve(stream, follower, leader)
         except STREAM_ERRORS as error:
             log_event(Event.PEER_LOST, member=hello.member_id, detail=repr(error))
@@ -275,10 +272,8 @@
                 case "cancel":
                     leader.take_back(frame.cancel.job_id, follower.hello.member_id)
                 case "beat":
-                    follower.routing_version = frame.beat.routing_version
+                    follower.note_routing(frame.beat.routing_version)
                     follower.leaving = frame.beat.leaving
-                    if frame.beat.routing_version < self._routing.version:
-                        self.send_routing()
                 case "routing":
                     self._member.read_routing(frame.routing)
                 case _:
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -54,14 +54,22 @@
     def __init__(self) -> None:
         super().__init__()
         self.is_silenced = False
+        self.is_cut_from = ""
 
     async def call(
         self, method: str, address: str, path: str, *, timeout_s: float, **options: Any
     ) -> Result[Reply, CallFailure]:
-        if self.is_silenced:
-            await asyncio.sleep(timeout_s)
-            return Failure(NoReply(detail="silenced"))
-        return await super().call(method, address, path, timeout_s=timeout_s, **options)
+        if not self._is_lost(address):
+            result = await super().call(
+                method, address, path, timeout_s=timeout_s, **options
+            )
+            if not self._is_lost(address):
+                return result
+        await asyncio.sleep(timeout_s)
+        return Failure(NoReply(detail="silenced"))
+
+    def _is_lost(self, address: str) -> bool:
+        return self.is_silenced or address == self.is_cut_from
 
 
 class RunningMember:
@@ -112,6 +120,10 @@
         self._relay.cut()
         self._client.is_silenced = True
 
+    def cut_from_store(self) -> None:
+        """Let no call to the store get an answer; others work on."""
+        self._client.is_cut_from = str(self.settings.table_service)
+
     def strand_streams(self) -> None:
         """Let every connection that others have to it fall silent for good."""
         self._relay.strand()
