Begin a leader's load line with its term

What was counted before a term is no part of its first line now; the test failed first (no begin of a term).

--- a/src/cassiaturn/fleet/_leader_load.py
+++ b/src/cassiaturn/fleet/_leader_load.py
@@ -73,6 +73,15 @@
         ):
             metrics.observe_counts(f"cassiaturn.{name}", description, counts.copy)
 
+    def begin_term(self, *, called_bytes: int) -> None:
+        """Begin a term; what was counted before is not part of its first line.
+
+        :param called_bytes: bytes of all calls since the process began.
+        """
+        self._period = _Period(
+            began_at=time.monotonic(), called_bytes_before=called_bytes
+        )
+
     def sent(self, kind: str, member_id: str, size: int, waited_s: float) -> None:
         """Count a frame to a follower.
 
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -389,6 +389,7 @@
         leader.on_tick = self._tell_load
         leader.on_directory_change = self.service.note_target
         self.service.begin_term(leader.reports_by_id)
+        self.load.begin_term(called_bytes=self._services.bytes_sent())
         self.leader = leader
         self._resigned.clear()
         log_event(
--- a/src/cassiaturn/fleet/tests/test_leader_load.py
+++ b/src/cassiaturn/fleet/tests/test_leader_load.py
@@ -40,6 +40,23 @@
         assert pair in line
 
 
+def test_the_first_line_of_a_term_tells_of_that_term_only() -> None:
+    """A member leads a second time, long after its first term."""
+    stream = io.StringIO()
+    log = configure_logging(stream=stream)
+    load = LeaderLoad(metrics=FleetMetrics(member_name="m", failure_domain="a"))
+    load.requested("start", 0.004)
+    load._period.began_at = time.monotonic() - 50.0
+    load.begin_term(called_bytes=5_000)
+    load.tell(followers=1, waiting=0, called_bytes=5_100)
+    load._period.began_at -= LINE_EVERY_S
+    load.tell(followers=1, waiting=0, called_bytes=5_200)
+    log.close()
+    (line,) = stream.getvalue().splitlines()
+    assert "calls_b=200" in line
+    assert "requests=0" in line
+
+
 def test_the_metrics_tell_kinds_and_followers_apart() -> None:
     metrics = FleetMetrics(member_name="m", failure_domain="a")
     load = LeaderLoad(metrics=metrics)
