Let members with wide links lead first

What callers would see: orders of the leader sent from a host whose link does not carry them. A leader that stops asked whoever was heard last, and claims after a loss went by addresses alone.

Ruled out: that such hosts never win; nothing in the program kept them from it.

Change: members tell the width of their host's link, from the settings; the widest is asked first and claims first, addresses decide among equals.

--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -321,7 +321,9 @@
     finally:
         channel.close()
     return Look(
-        hears_leader=reply.hears_leader, highest=to_leadership(reply.leadership)
+        hears_leader=reply.hears_leader,
+        highest=to_leadership(reply.leadership),
+        link_mbps=reply.link_mbps,
     )
 
 
--- a/src/cassiaturn/fleet/_leadership.py
+++ b/src/cassiaturn/fleet/_leadership.py
@@ -171,6 +171,9 @@
     highest: Leadership | None
     """The latest leadership that it knows of."""
 
+    link_mbps: float = 0.0
+    """Width of its host's link, in megabits a second; 0: not told."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Situation:
@@ -195,8 +198,8 @@
     """Members that were asked, answers or not."""
 
     members_before: int
-    """Members that answer and come before this one in the order of addresses, in
-    which members claim."""
+    """Members that answer and come before this one in the order in which members
+    claim."""
 
     tries: int = 0
     """Looks around since the loss, before this one."""
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from cassiaturn.entities import RoutingTable, TargetReport
 from cassiaturn.fleet._configuration import ConfigurationSource
@@ -142,6 +142,11 @@
         """The directory of targets by id, as the leader last told it."""
         return self._roster.targets_by_id
 
+    @property
+    def known_members(self) -> Sequence[pb.Member]:
+        """Followers of the leader, as it last told."""
+        return self._roster.members
+
     def read_routing(self, document: pb.RoutingDocument) -> None:
         """Take in a configuration that another member handed on."""
         self._configuration.read(document)
@@ -299,6 +304,7 @@
                 token=self._known_token(),
                 target_digests=self._roster.target_digests,
                 routing_version=self.routing.version,
+                link_mbps=self.settings.link_mbps,
             ),
             desk=self.desk,
             routing=self.routing,
--- a/src/cassiaturn/fleet/_neighbours.py
+++ b/src/cassiaturn/fleet/_neighbours.py
@@ -30,7 +30,7 @@
 
     members_before: int
     """Members that answer and come before this one in the order in which members
-    claim: that of their addresses."""
+    claim."""
 
 
 class Neighbours:
@@ -49,6 +49,7 @@
 
         self._met: OrderedDict[str, None] = OrderedDict()
         self._own = str(settings.members)
+        self._link_mbps = settings.link_mbps
         self._seeds = frozenset(str(seed) for seed in settings.seeds)
         self._roster = roster
 
@@ -70,10 +71,11 @@
             *(look_at(to_address(address), token) for address in addresses),
             self._ask_lost(lost),
         )
+        own_place = _place(self._own, self._link_mbps)
         earlier = [
             look
             for address, look in zip(addresses, looks, strict=True)
-            if look is not None and address < self._own
+            if look is not None and _place(address, look.link_mbps) < own_place
         ]
         self.answering = sum(look is not None for look in looks)
         return Around(
@@ -105,6 +107,16 @@
         return sorted(found - {"", self._own, without})
 
 
+def _place(address: str, link_mbps: float) -> tuple[float, str]:
+    """Return the place of a member in the order in which members claim.
+
+    The widest links come first. A leader sends the orders for all callers: a thousand
+    jobs a second are 3 MB a second, twice what a link of 12.5 Mbit/s carries, and
+    orders that wait for it time out for as long as that member leads.
+    """
+    return -link_mbps, address
+
+
 def _still_leads(own_word: Look | None, lost: Leadership | None) -> bool:
     """Return whether a member says of itself that it leads."""
     if own_word is None or own_word.highest is None or lost is None:
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -95,6 +95,7 @@
         """
         self._member = member
         self._load = load
+        self._link_mbps = link_mbps
         self._feed = RosterFeed(pace=ListPace(link_mbps=link_mbps))
         # A pace of its own: a large document would hold changes of targets up.
         self._routing_feed = RoutingFeed(
@@ -130,14 +131,14 @@
             follower.tell(frame)
 
     def hand_over(self, leadership: Leadership) -> bool:
-        """Ask the member that was heard last to lead.
+        """Ask a member to lead: of those with the widest link, that heard last.
 
         :returns: whether there is one.
         """
         staying = [row for row in self.followers if not row.leaving]
         if not staying:
             return False
-        successor = max(staying, key=lambda follower: follower.heard_at)
+        successor = max(staying, key=lambda row: (row.hello.link_mbps, row.heard_at))
         frame = pb.LeaderFrame(hand_over=from_leadership(leadership))
         successor.tell(frame)
         return True
@@ -214,7 +215,11 @@
             and known.token >= request.token
             and self._member.hears_leader
         )
-        reply = pb.LookReply(leadership=from_leadership(known), hears_leader=hears)
+        reply = pb.LookReply(
+            leadership=from_leadership(known),
+            hears_leader=hears,
+            link_mbps=self._link_mbps,
+        )
         await stream.send_message(reply)
 
     async def _serve(
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -24,6 +24,9 @@
 
 PREFIX = "/jobs/"
 
+NARROW_MBPS = 12.5
+"""Link of every member that a test says nothing of."""
+
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -75,7 +78,14 @@
 class RunningMember:
     """One member with its servers, as a process has them."""
 
-    def __init__(self, name: str, *, store: str, seeds: tuple[Address, ...]) -> None:
+    def __init__(
+        self,
+        name: str,
+        *,
+        store: str,
+        seeds: tuple[Address, ...],
+        link_mbps: float = NARROW_MBPS,
+    ) -> None:
         host, _, port = store.rpartition(":")
         callers, readiness, members, metrics, behind_relay = free_addresses(5)
         self.settings = FleetSettings(
@@ -88,6 +98,7 @@
             metrics=metrics,
             seeds=seeds,
             table_service=Address(host=host, port=int(port)),
+            link_mbps=link_mbps,
         )
         self._client = _SilencedClient()
         self.adapter = PlatformAdapter(self.settings, client=self._client)
@@ -164,9 +175,13 @@
         """Let a runner write its entry."""
         self.store.state.put("servers", runner.target.target_id, runner.entry(state))
 
-    async def add_member(self, name: str) -> RunningMember:
+    async def add_member(
+        self, name: str, *, link_mbps: float = NARROW_MBPS
+    ) -> RunningMember:
         seeds = tuple(row.settings.members for row in self.members[:2])
-        member = RunningMember(name, store=self.store.address, seeds=seeds)
+        member = RunningMember(
+            name, store=self.store.address, seeds=seeds, link_mbps=link_mbps
+        )
         await member.start()
         self.members.append(member)
         return member
