--- a/src/cassiaturn/platform/tests/test_directory_changes.py
+++ b/src/cassiaturn/platform/tests/test_directory_changes.py
@@ -62,7 +62,9 @@
 
     Callers get no answer in time for seconds: orders to targets time out, and nearly
     all targets count as silent. For each single change the leader sent the list of all
-    members and targets to each follower, and orders and answers waited behind it.
+    members and targets to each follower, and orders and answers waited behind it. Shown
+    by a leader with a link of 12.5 MB/s: lists of up to 15 MB/s in just those seconds,
+    frames that waited for 1.4 s, and an event loop that was 31 ms late at the most.
     """
     await _publish_many(fleet)
     before = _sent_bytes(fleet)
