--- a/src/cassiaturn/bench/__main__.py
+++ b/src/cassiaturn/bench/__main__.py
@@ -21,7 +21,14 @@
 from cassiaturn.bench._goals import judge
 from cassiaturn.bench._plot import PLOTS_PATH, plot_scenario
 from cassiaturn.bench._scenario import scenarios_by_name
-from cassiaturn.bench._shared_suite import run_shared, shared_ratios, shared_runs
+from cassiaturn.bench._shared_suite import (
+    SPLIT_VIEW_AGE_S,
+    run_shared,
+    run_splits,
+    shared_ratios,
+    shared_runs,
+    split_runs,
+)
 from cassiaturn.bench._shared_variants import EXACT as EXACT_SHARED
 from cassiaturn.bench._shared_variants import OURS as OURS_SHARED
 from cassiaturn.bench._shared_variants import variants_by_name
@@ -111,6 +118,17 @@
         typer.echo(result.line())
 
 
+@app.command()
+def split(
+    view_age_s: Annotated[
+        float, typer.Option(help="how old what members know of groups is, in seconds")
+    ] = SPLIT_VIEW_AGE_S,
+) -> None:
+    """Print what callers get where several leaders share a site's workers."""
+    for result in run_splits(split_runs(view_age_s)):
+        typer.echo(result.line())
+
+
 @app.command()
 def plot(
     directory: Annotated[Path, typer.Option(help="where pictures go")] = PLOTS_PATH,
--- a/src/cassiaturn/bench/_shared_play.py
+++ b/src/cassiaturn/bench/_shared_play.py
@@ -116,37 +116,47 @@
 def _play(site: SharedSite, load: SharedLoad, variant: str, seed: int) -> SharedResult:
     play = Play()
     for index in range(WORKERS):
-        size = 3 if index % 3 == 2 else 2
-        play.add_target(
-            f"w{index}",
-            cpu=site.cpu_millis * size // 2,
-            speed=site.speeds[index // 3 % len(site.speeds)],
-        )
+        add_worker(play, site, index)
     play.run(0.1)
     jobs = draw_jobs(site, load, seed)
     if load.has_failures:
-        _fail_workers(play)
+        fail_workers(play)
     begin = play.now
     for job in jobs:
-        taken_at = _taken_at(load, job.arrives_at)
+        taken_at = take_time(load, job.arrives_at)
         waited_s = taken_at - job.arrives_at
         if waited_s < LIMIT_S:
             play.run(max(0.0, begin + taken_at - play.now))
-            _submit(play, job, waited_s=waited_s, knows_lengths=variant == EXACT)
+            submit_job(play, job, waited_s=waited_s, knows_lengths=variant == EXACT)
     play.run(LIMIT_S + 0.2)
-    return _tally(site, load, variant, jobs, play)
+    return tally(site, load, variant, jobs, lambda _: play)
+
+
+def add_worker(play: Play, site: SharedSite, index: int) -> None:
+    """Add one of a site's workers, by its number."""
+    size = 3 if index % 3 == 2 else 2
+    play.add_target(
+        f"w{index}",
+        cpu=site.cpu_millis * size // 2,
+        speed=site.speeds[index // 3 % len(site.speeds)],
+    )
 
 
-def _taken_at(load: SharedLoad, at: float) -> float:
+def take_time(load: SharedLoad, at: float) -> float:
     """Return when a job that its caller sent at a time is taken in, in seconds."""
     if load.outage is not None and load.outage[0] <= at < load.outage[1]:
         return load.outage[1]
     return at
 
 
-def _submit(
+def submit_job(
     play: Play, job: SharedJob, *, waited_s: float, knows_lengths: bool
 ) -> None:
+    """Hand a job in.
+
+    :param waited_s: how long its caller has waited already, in seconds.
+    :param knows_lengths: whether its true run times are told.
+    """
     declared_s = max(job.lengths_s) if knows_lengths else job.declared_s
     play.submit(
         job.job_id,
@@ -165,23 +175,25 @@
     )
 
 
-def _fail_workers(play: Play) -> None:
+def fail_workers(play: Play) -> None:
     """Let two workers stall, two fail all, and four work at a sixth, for 6 s each."""
 
     def change(indexes: range, **traits: object) -> None:
         for index in indexes:
-            target = play.targets[f"w{index}"]
-            for name, value in traits.items():
-                setattr(target, name, value)
+            target = play.targets.get(f"w{index}")
+            if target is not None:
+                for name, value in traits.items():
+                    setattr(target, name, value)
 
     play.later(4.0, lambda: change(range(2), hangs=True))
     play.later(10.0, lambda: change(range(2), hangs=False))
     play.later(12.0, lambda: change(range(3, 5), fails=True))
     play.later(18.0, lambda: change(range(3, 5), fails=False))
-    speeds = [play.targets[f"w{index}"].speed for index in range(6, 10)]
     play.later(20.0, lambda: change(range(6, 10), speed=0.16))
-    for index, speed in zip(range(6, 10), speeds, strict=True):
-        play.later(26.0, _restore(play, f"w{index}", speed))
+    for index in range(6, 10):
+        target = play.targets.get(f"w{index}")
+        if target is not None:
+            play.later(26.0, _restore(play, f"w{index}", target.speed))
 
 
 def _restore(play: Play, name: str, speed: float) -> Callable[[], None]:
@@ -195,22 +207,26 @@
     by_window: dict[int, SharedTally] = field(default_factory=dict)
 
 
-def _tally(
+def tally(
     site: SharedSite,
     load: SharedLoad,
     variant: str,
     jobs: list[SharedJob],
-    play: Play,
+    play_of: Callable[[SharedJob], Play],
 ) -> SharedResult:
+    """Count what callers got.
+
+    :param play_of: returns the play that a job was handed in to.
+    """
     tallies = _Tallies()
     for job in jobs:
         window = int(job.arrives_at / WINDOW_S)
-        for tally in (
+        for counted in (
             tallies.whole,
             tallies.by_kind.setdefault(job.kind.name, SharedTally()),
             tallies.by_window.setdefault(window, SharedTally()),
         ):
-            _count(tally, job, play)
+            _count(counted, job, play_of(job))
     return SharedResult(
         user=site.user,
         load=load.name,
