Let a leader that stopped tell its successor that it is stopping

Cause: whether a member is stopping belonged to one stream. A leader that stops and follows its successor until its callers are served opens a new one, which did not say so; and a member with little to do said so only with its next heartbeat. With a wide link it was even asked to lead again.

Change: the first frame tells it, and a member that begins to stop sends a heartbeat at once. Test failed first (the first leader led again). 68 tests over sockets passed.

--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -110,7 +110,7 @@
         self.leadership = leadership
         self.heard_at = 0.0
         self.welcomed = False
-        self.leaving = False
+        self.leaving = hello.leaving
         self._hello = hello
         self._desk = desk
         self._routing = routing
@@ -222,8 +222,12 @@
                 job.cancel()
             await asyncio.gather(*jobs, return_exceptions=True)
 
-    def tell_routing(self) -> None:
-        """Say which configuration this member has now, before the leader sends it."""
+    def send_beat(self) -> None:
+        """Say at once what heartbeats say.
+
+        The leader would send a configuration that this member has, or ask it to lead
+        although it is stopping.
+        """
         self._frames.put_nowait(self._beat())
 
     def _beat(self) -> pb.FollowerFrame:
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -47,7 +47,7 @@
         """
         self.hello = hello
         self.heard_at = time.monotonic()
-        self.leaving = False
+        self.leaving = hello.leaving
         self._frames: deque[QueuedFrame] = deque()
         self._wake = asyncio.Event()
         self._roster = feed.join(hello, on_change=self._wake.set)
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -196,6 +196,7 @@
         self._stopping = True
         if self._following is not None:
             self._following.leaving = True
+            self._following.send_beat()
         if self.leader is None:
             return
         if not self.service.hand_over(self.leader.leadership):
@@ -305,6 +306,7 @@
                 target_digests=self._roster.target_digests,
                 routing_version=self.routing.version,
                 link_mbps=self.settings.link_mbps,
+                leaving=self._stopping,
             ),
             desk=self.desk,
             routing=self.routing,
@@ -450,4 +452,4 @@
             self.leader.apply_routing(table)
             self.service.note_routing()
         elif self._following is not None:
-            self._following.tell_routing()
+            self._following.send_beat()
--- a/src/cassiaturn/platform/tests/test_wide_links.py
+++ b/src/cassiaturn/platform/tests/test_wide_links.py
@@ -1,5 +1,7 @@
 """Which member leads where hosts' links differ."""
 
+from dataclasses import replace
+
 import pytest
 
 from cassiaturn.platform.tests.fleet import Fleet, RunningMember
@@ -50,3 +52,18 @@
     await fleet.kill(fleet.leader())
     await fleet.until(lambda: fleet.heard_targets() == len(fleet.runners))
     assert fleet.leader() in wide
+
+
+async def test_a_leader_that_stopped_is_not_asked_to_lead_again(fleet: Fleet) -> None:
+    """Two leaders are stopped within seconds, the first with the widest link.
+
+    The first finishes what its callers wait for, and follows the second meanwhile; it
+    did not say to its new leader that it stops, and was asked to lead as that one did.
+    """
+    first = fleet.leader()
+    first.member.settings = replace(first.settings, link_mbps=WIDE_MBPS)
+    await first.member.stop()
+    second = fleet.leader()
+    await fleet.until(lambda: len(second.member.service.followers) == 2)
+    await second.member.stop()
+    assert fleet.leader() not in (first, second)
