--- a/src/cassiaturn/fleet/_leadership.py
+++ b/src/cassiaturn/fleet/_leadership.py
@@ -126,27 +126,6 @@
     return Leadership(token=token, term=term, member_id=member_id, address=address)
 
 
-def reach_of(token: int) -> int:
-    """Return how many members the claimant of a token reached."""
-    return (token >> SALT_BITS) & ((1 << REACH_BITS) - 1)
-
-
-def outnumbers(heard: int, later: Leadership) -> bool:
-    """Return whether a leader's side of a cut is at least twice that of a later one.
-
-    Behind a cut the terms go on: members there lose their first leader, too, and claim
-    again. At the heal the later term would take every target away from most callers'
-    leader, and all that is under way waits for leases to end (64 of 860 callers without
-    an answer in one heal). Twice as many members, and not one more, since a claim
-    names those that answered by then: one that was claimed in a moment of load is not
-    contested by the leader that everybody has just left.
-
-    :param heard: followers that the leader has heard just now.
-    :param later: what a member of another side claimed.
-    """
-    return heard + 1 >= 2 * (reach_of(later.token) + 1)
-
-
 class Loss(Enum):
     """What is known of the leader that was lost."""
 
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -117,14 +117,6 @@
         """Frames and entries of lists that wait for the follower with the most."""
         return max((row.waiting for row in self.followers), default=0)
 
-    def count_heard(self, lately_s: float) -> int:
-        """Return how many followers were heard lately.
-
-        :param lately_s: within how many seconds.
-        """
-        since = time.monotonic() - lately_s
-        return sum(row.heard_at >= since for row in self.followers)
-
     def redirect_all(self, leadership: Leadership | None) -> None:
         """Send every follower to another leader."""
         for follower in self.followers:
--- a/src/cassiaturn/fleet/_term.py
+++ b/src/cassiaturn/fleet/_term.py
@@ -6,7 +6,7 @@
 from cassiaturn.fleet._follow import look_at
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_row import RENEW_ROW_S, LeaderRow
-from cassiaturn.fleet._leadership import NO_TOKEN, Leadership, outnumbers
+from cassiaturn.fleet._leadership import Leadership
 from cassiaturn.fleet._neighbours import Neighbours, to_address
 from cassiaturn.fleet._service import FleetService
 from cassiaturn.fleet._suspicion import Suspicion
@@ -16,14 +16,6 @@
 """How long a leader waits for further silent followers before it concludes on which
 side of a cut most of them are, in seconds: two heartbeats."""
 
-HEARD_JUST_NOW_S = 0.3
-"""How lately a follower must have been heard to count on this side of a cut, in
-seconds: two heartbeats. One that has gone over to another leader is not counted."""
-
-CONTEST_TRIES = 2
-"""Tries to write a raised token into the leader's row before a later leader is followed
-after all: the first one may only tell that the row has changed."""
-
 SUPERSEDED_CHECKS = 1
 """Looks without a later leader after which a leader raises its token: a successor
 whose claim is on its way is seen by the second one."""
@@ -35,10 +27,6 @@
     known: Leadership | None
     """The latest leadership that it knows of."""
 
-    @property
-    def is_stopping(self) -> bool:
-        """Whether this member is to end."""
-
     service: FleetService
     """Serves those that follow it."""
 
@@ -92,17 +80,13 @@
             leadership = self._leader.leadership
             known = self._member.known
             if known is not None and known.token > leadership.token:
-                if not await self._contest(known):
-                    return known
-                continue
+                return known
             holder = await self._row.renew(leadership)
             # A later leader that cannot be reached is on the far side of a cut: its
             # side is served by it, and this side by this member.
             is_later = holder is not None and holder.token > leadership.token
             if holder is not None and is_later and await self._is_reachable(holder):
-                if not await self._contest(holder):
-                    return holder
-                continue
+                return holder
             stands = holder in (leadership, None) and bool(self._leader.superseded_ids)
             checks = checks + 1 if stands else 0
             if checks > SUPERSEDED_CHECKS:
@@ -115,27 +99,6 @@
                 await self._outrank_far_side()
             await self._suspicion.wait(RENEW_ROW_S)
 
-    async def _contest(self, later: Leadership) -> bool:
-        """Go on above a later leadership of far fewer members.
-
-        :returns: whether this leader goes on; otherwise it is to follow the other.
-        """
-        heard = self._member.service.count_heard(HEARD_JUST_NOW_S)
-        if self._member.is_stopping or not outnumbers(heard, later):
-            return False
-        if later.token > self._known_token():
-            self._member.known = later
-        for _ in range(CONTEST_TRIES):
-            await self._raise_token(terms=1)
-            if self._leader.leadership.token > later.token:
-                await self._announce(self._leader.leadership)
-                return True
-        return False
-
-    def _known_token(self) -> int:
-        known = self._member.known
-        return known.token if known is not None else NO_TOKEN
-
     async def _raise_token(self, terms: int) -> None:
         """Overtake a token that targets obey and nobody leads by.
 
