--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -170,10 +170,10 @@
         """Take in where a member that follows this one serves others."""
         self._neighbours.note(address)
 
-    def note_lost_member(self) -> None:
-        """Take in that a follower is gone that had not said that it stops."""
+    def note_silent_member(self) -> None:
+        """Take in that a follower does not answer."""
         if self._term is not None:
-            self._term.note_lost_member()
+            self._term.note_silent_member()
 
     def note_token(self, token: int) -> None:
         """Take in that somebody has seen a later leadership."""
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -73,8 +73,8 @@
     def note_joined(self, address: str) -> None:
         """Take in where a member that follows this one serves others."""
 
-    def note_lost_member(self) -> None:
-        """Take in that a follower is gone that had not said that it stops."""
+    def note_silent_member(self) -> None:
+        """Take in that a follower does not answer."""
 
 
 class FleetService(FleetBase):
@@ -308,19 +308,13 @@
             await asyncio.sleep(RECONNECT_GRACE_S)
         if leader.followers_by_id.get(member_id) is not follower:
             return
-        log_event(
-            Event.MEMBER_GONE,
-            member=member_id,
-            silent=silent,
-            leaving=follower.leaving,
-        )
+        log_event(Event.MEMBER_GONE, member=member_id, silent=silent)
         if self._followers_by_id.get(member_id) is follower:
             del self._followers_by_id[member_id]
             self._feed.leave(member_id)
         leader.drop_member(member_id)
-        if not follower.leaving:
-            # A cut may reset connections and refuse new ones, as an ended process does.
-            self._member.note_lost_member()
+        if silent:
+            self._member.note_silent_member()
 
 
 async def _silence(follower: Follower) -> None:
--- a/src/cassiaturn/fleet/_term.py
+++ b/src/cassiaturn/fleet/_term.py
@@ -58,11 +58,11 @@
         self._row = row
         self._neighbours = neighbours
         self._suspicion = suspicion
-        self._lost_members = 0
+        self._silent_members = 0
 
-    def note_lost_member(self) -> None:
-        """Take in that a follower is gone that had not said that it stops."""
-        self._lost_members += 1
+    def note_silent_member(self) -> None:
+        """Take in that a follower does not answer."""
+        self._silent_members += 1
         self._suspicion.signal()
 
     async def run(self) -> Leadership:
@@ -95,7 +95,7 @@
                 # The row is written twice a second only, and callers of this side
                 # wait for targets that obey somebody else.
                 continue
-            if self._lost_members:
+            if self._silent_members:
                 await self._outrank_far_side()
             await self._suspicion.wait(RENEW_ROW_S)
 
@@ -117,13 +117,13 @@
         self._go_on_as(claim)
 
     async def _outrank_far_side(self) -> None:
-        """Raise the token if followers were lost and most are still heard.
+        """Raise the token if followers fell silent and most are still heard.
 
         Behind a cut they claim the next term. When it heals their leader would take
         every target away from this one, whose callers are more.
         """
         await asyncio.sleep(CUT_SETTLE_S)
-        lost, self._lost_members = self._lost_members, 0
+        lost, self._silent_members = self._silent_members, 0
         left = len(self._member.service.followers)
         if left > lost:
             self._go_on_as(self._member.next_leadership(reach=left))
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -52,7 +52,7 @@
     list_is_no_proof: bool = True
     """A list that leaves out a start which was never answered proves nothing."""
 
-    drop_lost_members: bool = True
+    drop_silent_members: bool = True
     """A leader ends the jobs of members that it does not hear."""
 
     hold_inherited: bool = True
