Hold inherited jobs once a young leader has let a target go

The cut healed at 38.96; makola-3 of the other side stepped down; its follower's job, started there 58 ms before on a target that osu-2 had let go, was started again at once.

Change: a target that is taken out, but for one that is there in another life, ends that knowledge; jobs of an earlier leader then wait for their leases. Tests: failed first for both reasons of removal; another life is not waited for.

--- a/src/cassiaturn/workload/_directory.py
+++ b/src/cassiaturn/workload/_directory.py
@@ -13,6 +13,10 @@
 )
 
 
+OTHER_LIFE = "other_life"
+"""Why a target is gone of which another process has answered: nothing runs on."""
+
+
 def on_target(tables: Tables, ports: Ports, report: TargetReport) -> None:
     """Take in what a target publishes of itself."""
     target = tables.targets_by_id.get(report.target_id)
@@ -39,10 +43,17 @@
 def on_target_gone(
     tables: Tables, ports: Ports, target_id: str, reason: str, now: float
 ) -> None:
-    """Take a target out whose runs are certainly over."""
-    if target_id in tables.targets_by_id:
-        on_target_lost(tables, ports, target_id, reason, now)
-        del tables.targets_by_id[target_id]
+    """Take a target out whose runs under this leader are certainly over."""
+    if target_id not in tables.targets_by_id:
+        return
+    on_target_lost(tables, ports, target_id, reason, now)
+    del tables.targets_by_id[target_id]
+    if reason != OTHER_LIFE:
+        # Behind a cut another leader may go on to start tasks there. A young leader
+        # that hears all that it still knows would take its lists for the whole truth
+        # at the heal, and run the jobs of the other side twice at once. Held until
+        # their leases are over, they are safe whatever was let go.
+        tables.knows_targets = False
 
 
 def on_target_unanswered(tables: Tables, target_id: str, now: float) -> None:
--- a/src/cassiaturn/workload/tests/test_successors.py
+++ b/src/cassiaturn/workload/tests/test_successors.py
@@ -119,6 +119,46 @@
     assert play.verdict("a") is Verdict.COMPLETED
 
 
+@pytest.mark.parametrize("reason", ["left_directory", "lease_over"])
+def test_a_job_from_the_far_side_waits_also_after_a_young_leader_let_targets_go(
+    reason: str,
+) -> None:
+    """A cut that heals 2.2 s after the leader of one side began.
+
+    It had been told of all targets and had let those go that it could not reach, so
+    that it heard all that it still knew. At the heal the other side's leader stepped
+    down, and a task that it had started 58 ms before on such a target ran twice at
+    once. Shown by the log: target_removed on the young leader 0.6 s and 1.1 s after its
+    begin, and the inherited job started in the millisecond in which it came.
+    """
+    play = Play(term=1)
+    play.tables.knows_targets = True
+    play.add_target("t1")
+    play.add_target("t2")
+    play.targets["t2"].cut = True
+    play.run(0.6)
+    workload.on_target_gone(play.tables, play, "t2", reason, play.now)
+    play.run(1.4)
+    play.submit("a", run_s=0.1, begun_earlier=True, limit_s=4.0)
+    play.run(1.8)
+    assert play.tables.counters.starts == 0
+    play.run(0.5)
+    assert play.verdict("a") is Verdict.COMPLETED
+
+
+def test_a_job_does_not_wait_for_what_surely_ended() -> None:
+    """A target is there again in another life: nothing of the one before runs on."""
+    play = Play(term=1)
+    play.tables.knows_targets = True
+    play.add_target("t1")
+    play.add_target("t2")
+    play.run(0.6)
+    workload.on_target_gone(play.tables, play, "t2", "other_life", play.now)
+    play.submit("a", run_s=0.1, begun_earlier=True, limit_s=4.0)
+    play.run(0.3)
+    assert play.verdict("a") is Verdict.COMPLETED
+
+
 def test_a_run_whose_job_never_comes_is_stopped() -> None:
     """The leader and the caller's member are killed in one moment.
 
