--- a/src/cassiaturn/workload/_directory.py
+++ b/src/cassiaturn/workload/_directory.py
@@ -12,7 +12,6 @@
     Target,
 )
 
-
 OTHER_LIFE = "other_life"
 """Why a target is gone of which another process has answered: nothing runs on."""
 
