Tell where the time of a long job went, and sort what was missed by size

Cause: of a job that was given up the log said neither which task, where it ran, how long it took, what went by before its last start, nor how fast its target was believed to be; the share of the largest tenth that is served could not be split into the jobs' own length and what is ours.

Change: job_timed for every job that needs much of its caller's time, target_speed when a belief about a speed changes, kind and size in target_added; cassiaturn explain counts the jobs by size: served, possible, and the causes of the rest.

--- a/src/cassiaturn/cli/_explain.py
+++ b/src/cassiaturn/cli/_explain.py
@@ -69,7 +69,13 @@
 
 
 def _print_tables(record: "Record", width_s: float) -> None:
-    from cassiaturn.explain import CAUSES, by_cause, by_second, process_starts
+    from cassiaturn.explain import (
+        CAUSES,
+        by_cause,
+        by_second,
+        by_size,
+        process_starts,
+    )
 
     meanings = {cause.name: cause.meaning for cause in CAUSES}
     print_table(
@@ -101,6 +107,21 @@
             for row in by_second(record, width_s)
         ],
     )
+    print_table(
+        "\nJobs that need much of their callers' time, by work",
+        ["Route", "Size", "Jobs", "Served", "Possible", "Possible, not served"],
+        [
+            [
+                size.route,
+                size.size,
+                size.jobs,
+                size.served,
+                size.possible,
+                _counts(size.missed_by_cause),
+            ]
+            for size in by_size(record)
+        ],
+    )
     print_table(
         "\nStarts of processes",
         ["Process", "At, s", "Serving after, ms"],
@@ -124,11 +145,12 @@
 def _document(record: "Record", width_s: float) -> object:
     from dataclasses import asdict
 
-    from cassiaturn.explain import by_cause, by_second, process_starts
+    from cassiaturn.explain import by_cause, by_second, by_size, process_starts
 
     return {
         "causes": [asdict(row) for row in by_cause(record)],
         "seconds": [asdict(row) for row in by_second(record, width_s)],
+        "sizes": [asdict(row) for row in by_size(record)],
         "starts": [asdict(row) for row in process_starts(record)],
     }
 
--- a/src/cassiaturn/explain/tests/test_explain.py
+++ b/src/cassiaturn/explain/tests/test_explain.py
@@ -13,6 +13,7 @@
     Record,
     by_cause,
     by_second,
+    by_size,
     cause_of,
     parse_line,
     process_starts,
@@ -171,3 +172,44 @@
     path = tmp_path / "empty.log"
     path.write_text("nothing\n")
     assert CliRunner().invoke(app, ["explain", str(path)]).exit_code == 2
+
+
+def _timed(number: int, *, fastest_ms: int, served: bool) -> list[str]:
+    """Return the lines of a job of a certain work."""
+    verdict = ("completed", "all_done") if served else ("abandoned", "limit_passed")
+    job_id = f"job-{number}"
+    timing = _line(
+        3.0,
+        Event.JOB_TIMED,
+        id=job_id,
+        route="long",
+        served=served,
+        work_cpu_s=float(number),
+        limit_ms=1500,
+        fastest_ms=fastest_ms,
+    )
+    answer = {"verdict": verdict[0], "reason": verdict[1], "age_ms": 1500}
+    return [timing, _line(3.1, Event.JOB_ANSWERED, id=job_id, **answer)]
+
+
+def test_the_largest_jobs_that_nobody_could_serve_are_told_apart() -> None:
+    """The share of the largest tenth that is served said nothing of whose fault it is.
+
+    Half of them have a task that is longer than their callers wait on any target.
+    """
+    texts: list[str] = []
+    for number in range(100):
+        is_too_long = number >= 95
+        is_lost = number == 90
+        texts += _timed(
+            number,
+            fastest_ms=1600 if is_too_long else 900,
+            served=not (is_too_long or is_lost),
+        )
+    texts.append(_line(2.0, Event.RUN_LOST, id="job-90", target="t", reason="x"))
+    rows = {row.size: row for row in by_size(_record(*texts))}
+    largest = rows["largest_tenth"]
+    assert (largest.jobs, largest.served, largest.possible) == (10, 4, 5)
+    assert largest.missed_by_cause == {"target_lost": 1}
+    assert (rows["rest"].jobs, rows["rest"].served) == (70, 70)
+    assert (rows["next_fifth"].jobs, rows["next_fifth"].possible) == (20, 20)
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -69,6 +69,9 @@
     JOB_REPEATED = _info("job_repeated", "A late resubmission got the answer again.")
     JOB_CANCELLED = _info("job_cancelled", "Nobody waits for a job; its runs stop.")
     JOB_ENDED = _info("job_ended", "The leader decided a job, for `reason`.")
+    JOB_TIMED = _info(
+        "job_timed", "Where the time of a job went that needs much of its caller's."
+    )
     JOB_REFUSED = _info("job_refused", "A job was refused and never ran.")
     JOB_ANSWERED = _info("job_answered", "A caller got the final answer to a job.")
     JOB_LEFT = _info("job_left", "A caller closed its connection before the answer.")
@@ -81,6 +84,9 @@
     RUN_ORPHANED = _warning("run_orphaned", "A run of no known job is stopped.")
     START_REFUSED = _info("start_refused", "A target did not take a start.")
     TARGET_ADDED = _info("target_added", "A target joined the directory.")
+    TARGET_SPEED = _info(
+        "target_speed", "Runs on a target take `ratio` times as long as expected."
+    )
     TARGET_REMOVED = _info("target_removed", "A target left the directory.")
     TARGET_SILENT = _warning("target_silent", "A target stopped answering.")
     TARGET_UNANSWERED = _info(
--- a/src/cassiaturn/sharing/_pace.py
+++ b/src/cassiaturn/sharing/_pace.py
@@ -46,6 +46,11 @@
         value = max(-LARGEST, min(LARGEST, math.log(max(ratio, 1e-3))))
         self._mean_log += weight * (value - self._mean_log)
 
+    @property
+    def ratio(self) -> float:
+        """Its run times over the expected ones."""
+        return math.exp(self._mean_log)
+
     @property
     def step(self) -> int:
         """How slow the target is, in steps; lower is faster."""
--- a/src/cassiaturn/workload/_directory.py
+++ b/src/cassiaturn/workload/_directory.py
@@ -31,7 +31,11 @@
             )
         )
         ports.record(
-            Event.TARGET_ADDED, target=report.target_id, leaving=report.leaving
+            Event.TARGET_ADDED,
+            target=report.target_id,
+            leaving=report.leaving,
+            cpu_millis=report.capacity.cpu_millis,
+            labels=",".join(sorted(report.labels)),
         )
         return
     target.capacity = report.capacity
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -104,7 +104,7 @@
         return None
     run.target_id = target.target_id
     task.next_run += 1
-    task.run = run
+    task.take_run(run)
     job.waiting.remove(task)
     job.begun = True
     target.take(task.group.resources, run.group_key)
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -42,7 +42,8 @@
     if task is None or task.done or (task.run is not None and task.run is not run):
         return
     if run is not None:
-        _judge(tables, target, job, run, ended.end, now)
+        _judge(tables, ports, target, job, run, ended.end, now)
+        task.length_s = now - run.started_at
     if ended.end is RunEnd.DONE:
         _complete(tables, ports, job, task, now)
     elif ended.end is RunEnd.FAILED:
@@ -106,14 +107,19 @@
 
 
 def _judge(
-    tables: Tables, target: Target, job: Job, run: Run, end: RunEnd, now: float
+    tables: Tables,
+    ports: Ports,
+    target: Target,
+    job: Job,
+    run: Run,
+    end: RunEnd,
+    now: float,
 ) -> None:
     if end is RunEnd.DONE:
         target.failures_in_row = 0
         run_s = now - run.started_at
         learn_speed(target, job, run_s)
-        target.pace.observe(run_s / max(job.expected_run_s, 1e-3))
-        target.note_change()
+        _learn_pace(ports, target, run_s / max(job.expected_run_s, 1e-3))
         if target.slowness < 1.5:
             tables.expected.observe(job.route.name, run_s)
     elif end is RunEnd.FAILED:
@@ -122,6 +128,16 @@
         target.paused_until = max(target.paused_until, now + pause_s)
 
 
+def _learn_pace(ports: Ports, target: Target, ratio: float) -> None:
+    step = target.pace.step
+    target.pace.observe(ratio)
+    target.note_change()
+    if target.pace.step != step:
+        ports.record(
+            Event.TARGET_SPEED, target=target.target_id, ratio=target.pace.ratio
+        )
+
+
 def learn_speed(target: Target, job: Job, run_s: float) -> None:
     """Take in how long a run took, or will take, on a target."""
     ratio = run_s / max(job.expected_run_s, 1e-3)
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -230,7 +230,7 @@
 def adopt(tables: Tables, job: Job, task: Task) -> None:
     """Make the run that a target listed the task's own."""
     run = tables.runs_by_ref[task.ref]
-    task.run = run
+    task.take_run(run)
     task.next_run = max(task.next_run, run.number + 1)
     job.waiting.remove(task)
     job.begun = True
--- a/src/cassiaturn/workload/_settle.py
+++ b/src/cassiaturn/workload/_settle.py
@@ -1,6 +1,7 @@
 """How a job ends: one outcome, and nothing of it left to run."""
 
 from cassiaturn.observability import Event
+from cassiaturn.workload._job_timing import job_timing
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._tables import (
     Job,
@@ -30,9 +31,39 @@
         tasks=len(job.tasks_by_ref),
         left=job.remaining,
     )
+    if job.is_tight and job.begun:
+        _record_timing(tables, ports, job, outcome, now)
     retire(tables, ports, job, outcome, now)
 
 
+def _record_timing(
+    tables: Tables, ports: Ports, job: Job, outcome: Outcome, now: float
+) -> None:
+    timing = job_timing(tables, job, now)
+    critical = timing.critical
+    ports.record(
+        Event.JOB_TIMED,
+        id=job.job_id,
+        route=job.route.name,
+        served=outcome.verdict is Verdict.COMPLETED and now <= job.limit_at,
+        reason=outcome.reason,
+        tasks=len(job.tasks_by_ref),
+        work_cpu_s=round(timing.work_cpu_s, 2),
+        limit_ms=_milliseconds(job.limit_at - job.arrived_at),
+        first_start_ms=_milliseconds(timing.first_start_s),
+        fastest_ms=_milliseconds(timing.fastest_s),
+        critical=f"{critical.task_index}@{critical.target_id or 'none'}",
+        start_ms=_milliseconds(critical.start_s),
+        lost_ms=_milliseconds(critical.lost_s),
+        run_ms=_milliseconds(critical.run_s),
+        slower=round(critical.slower, 3),
+    )
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 def retire(
     tables: Tables, ports: Ports, job: Job, outcome: Outcome | None, now: float
 ) -> None:
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -143,9 +143,28 @@
     done: bool = False
     """Whether a run of it is done."""
 
+    first_started_at: float = 0.0
+    """When its first run began, in seconds; 0: none has."""
+
+    last_started_at: float = 0.0
+    """When its last run began, in seconds; 0: none has."""
+
+    last_target_id: str = ""
+    """Where its last run was, or is; empty: none began."""
+
+    length_s: float = 0.0
+    """How long the run took that is done, in seconds; 0: none is."""
+
     avoided: frozenset[str] = frozenset()
     """Targets that failed it."""
 
+    def take_run(self, run: Run) -> None:
+        """Make a run the task's own."""
+        self.run = run
+        self.first_started_at = self.first_started_at or run.started_at
+        self.last_started_at = run.started_at
+        self.last_target_id = run.target_id
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Job:
