Start tasks in the failure domain of the member whose caller waits

What callers saw: at the beginning of a cut jobs of callers on both sides were given up as held_too_long, or lost with a target: a task of theirs ran behind the cut. Tasks were spread over all targets by what is left over, so that a job of four tasks had one behind a cut of one domain in four in two cases of three; the largest jobs have the most tasks.

Ruled out: the jobs' own length (job_timed tells them apart), slow targets.

Change: of targets that work alike, the choice counts a tenth of a worker, or one step of speed, for a target in the domain of the caller's member. A member says where it runs when it joins, and the leader keeps that with its jobs.

--- a/src/cassiaturn/bench/_shared_play.py
+++ b/src/cassiaturn/bench/_shared_play.py
@@ -16,6 +16,8 @@
 from cassiaturn.standins.virtual_targets import ROUTE, Play
 from cassiaturn.transport import spread_arrivals
 
+WORKERS_PER_RACK = 6
+
 
 def play_shared(
     site: SharedSite, load: SharedLoad, *, variant: str, seed: int
@@ -35,7 +37,7 @@
         fail_workers(play)
     begin = play.now
     waits_by_id = told_waits(load, jobs)
-    for job in jobs:
+    for number, job in enumerate(jobs):
         taken_at = take_time(load, job.arrives_at)
         waited_s = taken_at - job.arrives_at
         if waited_s < LIMIT_S:
@@ -46,6 +48,7 @@
                 waited_s=waited_s,
                 told_wait_s=waits_by_id.get(job.job_id),
                 knows_lengths=variant == EXACT,
+                failure_domain=domain_of(site, number),
             )
     play.run(LIMIT_S + 0.2)
     return tally(site, load, variant, jobs, lambda _: play)
@@ -54,13 +57,21 @@
 def add_worker(play: Play, site: SharedSite, index: int) -> None:
     """Add one of a site's workers, by its number."""
     size = 3 if index % 3 == 2 else 2
+    kind = index // 3 % len(site.speeds)
     play.add_target(
         f"w{index}",
         cpu=site.cpu_millis * size // 2,
-        speed=site.speeds[index // 3 % len(site.speeds)],
+        speed=site.speeds[kind],
+        failure_domain=domain_of(site, index),
+        labels=frozenset({f"kind-{kind}", f"rack-{index // WORKERS_PER_RACK}"}),
     )
 
 
+def domain_of(site: SharedSite, number: int) -> str:
+    """Return the failure domain of a worker or a caller, by its number."""
+    return f"domain-{number % site.domains}"
+
+
 def take_time(load: SharedLoad, at: float) -> float:
     """Return when a job that its caller sent at a time is taken in, in seconds."""
     if load.outage is not None and load.outage[0] <= at < load.outage[1]:
@@ -91,9 +102,11 @@
     waited_s: float,
     knows_lengths: bool,
     told_wait_s: float | None = None,
+    failure_domain: str = "",
 ) -> None:
     """Hand a job in.
 
+    :param failure_domain: of its caller's member; empty: not told.
     :param waited_s: how long its caller has waited already, in seconds.
     :param told_wait_s: what is known of that; None: the truth.
     :param knows_lengths: whether its true run times are told.
@@ -108,6 +121,7 @@
         limit_s=LIMIT_S,
         waited_s=waited_s,
         told_wait_s=None if knows_lengths else told_wait_s,
+        failure_domain=failure_domain,
         route=replace(
             ROUTE,
             name=job.kind.name,
--- a/src/cassiaturn/bench/tests/test_shared.py
+++ b/src/cassiaturn/bench/tests/test_shared.py
@@ -1,18 +1,31 @@
 """What callers get where tasks share targets, with each module and without it."""
 
+from collections.abc import Sequence
+from dataclasses import replace
 from functools import cache
 from statistics import mean
 
 import pytest
 
 from cassiaturn.bench._shared_load import (
+    LIMIT_S,
     SHARED_LOADS_BY_NAME,
     SHARED_SITES_BY_USER,
+    SharedJob,
+    SharedLoad,
+    SharedSite,
     draw_jobs,
 )
-from cassiaturn.bench._shared_play import play_shared
+from cassiaturn.bench._shared_play import (
+    add_worker,
+    domain_of,
+    play_shared,
+    submit_job,
+)
 from cassiaturn.bench._shared_result import SizeClass, served_by_size
 from cassiaturn.bench._shared_variants import EXACT, OURS
+from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.workload import Verdict
 
 SEED = 1
 
@@ -107,6 +120,64 @@
     assert ours[SizeClass.REST] >= 0.9 * exact[SizeClass.REST]
 
 
+MANY_WORKERS = 176
+
+
+def _uneven_site(**jobs_per_s_by_kind: float) -> SharedSite:
+    """Return the site whose workers differ in speed, with some of its kinds."""
+    site = SHARED_SITES_BY_USER["relining"]
+    rates = {name.replace("_", "-"): rate for name, rate in jobs_per_s_by_kind.items()}
+    kinds = tuple(
+        replace(kind, jobs_per_s=rates[kind.name])
+        for kind in site.kinds
+        if kind.name in rates
+    )
+    return replace(site, kinds=kinds)
+
+
+def _many_workers(site: SharedSite) -> Play:
+    play = Play()
+    for index in range(MANY_WORKERS):
+        add_worker(play, site, index)
+    play.run(0.1)
+    return play
+
+
+def _submit_all(play: Play, site: SharedSite, jobs: Sequence[SharedJob]) -> None:
+    begin = play.now
+    for number, job in enumerate(jobs):
+        play.run(max(0.0, begin + job.arrives_at - play.now))
+        submit_job(
+            play,
+            job,
+            waited_s=0.0,
+            knows_lengths=False,
+            failure_domain=domain_of(site, number),
+        )
+
+
+def _completed(play: Play, jobs: Sequence[SharedJob]) -> int:
+    return sum(play.verdict(job.job_id) is Verdict.COMPLETED for job in jobs)
+
+
+def test_a_cut_of_one_domain_ends_few_jobs_of_callers_elsewhere() -> None:
+    """Jobs of callers on this side of a cut had tasks behind it, and were given up."""
+    site = _uneven_site(cure_plan=40.0)
+    load = SharedLoad(name="cut", rate=1.0, length_s=2.0)
+    cut_off = domain_of(site, site.domains - 1)
+    jobs = draw_jobs(site, load, SEED)
+    callers_here = [
+        job for number, job in enumerate(jobs) if domain_of(site, number) != cut_off
+    ]
+    whole, cut = _many_workers(site), _many_workers(site)
+    for play in (whole, cut):
+        _submit_all(play, site, jobs)
+    cut.cut_off(cut_off)
+    for play in (whole, cut):
+        play.run(LIMIT_S + 0.2)
+    assert _completed(cut, callers_here) >= 0.95 * _completed(whole, callers_here)
+
+
 @pytest.mark.parametrize("user", SHARED_SITES_BY_USER)
 def test_loads_ask_for_what_they_say(user: str) -> None:
     site = SHARED_SITES_BY_USER[user]
--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -91,10 +91,13 @@
     )
 
 
-def to_submission(message: pb.JobSubmission, origin: str) -> Submission:
+def to_submission(
+    message: pb.JobSubmission, *, origin: str, failure_domain: str
+) -> Submission:
     """Return a job that another member passed on.
 
     :param origin: the member.
+    :param failure_domain: where it runs.
     """
     route = message.route
     return Submission(
@@ -118,6 +121,7 @@
         waited_s=message.waited_ms / MILLISECONDS,
         limit_s=message.limit_ms / MILLISECONDS,
         begun_earlier=message.begun_earlier,
+        failure_domain=failure_domain,
     )
 
 
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -75,6 +75,7 @@
         knows_all_targets: bool,
         on_superseded: Callable[[], None],
         load: LeaderLoad,
+        failure_domain: str,
     ) -> None:
         """Prepare to lead; :meth:`open` starts it.
 
@@ -82,6 +83,7 @@
         :param knows_all_targets: whether that leader had handed on all of it.
         :param on_superseded: called when a target obeys a later leader.
         :param load: counts what leading costs.
+        :param failure_domain: where this member runs.
         """
         self.leadership = leadership
         self.followers_by_id: dict[str, FollowerPort] = {}
@@ -91,6 +93,7 @@
         self._metrics = metrics
         self._on_superseded = on_superseded
         self._load = load
+        self._failure_domain = failure_domain
         self._settings = settings
         self._tables = Tables(
             settings=settings,
@@ -196,6 +199,7 @@
             waited_s=now - job.arrived_at,
             limit_s=job.limit_at - now,
             begun_earlier=begun_earlier,
+            failure_domain=self._failure_domain,
         )
         self.take(submission)
 
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -407,6 +407,7 @@
             knows_all_targets=self._roster.is_whole,
             on_superseded=self._suspicion.signal,
             load=self.load,
+            failure_domain=self.settings.failure_domain,
         )
         leader.on_tick = self._tell_load
         leader.on_directory_change = self.service.note_target
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -287,7 +287,11 @@
             follower.heard_at = time.monotonic()
             match frame.WhichOneof("frame"):
                 case "submit":
-                    submission = to_submission(frame.submit, follower.hello.member_id)
+                    submission = to_submission(
+                        frame.submit,
+                        origin=follower.hello.member_id,
+                        failure_domain=follower.hello.failure_domain,
+                    )
                     leader.take(submission)
                 case "cancel":
                     leader.take_back(frame.cancel.job_id, follower.hello.member_id)
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -86,13 +86,14 @@
         store: str,
         seeds: tuple[Address, ...],
         link_mbps: float = NARROW_MBPS,
+        failure_domain: str = "a",
     ) -> None:
         host, _, port = store.rpartition(":")
         callers, readiness, members, metrics, behind_relay = free_addresses(5)
         self.settings = FleetSettings(
             kind="fleet",
             member_name=name,
-            failure_domain="a",
+            failure_domain=failure_domain,
             callers=callers,
             readiness=readiness,
             members=members,
@@ -178,11 +179,19 @@
         self.store.state.put("servers", runner.target.target_id, runner.entry(state))
 
     async def add_member(
-        self, name: str, *, link_mbps: float = NARROW_MBPS
+        self,
+        name: str,
+        *,
+        link_mbps: float = NARROW_MBPS,
+        failure_domain: str = "a",
     ) -> RunningMember:
         seeds = tuple(row.settings.members for row in self.members[:2])
         member = RunningMember(
-            name, store=self.store.address, seeds=seeds, link_mbps=link_mbps
+            name,
+            store=self.store.address,
+            seeds=seeds,
+            link_mbps=link_mbps,
+            failure_domain=failure_domain,
         )
         await member.start()
         self.members.append(member)
--- a/src/cassiaturn/platform/tests/standin_runner.py
+++ b/src/cassiaturn/platform/tests/standin_runner.py
@@ -35,11 +35,12 @@
 class StandinRunner:
     """One life of a runner behind one port."""
 
-    def __init__(self, target_id: str, *, run_s: float = 0.05) -> None:
+    def __init__(self, target_id: str, *, run_s: float = 0.05, zone: str = "a") -> None:
         self.target = VirtualTarget(
             target_id=target_id, capacity=Resources(cpu_millis=16_000)
         )
         self.run_s = run_s
+        self.zone = zone
         self.token = 0
         self.silent = False
         self.block_loop_s = 0.0
@@ -74,7 +75,7 @@
         return {
             "service": SERVICE,
             "address": self.address,
-            "zone": "a",
+            "zone": self.zone,
             "state": state,
             "capacity": {"cpu": 16_000, "memMb": 64_000, "gpu": 0},
             "labels": ["a", "r1-1"],
--- a/src/cassiaturn/platform/tests/test_whole_path.py
+++ b/src/cassiaturn/platform/tests/test_whole_path.py
@@ -36,6 +36,23 @@
     assert len(fleet.followers()) == 2
 
 
+async def test_tasks_run_in_the_failure_domain_of_the_member_that_was_asked(
+    fleet: Fleet,
+) -> None:
+    """A cut ended jobs of callers on either side, which had tasks on the other one."""
+    elsewhere = StandinRunner("i-elsewhere", zone="b")
+    elsewhere.start()
+    fleet.runners.append(elsewhere)
+    fleet.publish(elsewhere)
+    member = await fleet.add_member("front-elsewhere", failure_domain="b")
+    await fleet.until(lambda: fleet.heard_targets() == 5 and member.member.is_ready)
+    jobs_by_member = {member: "b" * 16, fleet.leader(): "a" * 16}
+    for asked, job_id in jobs_by_member.items():
+        assert (await fleet.submit(asked, job_id, count=3))[0] == 200
+    assert {ref.job_id for ref in elsewhere.starts} == {"b" * 16}
+    assert len(elsewhere.starts) == 3
+
+
 @pytest.mark.parametrize(
     ("method", "path", "host", "status"),
     [
--- a/src/cassiaturn/sharing/_packing.py
+++ b/src/cassiaturn/sharing/_packing.py
@@ -9,6 +9,10 @@
 rests together. A target that works slowly goes after all sound ones, however
 well the task would fit: on one that takes several times as long the whole job is
 late, and a rest that is left over costs at most one place.
+
+Of targets that work alike, those in the failure domain of the caller's member come
+first. A cut between domains then parts few jobs: spread over all workers, a job of four
+tasks has one behind the cut in two cases of three, and can't be complete in time.
 """
 
 from collections.abc import Iterable
@@ -23,6 +27,10 @@
 """Run time over the expected one from which a target counts as slow: speeds of
 sound workers differ by up to 1.6, and their declared times are off both ways."""
 
+AWAY_COST = 0.1
+"""Share of a worker that may be left over more in the failure domain of the caller's
+member than in another one."""
+
 
 class GroupKey(NamedTuple):
     """One group of one occurrence of a job."""
@@ -98,6 +106,7 @@
     *,
     avoided: frozenset[str] = frozenset(),
     is_tight: bool = False,
+    home: str = "",
 ) -> TargetT | None:
     """Return the target that a task should start on, or None.
 
@@ -107,18 +116,23 @@
     :param avoided: targets that failed this task before; taken only if no other
         fits.
     :param is_tight: whether the task needs a large part of its caller's time.
+    :param home: failure domain of the member whose caller waits; empty: not known.
     """
     best: TargetT | None = None
-    best_rank: tuple[bool, bool, bool, float, float] | None = None
+    best_rank: tuple[bool, bool, bool, float, float, float] | None = None
     wanted = group.resources
     for target in targets:
         if not target.has(wanted) or not _allowed(group, group_key, target):
             continue
+        is_away = bool(home) and target.failure_domain != home
         rank = (
             target.target_id in avoided,
             target.is_slow,
             bool(group.preferred_rack) and group.preferred_rack not in target.labels,
-            *_fit(target, wanted, is_tight),
+            target.pace.step + is_away if is_tight else 0,
+            _left_over(target, wanted) + AWAY_COST * is_away,
+            # The slower of two equal fits: the faster one stays free for what needs it.
+            -target.pace.step,
         )
         if best_rank is None or rank < best_rank:
             best = target
@@ -134,16 +148,6 @@
     return target.tasks_by_group.get(group_key, 0) < group.max_per_target
 
 
-def _fit(
-    target: SharedTarget, wanted: Resources, is_tight: bool
-) -> tuple[float, float]:
-    left_over = _left_over(target, wanted)
-    if is_tight:
-        return target.pace.step, left_over
-    # The slower of two equal fits: the faster one stays free for what needs it.
-    return left_over, -target.pace.step
-
-
 def _left_over(target: SharedTarget, wanted: Resources) -> float:
     """Return the share of its processors that stays free beside the task."""
     total = target.capacity.cpu_millis
--- a/src/cassiaturn/sharing/_target_index.py
+++ b/src/cassiaturn/sharing/_target_index.py
@@ -14,7 +14,12 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from cassiaturn.entities import Resources, TaskGroup
-from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared
+from cassiaturn.sharing._packing import (
+    AWAY_COST,
+    GroupKey,
+    SharedTarget,
+    choose_shared,
+)
 
 TargetT = TypeVar("TargetT", bound=SharedTarget)
 
@@ -31,6 +36,9 @@
     total_cpu_millis: int
     """Size of their workers, in thousandths of a core."""
 
+    failure_domain: str
+    """Where they run."""
+
 
 class _Row(NamedTuple, Generic[TargetT]):
     """A target in its class."""
@@ -93,33 +101,38 @@
         is_usable: Callable[[TargetT], bool],
         avoided: frozenset[str] = frozenset(),
         is_tight: bool = False,
+        home: str = "",
     ) -> TargetT | None:
         """Return the target that :func:`choose_shared` would choose.
 
         :param is_usable: whether a target may take work now.
+        :param home: failure domain of the member whose caller waits; empty: not known.
         """
         self._update()
         if avoided or group.required_label or group.preferred_rack:
             return self._choose_among_all(
-                group, group_key, is_usable, avoided, is_tight
+                group, group_key, is_usable, avoided, is_tight, home
             )
         if group.max_per_target:
             return self._choose_among_all(
-                group, group_key, is_usable, avoided, is_tight
+                group, group_key, is_usable, avoided, is_tight, home
             )
         best: _Row[TargetT] | None = None
-        best_rank: tuple[bool, float, float, int] | None = None
+        best_rank: tuple[bool, float, float, float, int] | None = None
         wanted = group.resources
         for alike, rows in self._rows_by_class.items():
             row = _first_fit(rows, wanted, is_usable)
             if row is None:
                 continue
-            left_over = _left_over(row.free_cpu_millis - wanted.cpu_millis, alike)
-            if is_tight:
-                fit: tuple[float, float] = (alike.pace_step, left_over)
-            else:
-                fit = (left_over, -alike.pace_step)
-            rank = (alike.is_slow, *fit, row.number)
+            is_away = bool(home) and alike.failure_domain != home
+            rank = (
+                alike.is_slow,
+                alike.pace_step + is_away if is_tight else 0,
+                _left_over(row.free_cpu_millis - wanted.cpu_millis, alike)
+                + AWAY_COST * is_away,
+                -alike.pace_step,
+                row.number,
+            )
             if best_rank is None or rank < best_rank:
                 best = row
                 best_rank = rank
@@ -132,10 +145,11 @@
         is_usable: Callable[[TargetT], bool],
         avoided: frozenset[str],
         is_tight: bool,
+        home: str,
     ) -> TargetT | None:
         usable = (target for target in self.targets if is_usable(target))
         return choose_shared(
-            group, group_key, usable, avoided=avoided, is_tight=is_tight
+            group, group_key, usable, avoided=avoided, is_tight=is_tight, home=home
         )
 
     def _update(self) -> None:
@@ -147,7 +161,7 @@
 
     def _insert(self, target: TargetT, number: int) -> None:
         total = target.capacity.cpu_millis
-        alike = _Class(target.is_slow, target.pace.step, total)
+        alike = _Class(target.is_slow, target.pace.step, total, target.failure_domain)
         row = _Row(total - target.used_cpu_millis, number, target)
         insort(self._rows_by_class.setdefault(alike, []), row)
         self._class_by_id[target.target_id] = alike
--- a/src/cassiaturn/sharing/tests/test_packing.py
+++ b/src/cassiaturn/sharing/tests/test_packing.py
@@ -6,10 +6,17 @@
 KEY = GroupKey("a", 0, 0)
 
 
-def _target(name: str, cpu: int, used: int = 0, **fields: object) -> SharedTarget:
+def _target(
+    name: str,
+    cpu: int,
+    used: int = 0,
+    *,
+    failure_domain: str = "d",
+    **fields: object,
+) -> SharedTarget:
     target = SharedTarget(
         target_id=name,
-        failure_domain="d",
+        failure_domain=failure_domain,
         capacity=Resources(cpu_millis=cpu, memory_mib=1_000),
         **fields,  # type: ignore[arg-type]
     )
@@ -88,6 +95,31 @@
     assert _chosen(_group(), fast, usual) == "usual"
 
 
+@pytest.mark.parametrize(
+    ("used_away", "is_tight", "chosen"),
+    [
+        (0, False, "home"),
+        (5_000, False, "away"),
+        (0, True, "home"),
+    ],
+)
+def test_tasks_stay_near_the_member_of_their_caller(
+    used_away: int, is_tight: bool, chosen: str
+) -> None:
+    """A cut between domains ended jobs whose tasks were spread over all of them."""
+    home = _target("home", 16_000, failure_domain="h")
+    away = _target("away", 16_000, used_away, failure_domain="e")
+    assert _chosen(_group(), away, home, is_tight=is_tight, home="h") == chosen
+
+
+def test_a_tight_task_leaves_home_for_a_target_that_is_much_faster() -> None:
+    home = _target("home", 16_000, failure_domain="h")
+    away = _target("away", 16_000, failure_domain="e")
+    for _ in range(100):
+        away.pace.observe(0.7)
+    assert _chosen(_group(), home, away, is_tight=True, home="h") == "away"
+
+
 def test_giving_back_what_was_never_taken_is_a_fault() -> None:
     with pytest.raises(AssertionError, match="never began"):
         _target("t", 16_000).give_back(Resources(cpu_millis=1), KEY)
--- a/src/cassiaturn/sharing/tests/test_target_index.py
+++ b/src/cassiaturn/sharing/tests/test_target_index.py
@@ -25,7 +25,7 @@
     st.builds(
         SharedTarget,
         target_id=st.uuids().map(str),
-        failure_domain=st.just("d"),
+        failure_domain=st.sampled_from(["d", "e"]),
         capacity=st.builds(
             Resources,
             cpu_millis=st.sampled_from([0, 16_000, 24_000]),
@@ -71,6 +71,7 @@
     group=GROUPS,
     is_tight=st.booleans(),
     avoids_first=st.booleans(),
+    home=st.sampled_from(["", "e"]),
     removed=st.integers(0, 8),
 )
 def test_the_index_chooses_what_a_look_at_each_target_would(
@@ -79,6 +80,7 @@
     group: TaskGroup,
     is_tight: bool,
     avoids_first: bool,
+    home: str,
     removed: int,
 ) -> None:
     """An index that misses a change starts tasks where there is no room."""
@@ -103,4 +105,7 @@
         is_usable=lambda target: target not in unusable,
         avoided=avoided,
         is_tight=is_tight,
-    ) is choose_shared(group, KEY, usable, avoided=avoided, is_tight=is_tight)
+        home=home,
+    ) is choose_shared(
+        group, KEY, usable, avoided=avoided, is_tight=is_tight, home=home
+    )
--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -241,7 +241,15 @@
 
     # The play.
 
-    def add_target(self, name: str, *, cpu: int = 16_000, **traits: object) -> None:
+    def add_target(
+        self,
+        name: str,
+        *,
+        cpu: int = 16_000,
+        failure_domain: str = "a",
+        labels: frozenset[str] = frozenset(),
+        **traits: object,
+    ) -> None:
         """Add a target, and let the leader hear it."""
         capacity = Resources(cpu_millis=cpu, memory_mib=64_000)
         target = VirtualTarget(target_id=name, capacity=capacity, **traits)  # type: ignore[arg-type]
@@ -253,8 +261,9 @@
                 target_id=name,
                 address=name,
                 service="svc",
-                failure_domain="a",
+                failure_domain=failure_domain,
                 capacity=capacity,
+                labels=labels,
             ),
         )
         self.look(name)
@@ -270,6 +279,7 @@
         route: Route = ROUTE,
         limit_s: float = 1.5,
         origin: str = "m1",
+        failure_domain: str = "",
         begun_earlier: bool = False,
         waited_s: float = 0.0,
         told_wait_s: float | None = None,
@@ -303,6 +313,7 @@
                 waited_s=known_wait_s,
                 limit_s=limit_s - known_wait_s,
                 begun_earlier=begun_earlier,
+                failure_domain=failure_domain,
             ),
             self.now,
         )
@@ -362,6 +373,13 @@
 
         self.later(self.tables.settings.lease_over_s, check)
 
+    def cut_off(self, failure_domain: str) -> None:
+        """Cut a failure domain's targets off, and let the leader notice it."""
+        for name, row in self.tables.targets_by_id.items():
+            if row.failure_domain == failure_domain:
+                self.targets[name].cut = True
+                self.lose(name)
+
     def verdict(self, job_id: str) -> Verdict | None:
         """Return how a job ended; None: it has not."""
         outcome = self.outcomes.get(job_id)
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -41,6 +41,9 @@
     begun_earlier: bool = False
     """Whether an earlier leader had it, so that tasks of it may run."""
 
+    failure_domain: str = ""
+    """Where that member runs; empty: not known."""
+
 
 def submit(
     tables: Tables, ports: Ports, submission: Submission, now: float
@@ -168,6 +171,7 @@
         least_cpu_millis=min(group.resources.cpu_millis for group in request.groups),
         hold_until=hold_until,
         begun=submission.begun_earlier,
+        failure_domain=submission.failure_domain,
     )
 
 
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -207,6 +207,9 @@
     """Before this time a task may still run under an earlier leader, unless every
     target is heard; in seconds."""
 
+    failure_domain: str = ""
+    """Where the member runs that passed it on first; empty: not known."""
+
     begun: bool = False
     """Whether a start of it was ever sent, so that "not run" would be untrue."""
 
