Learn speeds by what targets have in common, and by the tasks of one job

Cause: what the workers of one kind or one rack have in common was thrown away, and what the tasks of one job tell of their targets was lost in the error of the declared time, which is the same for all of them. Class: an estimate by each item alone where items have much in common.

Change: one estimate for all targets, each label and each target, each trusted by its spread; the tasks of a complete job are set against each other. Sick targets tell nothing of their kind.

--- a/src/cassiaturn/bench/_split_play.py
+++ b/src/cassiaturn/bench/_split_play.py
@@ -18,7 +18,12 @@
     SharedSite,
     draw_jobs,
 )
-from cassiaturn.bench._shared_play import add_worker, fail_workers, submit_job
+from cassiaturn.bench._shared_play import (
+    add_worker,
+    domain_of,
+    fail_workers,
+    submit_job,
+)
 from cassiaturn.bench._shared_result import SharedResult, tally
 from cassiaturn.standins.virtual_targets import Play
 
@@ -65,7 +70,13 @@
             group.run(max(0.0, begin + job.arrives_at - group.now))
         group = chooser.choose(home=number % len(groups))
         group_by_job[job.job_id] = group
-        submit_job(group, job, waited_s=0.0, knows_lengths=False)
+        submit_job(
+            group,
+            job,
+            waited_s=0.0,
+            knows_lengths=False,
+            failure_domain=domain_of(site, number),
+        )
     for group in groups:
         group.run(LIMIT_S + 0.2)
     return tally(grown, load, split.name, jobs, lambda job: group_by_job[job.job_id])
--- a/src/cassiaturn/bench/tests/test_shared.py
+++ b/src/cassiaturn/bench/tests/test_shared.py
@@ -1,6 +1,6 @@
 """What callers get where tasks share targets, with each module and without it."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from functools import cache
 from statistics import mean
@@ -69,12 +69,12 @@
 def test_callers_lose_without_expected_runs() -> None:
     """Declared times are off by half; trusted, they refuse and start the wrong jobs.
 
-    The gain differs between draws by more than itself, so six of them count.
+    The gain differs between draws by more than itself, so twelve of them count.
     """
     gains = [
         _share("registre", "heavy", OURS, seed)
         - _share("registre", "heavy", "no_expected_runs", seed)
-        for seed in range(1, 7)
+        for seed in range(1, 13)
     ]
     assert mean(gains) >= 0.005
 
@@ -123,6 +123,9 @@
 MANY_WORKERS = 176
 
 
+LONG_KIND = "cure-plan"
+
+
 def _uneven_site(**jobs_per_s_by_kind: float) -> SharedSite:
     """Return the site whose workers differ in speed, with some of its kinds."""
     site = SHARED_SITES_BY_USER["relining"]
@@ -160,6 +163,34 @@
     return sum(play.verdict(job.job_id) is Verdict.COMPLETED for job in jobs)
 
 
+def _tell_speeds(play: Play) -> None:
+    """Let the leader know every worker's speed."""
+    for name, target in play.targets.items():
+        row = play.tables.targets_by_id[name]
+        for _ in range(200):
+            row.pace.observe(1.0 / target.speed)
+        row.note_change()
+
+
+def test_a_new_leader_learns_soon_which_workers_are_slow() -> None:
+    """A new leader sends tasks of long jobs to workers that are too slow for them."""
+    site = _uneven_site(inspect_check=20.0, cure_plan=15.0)
+    load = SharedLoad(name="young-leader", rate=1.0, length_s=3.0)
+    prepares: Sequence[Callable[[Play], None]] = (lambda _: None, _tell_speeds)
+    completed = [0, 0]
+    for seed in range(1, 6):
+        jobs = draw_jobs(site, load, seed)
+        for place, prepare in enumerate(prepares):
+            play = _many_workers(site)
+            prepare(play)
+            _submit_all(play, site, jobs)
+            play.run(LIMIT_S + 0.2)
+            long_jobs = [job for job in jobs if job.kind.name == LONG_KIND]
+            completed[place] += _completed(play, long_jobs)
+    learning, told = completed
+    assert learning >= 0.98 * told
+
+
 def test_a_cut_of_one_domain_ends_few_jobs_of_callers_elsewhere() -> None:
     """Jobs of callers on this side of a cut had tasks behind it, and were given up."""
     site = _uneven_site(cure_plan=40.0)
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -12,6 +12,7 @@
 from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared
 from cassiaturn.sharing._room import Room
 from cassiaturn.sharing._shedding import LoadShedder, is_shed
+from cassiaturn.sharing._speed_book import SpeedBook
 from cassiaturn.sharing._target_index import TargetIndex
 
 __all__ = [
@@ -23,6 +24,7 @@
     "Progress",
     "Room",
     "SharedTarget",
+    "SpeedBook",
     "TargetIndex",
     "choose_shared",
     "failed_target_pause_s",
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -24,6 +24,10 @@
 """Weight of one run in a target's slowness: three runs tell a target that takes
 four times as long from one long task."""
 
+SOUND_SLOWNESS = 1.5
+"""Slowness below which a target's runs tell of its kind: a sick one is no measure of
+the others."""
+
 
 def take_end(
     tables: Tables, ports: Ports, target: Target, ended: EndedRun, now: float
@@ -119,8 +123,8 @@
         target.failures_in_row = 0
         run_s = now - run.started_at
         learn_speed(target, job, run_s)
-        _learn_pace(ports, target, run_s / max(job.expected_run_s, 1e-3))
-        if target.slowness < 1.5:
+        target.note_change()
+        if target.slowness < SOUND_SLOWNESS:
             tables.expected.observe(job.route.name, run_s)
     elif end is RunEnd.FAILED:
         target.failures_in_row += 1
@@ -128,14 +132,29 @@
         target.paused_until = max(target.paused_until, now + pause_s)
 
 
-def _learn_pace(ports: Ports, target: Target, ratio: float) -> None:
-    step = target.pace.step
-    target.pace.observe(ratio)
-    target.note_change()
-    if target.pace.step != step:
-        ports.record(
-            Event.TARGET_SPEED, target=target.target_id, ratio=target.pace.ratio
-        )
+def _learn_paces(tables: Tables, ports: Ports, job: Job) -> None:
+    """Take in what the tasks of a complete job tell of their targets' speeds."""
+    expected = tables.expected
+    name = job.route.name
+    runs = [
+        (target, task.length_s / expected.expected_s(name, task.group.expected_run_s))
+        for task in job.tasks_by_ref.values()
+        if task.length_s and task.first_started_at == task.last_started_at
+        if (target := tables.targets_by_id.get(task.last_target_id)) is not None
+        if target.slowness < SOUND_SLOWNESS
+    ]
+    if not runs:
+        return
+    steps = [target.pace.step for target, _ in runs]
+    tables.speeds_by_service[job.route.service].observe_job(
+        [(target.pace, ratio) for target, ratio in runs]
+    )
+    for step, (target, _) in zip(steps, runs, strict=True):
+        if target.pace.step != step:
+            target.note_change()
+            ports.record(
+                Event.TARGET_SPEED, target=target.target_id, ratio=target.pace.ratio
+            )
 
 
 def learn_speed(target: Target, job: Job, run_s: float) -> None:
@@ -152,6 +171,7 @@
         job.waiting.remove(task)
     job.remaining_by_group[task.ref.group] -= 1
     if job.remaining == 0:
+        _learn_paces(tables, ports, job)
         settle(
             tables,
             ports,
--- a/src/cassiaturn/workload/_job_timing.py
+++ b/src/cassiaturn/workload/_job_timing.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from cassiaturn.workload._tables import Job, Tables, Task
+from cassiaturn.workload._tables import Job, Tables, Target, Task
 
 FAST_SHARE = 0.25
 """Part of the targets that count as fast: the one that seems the fastest of all is the
@@ -110,5 +110,14 @@
         start_s=started_at - job.arrived_at,
         lost_s=started_at - (task.first_started_at or started_at),
         run_s=0.0 if is_waiting else length_s,
-        slower=max(1.0, target.pace.ratio / fast) if target is not None else 1.0,
+        slower=_slower(target, fast),
     )
+
+
+def _slower(target: Target | None, fast: float) -> float:
+    """Return run times on a target over those on fast ones."""
+    if target is None:
+        return 1.0
+    # Runs on a target that is sick tell nothing of its pace.
+    sick = target.slowness if target.is_slow else 1.0
+    return max(1.0, target.pace.ratio / fast, sick)
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -26,10 +26,15 @@
     _check_jobs(tables, ports, now)
     _check_runs(tables, ports, now)
     _forget(tables, now)
+    moved_services = {
+        service
+        for service, book in tables.speeds_by_service.items()
+        if book.shared_moved()
+    }
     for target in tables.targets_by_id.values():
         was_slow = target.is_slow
         target.slowness = 1.0 + (target.slowness - 1.0) * SLOWNESS_KEPT
-        if was_slow:
+        if was_slow or target.service in moved_services:
             target.note_change()
     dispatch(tables, ports, now)
 
