Count the work of a job that was given up by its longest task

A job that is given up after 0.15 s has tasks of which too little is done to know their length. A task that is not done counts for as long as the longest of its job of which something is known. The test failed before.

--- a/src/cassiaturn/workload/_job_timing.py
+++ b/src/cassiaturn/workload/_job_timing.py
@@ -1,5 +1,6 @@
 """Where the time of a job went: waits, lost runs, slow targets, or its own length."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from cassiaturn.workload._tables import Job, Tables, Target, Task
@@ -58,8 +59,8 @@
     serve a job for which this alone is above the caller's limit."""
 
     work_cpu_s: float
-    """Processor time of its tasks on fast targets, in core-seconds; of those that never
-    ran, as expected."""
+    """Processor time of its tasks on fast targets, in core-seconds. A task that is not
+    done counts for as long as the longest of its job of which something is known."""
 
 
 def job_timing(tables: Tables, job: Job, now: float) -> JobTiming:
@@ -75,12 +76,24 @@
         critical=max(timings, key=lambda timing: timing.end_s),
         first_start_s=min(begun, default=now) - job.arrived_at,
         fastest_s=max(timing.fastest_s for timing in timings),
-        work_cpu_s=sum(
-            task.group.resources.cpu_millis
-            / 1000
-            * (timing.fastest_s or job.expected_run_s)
-            for task, timing in zip(tasks, timings, strict=True)
-        ),
+        work_cpu_s=_work_cpu_s(job, tasks, timings),
+    )
+
+
+def _work_cpu_s(
+    job: Job, tasks: Sequence[Task], timings: Sequence[TaskTiming]
+) -> float:
+    known_s = [
+        timing.fastest_s
+        for task, timing in zip(tasks, timings, strict=True)
+        if task.done or (task.run is not None and task.run.least_run_s)
+    ]
+    unknown_s = max(known_s, default=job.expected_run_s)
+    return sum(
+        task.group.resources.cpu_millis
+        / 1000
+        * (timing.fastest_s if task.done else max(timing.fastest_s, unknown_s))
+        for task, timing in zip(tasks, timings, strict=True)
     )
 
 
--- a/src/cassiaturn/workload/tests/test_job_timing.py
+++ b/src/cassiaturn/workload/tests/test_job_timing.py
@@ -76,3 +76,12 @@
     assert timing["served"] is False
     assert int(str(timing["run_ms"])) > LIMIT_MS
     assert int(str(timing["fastest_ms"])) <= LIMIT_MS
+
+
+def test_a_job_that_is_given_up_early_is_not_taken_for_a_small_one(play: Play) -> None:
+    """The largest jobs were counted among the small ones, and seemed to be served."""
+    play.submit("a", count=2, run_s=0.9, lengths=[2.0, 3.6])
+    play.run(0.5)
+    timing = _timing(play, "a")
+    assert timing["reason"] == "cannot_finish"
+    assert float(str(timing["work_cpu_s"])) >= 6.8 * 2 * LIMIT_MS / 1000
