Start a new job only once its member has confirmed it

What callers saw: after a leader is cut off, freezes or is gone, jobs that were handed to it in the 0.45 s until its silence is noticed were given up as held_too_long.

Cause: a member told the next leader that a job had begun as soon as it had been handed to a leader, though that one never read it. While a single target is not heard, such a job waits for leases of runs that never were, longer than its caller. Class: what may have happened is taken for what did, where one message more would tell.

Ruled out: shorter holds (a run at a target that is not heard may go on); knowledge of where a task runs (says nothing of a job that nobody acknowledged).

Change: a leader takes a new job in, says so, and starts it once the member has confirmed. The member says that a job began once it has confirmed it, and not before. A job that is not confirmed is refused truly if no leader comes within 0.6 s. Cost: a round trip before the first start, two small frames a job.

test_a_job_that_never_began_does_not_wait_for_a_silent_target failed before with 504.

--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -92,12 +92,17 @@
 
 
 def to_submission(
-    message: pb.JobSubmission, *, origin: str, failure_domain: str
+    message: pb.JobSubmission,
+    *,
+    origin: str,
+    failure_domain: str,
+    is_confirmed: bool,
 ) -> Submission:
     """Return a job that another member passed on.
 
     :param origin: the member.
     :param failure_domain: where it runs.
+    :param is_confirmed: whether the job may be started at once.
     """
     route = message.route
     return Submission(
@@ -122,6 +127,7 @@
         limit_s=message.limit_ms / MILLISECONDS,
         begun_earlier=message.begun_earlier,
         failure_domain=failure_domain,
+        is_confirmed=is_confirmed or message.begun_earlier,
     )
 
 
--- a/src/cassiaturn/fleet/_desk.py
+++ b/src/cassiaturn/fleet/_desk.py
@@ -15,6 +15,10 @@
 ended is replaced in some 50 ms; one that fell silent only after most callers of
 short jobs have given up."""
 
+LOST_LEADER_WAIT_S = 0.6
+"""How long a job that was on its way to a leader which is lost waits for the next one,
+in seconds: a claim may fail once, and the second one takes a look around more."""
+
 RETRY_AFTER_S = 1.0
 """Least advice to a caller that is refused here: the header counts whole seconds."""
 
@@ -29,6 +33,10 @@
 class LeaderPort(Protocol):
     """Passes jobs on to whoever leads."""
 
+    @property
+    def waits_for_confirmation(self) -> bool:
+        """Whether it starts no new job before this member has confirmed it."""
+
     def submit(self, job: "OpenJob", *, begun_earlier: bool) -> None:
         """Pass a job on.
 
@@ -62,7 +70,10 @@
     """Callers that wait: a resubmission may come before the first is gone."""
 
     passed_on: bool = False
-    """Whether a leader may have it, so that "not run" might be untrue."""
+    """Whether a leader may have it."""
+
+    may_have_begun: bool = False
+    """Whether a leader may have started it, so that "not run" might be untrue."""
 
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
     """What ends it if nobody answers."""
@@ -110,6 +121,9 @@
             self._leader = None
             self.waiting_by_route = {}
             self.shed_share = 0.0
+            for job in self._jobs_by_id.values():
+                if not job.may_have_begun:
+                    self._refuse_without_leader(job, LOST_LEADER_WAIT_S)
 
     def keep_for_successor(self, wait_s: float) -> None:
         """Keep the jobs of a leader that fell silent until another one leads.
@@ -135,7 +149,7 @@
         pause that outlasts the leases.
         """
         for job in list(self._jobs_by_id.values()):
-            if job.passed_on:
+            if job.may_have_begun:
                 outcome = Outcome(verdict=Verdict.ABANDONED, reason=reason)
                 self.settle(job.request.job_id, outcome)
 
@@ -226,6 +240,21 @@
         self.settle(job_id, Outcome(verdict=Verdict.FAILED, reason="cancelled"))
         return True
 
+    def confirm(self, job_id: str) -> bool:
+        """Take in that the leader has a job, and starts it once that is confirmed.
+
+        A job that was on its way to a leader which is gone, or behind a cut, never
+        began: without the confirmation the next leader can't tell it from one that
+        still runs, and its caller waits for leases of runs that never were.
+
+        :returns: whether its caller still waits.
+        """
+        job = self._jobs_by_id.get(job_id)
+        if job is None:
+            return False
+        job.may_have_begun = True
+        return True
+
     def is_open(self, job_id: str) -> bool:
         """Return whether a job of that id waits for its answer here."""
         return job_id in self._jobs_by_id
@@ -257,14 +286,21 @@
         if self._leader is not None:
             self._pass_on(job, self._leader)
         else:
-            job.timers.append(
-                loop.call_later(LEADERLESS_WAIT_S, self._refuse_leaderless, job)
-            )
+            self._refuse_without_leader(job, LEADERLESS_WAIT_S)
         return job
 
+    def _refuse_without_leader(self, job: OpenJob, wait_s: float) -> None:
+        """Refuse a job that never began, if there is no leader in time.
+
+        :param wait_s: how long it waits for one, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        job.timers.append(loop.call_later(wait_s, self._refuse_leaderless, job))
+
     def _pass_on(self, job: OpenJob, leader: LeaderPort) -> None:
-        begun_earlier = job.passed_on
+        begun_earlier = job.may_have_begun
         job.passed_on = True
+        job.may_have_begun |= not leader.waits_for_confirmation
         leader.submit(job, begun_earlier=begun_earlier)
         if begun_earlier:
             log_event(Event.JOB_RESUBMITTED, id=job.request.job_id)
@@ -282,7 +318,7 @@
         )
 
     def _refuse_leaderless(self, job: OpenJob) -> None:
-        if not job.passed_on:
+        if self._leader is None and not job.may_have_begun:
             self.settle(
                 job.request.job_id, _refused(job.request, "no_leader", RETRY_AFTER_S)
             )
@@ -290,7 +326,7 @@
     def _expire(self, job: OpenJob) -> None:
         if self._leader is not None and job.passed_on:
             self._leader.cancel(job.request.job_id)
-        if job.passed_on:
+        if job.may_have_begun:
             outcome = Outcome(verdict=Verdict.ABANDONED, reason="limit_passed")
         else:
             outcome = _refused(job.request, "limit_passed", RETRY_AFTER_S)
--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -111,6 +111,7 @@
         self.heard_at = 0.0
         self.welcomed = False
         self.leaving = hello.leaving
+        self.waits_for_confirmation = False
         self._hello = hello
         self._desk = desk
         self._routing = routing
@@ -186,6 +187,7 @@
             if not first.HasField("welcome"):
                 named = to_leadership(first.redirect)
                 return Followed(end=FollowEnd.REDIRECTED, named=named)
+            self.waits_for_confirmation = first.welcome.waits_for_confirmation
             self._begin()
             try:
                 return await self._serve(stream)
@@ -251,6 +253,8 @@
             match frame.WhichOneof("frame"):
                 case "outcome":
                     self._desk.settle(frame.outcome.job_id, to_outcome(frame.outcome))
+                case "taken_in":
+                    self._confirm(frame.taken_in)
                 case "beat":
                     self._take_beat(frame.beat)
                 case "roster":
@@ -270,6 +274,10 @@
                     continue
         return None
 
+    def _confirm(self, message: pb.JobConfirmation) -> None:
+        if self._desk.confirm(message.job_id):
+            self._frames.put_nowait(pb.FollowerFrame(confirm=message))
+
     def _take_leadership(self, message: pb.Leadership) -> None:
         leadership = to_leadership(message)
         if leadership is not None:
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -72,6 +72,11 @@
             self._routing.report(version)
         self._wake.set()
 
+    def taken_in(self, job_id: str) -> None:
+        """Tell that a job is started once it is confirmed."""
+        message = pb.JobConfirmation(job_id=job_id)
+        self.tell(pb.LeaderFrame(taken_in=message))
+
     def outcome(self, job_id: str, outcome: Outcome) -> None:
         """Tell how a job ended."""
         self.tell(pb.LeaderFrame(outcome=from_outcome(job_id, outcome)))
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -55,6 +55,9 @@
 class FollowerPort(Protocol):
     """What the leader tells one member."""
 
+    def taken_in(self, job_id: str) -> None:
+        """Tell that a job is started once it is confirmed."""
+
     def outcome(self, job_id: str, outcome: Outcome) -> None:
         """Tell how a job ended."""
 
@@ -86,6 +89,9 @@
         :param failure_domain: where this member runs.
         """
         self.leadership = leadership
+        self.waits_for_confirmation = False
+        """What this member's own callers ask for is started at once."""
+
         self.followers_by_id: dict[str, FollowerPort] = {}
         self._services = services
         self._routing = routing
@@ -224,7 +230,17 @@
             )
             self._tell(submission.origin, submission.request.job_id, outcome)
             return
-        self._dispatch_soon()
+        if submission.is_confirmed:
+            self._dispatch_soon()
+            return
+        follower = self.followers_by_id.get(submission.origin)
+        if follower is not None:
+            follower.taken_in(submission.request.job_id)
+
+    def confirm(self, job_id: str) -> None:
+        """Start a job of a member's: a later leader is told that it may have begun."""
+        if workload.confirm(self._tables, job_id):
+            self._dispatch_soon()
 
     def take_back(self, job_id: str, member_id: str) -> None:
         """Take back a member's interest in a job."""
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -188,7 +188,9 @@
             failure_domain=hello.failure_domain,
             token=leader.leadership.token,
         )
-        welcome = pb.LeaderFrame(welcome=from_leadership(leader.leadership))
+        leadership = from_leadership(leader.leadership)
+        leadership.waits_for_confirmation = hello.confirms
+        welcome = pb.LeaderFrame(welcome=leadership)
         try:
             await stream.send_message(welcome)
             await self._serve(stream, follower, leader)
@@ -291,8 +293,11 @@
                         frame.submit,
                         origin=follower.hello.member_id,
                         failure_domain=follower.hello.failure_domain,
+                        is_confirmed=not follower.hello.confirms,
                     )
                     leader.take(submission)
+                case "confirm":
+                    leader.confirm(frame.confirm.job_id)
                 case "cancel":
                     leader.take_back(frame.cancel.job_id, follower.hello.member_id)
                 case "beat":
--- /dev/null
+++ b/src/cassiaturn/fleet/tests/test_desk.py
@@ -0,0 +1,97 @@
+"""Jobs of a member's own callers, while leaders come and go."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from cassiaturn.entities import JobRequest, Resources, TaskGroup
+from cassiaturn.fleet import _desk
+from cassiaturn.fleet._desk import JobDesk, OpenJob
+from cassiaturn.observability import FleetMetrics
+from cassiaturn.standins.virtual_targets import ROUTE
+from cassiaturn.workload import Outcome, Verdict
+
+JOB = "5c0e7a21d94b36f8"
+
+REQUEST = JobRequest(
+    job_id=JOB,
+    payload="work",
+    groups=(TaskGroup(count=1, resources=Resources(cpu_millis=1_000)),),
+    must_be_stored=False,
+)
+
+
+@dataclass(kw_only=True)
+class _Leader:
+    """Notes what it is told."""
+
+    waits_for_confirmation: bool = True
+    begun_earlier: list[bool] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+
+    def submit(self, job: OpenJob, *, begun_earlier: bool) -> None:
+        self.begun_earlier.append(begun_earlier)
+
+    def cancel(self, job_id: str) -> None:
+        self.cancelled.append(job_id)
+
+
+def _desk_of(leader: _Leader) -> JobDesk:
+    desk = JobDesk(metrics=FleetMetrics(member_name="m", failure_domain="a"))
+    desk.attach(leader)
+    return desk
+
+
+async def _submitted(desk: JobDesk, limit_s: float = 1.5) -> "asyncio.Task[Outcome]":
+    waiting = asyncio.ensure_future(desk.submit(REQUEST, ROUTE, limit_s))
+    await asyncio.sleep(0)
+    return waiting
+
+
+@pytest.mark.parametrize(
+    ("waits", "is_confirmed", "begun_earlier"),
+    [(True, False, False), (True, True, True), (False, False, True)],
+)
+async def test_the_next_leader_is_told_whether_a_job_may_have_begun(
+    waits: bool, is_confirmed: bool, begun_earlier: bool
+) -> None:
+    """Jobs on their way to a leader that was lost waited for runs that never were."""
+    lost, following = _Leader(waits_for_confirmation=waits), _Leader()
+    desk = _desk_of(lost)
+    waiting = await _submitted(desk)
+    if is_confirmed:
+        assert desk.confirm(JOB)
+    desk.detach(lost)
+    desk.attach(following)
+    assert following.begun_earlier == [begun_earlier]
+    waiting.cancel()
+
+
+async def test_a_job_whose_caller_left_is_not_confirmed() -> None:
+    leader = _Leader()
+    desk = _desk_of(leader)
+    waiting = await _submitted(desk)
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert leader.cancelled == [JOB]
+    assert not desk.confirm(JOB)
+
+
+@pytest.mark.parametrize(
+    ("is_confirmed", "verdict"),
+    [(False, Verdict.REFUSED), (True, Verdict.ABANDONED)],
+)
+async def test_only_what_never_began_is_said_not_to_have_run(
+    is_confirmed: bool, verdict: Verdict, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller was told that its job did not run, and the job ran."""
+    monkeypatch.setattr(_desk, "LOST_LEADER_WAIT_S", 0.01)
+    leader = _Leader()
+    desk = _desk_of(leader)
+    waiting = await _submitted(desk)
+    if is_confirmed:
+        desk.confirm(JOB)
+    desk.detach(leader)
+    desk.keep_for_successor(0.01)
+    assert (await waiting).verdict is verdict
--- a/src/cassiaturn/model/leases/_explore.py
+++ b/src/cassiaturn/model/leases/_explore.py
@@ -39,6 +39,7 @@
 """Explored whole by the tests."""
 
 DEEP_SCENARIOS_BY_NAME: Mapping[str, Scenario] = {
+    "new_job_cut_target_cut": Scenario(Budget(cuts=1, target_cuts=1, submits=1)),
     "cut_target_cut_reset": Scenario(
         Budget(cuts=1, target_cuts=1, resets=1), caller_at=1
     ),
--- a/src/cassiaturn/model/leases/_members.py
+++ b/src/cassiaturn/model/leases/_members.py
@@ -36,7 +36,9 @@
         return
     for member in MEMBERS:
         if acts(state, member):
-            taken = put_member(after, member, has_job=True, passed_to=NOBODY)
+            taken = put_member(
+                after, member, has_job=True, passed_to=NOBODY, confirmed=False
+            )
             yield Step(
                 f"the caller submits to member {member}",
                 taken._replace(caller_at=member),
@@ -49,14 +51,40 @@
     for number in MEMBERS:
         if can_pass_on(state, number):
             leader = state.members[number].follows
-            inherited = state.members[number].passed_to != NOBODY
+            inherited = state.members[number].confirmed
             after = _take(state, leader, number, rules, inherited=inherited)
+            after = put_member(after, number, passed_to=leader)
+            if number == leader:
+                after = _confirm(after, number, leader)
+            yield Step(f"member {number} passes the job on to {leader}", after)
+
+
+@action
+def confirm(state: State, rules: Rules) -> Iterator[Step]:
+    """Let a member confirm a job that its leader has taken in."""
+    for number in MEMBERS:
+        member = state.members[number]
+        leader = member.passed_to
+        if leader == NOBODY or not acts(state, number) or not leads(state, leader):
+            continue
+        tables = state.tables[leader]
+        if number not in tables.origins or tables.confirmed:
+            continue
+        if not hear_each_other(state, number, leader):
+            continue
+        yield Step(f"member {number} confirms the job", _confirm(state, number, leader))
+        if not member.confirmed:
             yield Step(
-                f"member {number} passes the job on to {leader}",
-                put_member(after, number, passed_to=leader),
+                f"member {number} confirms the job, unheard",
+                put_member(state, number, confirmed=True),
             )
 
 
+def _confirm(state: State, number: int, leader: int) -> State:
+    state = put_member(state, number, confirmed=True)
+    return put_tables(state, leader, confirmed=True)
+
+
 def can_pass_on(state: State, number: int) -> bool:
     """Return whether a member has a job that its leader does not know of."""
     member = state.members[number]
@@ -81,7 +109,14 @@
     hold = HOLD_TICKS if rules.hold_outlasts_silence else LEASE_OVER_TICKS
     if not (inherited and rules.hold_inherited):
         hold = 0
-    return put_tables(state, leader, origins=frozenset({origin}), hold=hold, run=run)
+    return put_tables(
+        state,
+        leader,
+        origins=frozenset({origin}),
+        hold=hold,
+        run=run,
+        confirmed=inherited or run is not None,
+    )
 
 
 @action
@@ -96,7 +131,12 @@
     """Return a state in which a member's caller does not wait any more."""
     leader = state.members[number].passed_to
     state = put_member(
-        state, number, has_job=False, passed_to=NOBODY, connection_broken=False
+        state,
+        number,
+        has_job=False,
+        passed_to=NOBODY,
+        confirmed=False,
+        connection_broken=False,
     )
     if leader != NOBODY and hear_each_other(state, number, leader):
         return drop(state, leader, number)
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -71,6 +71,10 @@
     copies_name_their_run: bool = True
     """A copy of a start has its run's number, which a target starts once."""
 
+    confirm_first: bool = True
+    """A leader starts nothing of a new job before its member has confirmed it, and the
+    member tells a later leader that a job which it has not confirmed never began."""
+
     survey_first: bool = True
     """A new leader starts nothing before every target that answers was heard."""
 
@@ -175,6 +179,9 @@
     hold: int = 0
     """Ticks for which an inherited job may not start."""
 
+    confirmed: bool = False
+    """Whether the job may be started, as far as its member goes."""
+
     run: Run | None = None
     """The run of the task that is not certainly over."""
 
@@ -212,6 +219,9 @@
     passed_to: int = NOBODY
     """The leader that it passed the job to."""
 
+    confirmed: bool = False
+    """Whether a leader may have started the job since it was submitted here."""
+
     connection_broken: bool = False
     """Whether the caller's connection broke while it stood still."""
 
@@ -254,10 +264,13 @@
         leading = leading._replace(
             origins=frozenset({origin}),
             run=run,
+            confirmed=True,
             next_run=2,
             lease_left=LEASE_OVER_TICKS,
         )
-        members[origin] = members[origin]._replace(has_job=True, passed_to=0)
+        members[origin] = members[origin]._replace(
+            has_job=True, passed_to=0, confirmed=True
+        )
         targets[0] = targets[0]._replace(run=1, lease=LEASE_TICKS)
         budget = budget._replace(submits=budget.submits - 1)
     return State(
--- a/src/cassiaturn/model/leases/_targets.py
+++ b/src/cassiaturn/model/leases/_targets.py
@@ -31,6 +31,8 @@
         tables = state.tables[leader]
         if not leads(state, leader) or not tables.origins or tables.run is not None:
             continue
+        if rules.confirm_first and not tables.confirmed:
+            continue
         if tables.hold and tables.heard != frozenset(TARGETS):
             continue
         if rules.survey_first and has_unasked(state, leader):
--- a/src/cassiaturn/model/tests/test_leases.py
+++ b/src/cassiaturn/model/tests/test_leases.py
@@ -40,6 +40,7 @@
     "join_by_id_off": ("member_killed", "never_two_at_once"),
     "stop_leftovers_off": ("cut_target_cut_reset", "forgotten_runs_end_in_time"),
     "copies_name_their_run_off": ("late_order_copied", "never_two_at_once"),
+    "confirm_first_off": ("new_job_cut_target_cut", "never_two_at_once"),
     "survey_first_off": ("cut_killed", "never_two_at_once"),
 }
 
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -69,6 +69,17 @@
     assert len(_starts(fleet, JOB)) == 4
 
 
+async def test_a_job_that_never_began_does_not_wait_for_a_silent_target(
+    fleet: Fleet,
+) -> None:
+    """A job on its way to a leader that is gone waited for leases, and was given up."""
+    follower = fleet.followers()[0]
+    fleet.runners[-1].silent = True
+    fleet.leader().stand_still()
+    assert (await fleet.submit(follower, JOB, count=4))[:2] == COMPLETED
+    assert len(_starts(fleet, JOB)) == 4
+
+
 async def test_connections_that_fall_silent_are_replaced(fleet: Fleet) -> None:
     """Every connection to the leader falls silent for good, while new ones work.
 
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -15,7 +15,13 @@
     on_target_unanswered,
 )
 from cassiaturn.workload._dispatch import dispatch
-from cassiaturn.workload._intake import Submission, cancel, on_member_gone, submit
+from cassiaturn.workload._intake import (
+    Submission,
+    cancel,
+    confirm,
+    on_member_gone,
+    submit,
+)
 from cassiaturn.workload._ports import Ports, StartOrder
 from cassiaturn.workload._reports import (
     on_lease_report,
@@ -53,6 +59,7 @@
     "WorkloadSettings",
     "backlog_s",
     "cancel",
+    "confirm",
     "dispatch",
     "has_tight_runs",
     "next_check",
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -54,6 +54,8 @@
 
 
 def _may_start(tables: Tables, job: Job, now: float) -> bool:
+    if not job.is_confirmed:
+        return False
     if not job.begun and now > latest_start(
         limit_at=job.limit_at, expected_run_s=job.expected_run_s, is_idle=True
     ):
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -44,6 +44,9 @@
     failure_domain: str = ""
     """Where that member runs; empty: not known."""
 
+    is_confirmed: bool = True
+    """Whether it may be started at once; else :func:`confirm` says so later."""
+
 
 def submit(
     tables: Tables, ports: Ports, submission: Submission, now: float
@@ -58,6 +61,7 @@
         # The caller lost its connection and came by another member. Joining keeps
         # one job; starting it afresh would run its tasks twice at once.
         job.origins.add(submission.origin)
+        job.is_confirmed |= submission.is_confirmed or submission.begun_earlier
         ports.record(Event.JOB_JOINED, id=job_id, origin=submission.origin)
         return None
     retired = tables.retired_by_id.pop(job_id, None)
@@ -90,6 +94,18 @@
     return None
 
 
+def confirm(tables: Tables, job_id: str) -> bool:
+    """Take in that a job may be started.
+
+    :returns: whether that is news.
+    """
+    job = tables.jobs_by_id.get(job_id)
+    if job is None or job.is_confirmed:
+        return False
+    job.is_confirmed = True
+    return True
+
+
 def cancel(tables: Tables, ports: Ports, job_id: str, origin: str, now: float) -> bool:
     """Take back one member's interest in a job; without any, it ends.
 
@@ -172,6 +188,7 @@
         hold_until=hold_until,
         begun=submission.begun_earlier,
         failure_domain=submission.failure_domain,
+        is_confirmed=submission.is_confirmed or submission.begun_earlier,
     )
 
 
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -211,6 +211,10 @@
     failure_domain: str = ""
     """Where the member runs that passed it on first; empty: not known."""
 
+    is_confirmed: bool = True
+    """Whether it may be started. The member of a caller tells a later leader that a job
+    which it has not confirmed never began."""
+
     begun: bool = False
     """Whether a start of it was ever sent, so that "not run" would be untrue."""
 
