--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -14,16 +14,14 @@
     TaskRef,
 )
 from cassiaturn.fleet._desk import JobDesk, OpenJob
-from cassiaturn.fleet._directory import Directory
 from cassiaturn.fleet._failures import report_failure
+from cassiaturn.fleet._held_targets import HeldTargets
 from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._leadership import Leadership
-from cassiaturn.fleet._losses import Losses
-from cassiaturn.fleet._ports import Authority, PlatformServices
+from cassiaturn.fleet._ports import PlatformServices
 from cassiaturn.fleet._routing import RoutingKeeper
-from cassiaturn.fleet._target_link import TargetLink
 from cassiaturn.fleet._watch import Watch
-from cassiaturn.observability import Event, FleetMetrics, SeldomLog, log_event
+from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.sharing import LoadShedder
 from cassiaturn.workload import (
     Job,
@@ -108,13 +106,21 @@
             knows_targets=knows_all_targets and bool(known_targets),
             routing=routing.current,
         )
-        self._links_by_id: dict[str, TargetLink] = {}
-        self._directory = Directory(reports_by_id=known_targets)
-        self._ignored = SeldomLog()
-        self._losses = Losses()
+        self._targets = HeldTargets(
+            reports_by_id=known_targets,
+            tables=self._tables,
+            orders=self,
+            calls=services.targets,
+            routing=routing,
+            load=load,
+            settings=settings,
+            token=leadership.token,
+            on_change=lambda target_id, report: self.on_directory_change(
+                target_id, report
+            ),
+            on_news=self._dispatch_soon,
+        )
         self._shedder = LoadShedder()
-        self.superseded_ids: set[str] = set()
-        """Targets that last answered that they obey a later leader."""
         self._tasks: list[asyncio.Task[None]] = []
         self._dispatch_due = False
         self._closed = False
@@ -126,7 +132,12 @@
     @property
     def reports_by_id(self) -> Mapping[str, TargetReport]:
         """The directory of targets."""
-        return self._directory.reports_by_id
+        return self._targets.reports_by_id
+
+    @property
+    def superseded_ids(self) -> set[str]:
+        """Targets that last answered that they obey a later leader."""
+        return self._targets.superseded_ids
 
     @property
     def tables(self) -> Tables:
@@ -146,13 +157,12 @@
 
     def open(self) -> None:
         """Take every known target and begin."""
-        for report in list(self.reports_by_id.values()):
-            self._take_report(report)
+        self._targets.open()
         watch = Watch(
             name="directory",
             source=self._services.directory,
-            on_snapshot=self._on_directory,
-            on_change=self._on_directory_change,
+            on_snapshot=self._targets.on_directory,
+            on_change=self._targets.on_directory_change,
             wait_s=DIRECTORY_WAIT_S,
             pause_s=DIRECTORY_PAUSE_S,
         )
@@ -168,9 +178,7 @@
         :param leadership: this member's, with the higher token.
         """
         self.leadership = leadership
-        self.superseded_ids.clear()
-        for link in self._links_by_id.values():
-            link.use_token(leadership.token)
+        self._targets.use_token(leadership.token)
 
     def close(self) -> None:
         """Give no more orders."""
@@ -178,8 +186,7 @@
         self._desk.detach(self)
         for task in self._tasks:
             task.cancel()
-        for link in self._links_by_id.values():
-            link.close()
+        self._targets.close()
 
     async def stop_leftovers(self) -> None:
         """Stop what runs on targets that the successor has not reached.
@@ -265,16 +272,14 @@
 
     def start(self, order: StartOrder) -> None:
         """Order a start."""
-        self._links_by_id[order.target_id].start(order)
+        self._targets.start(order)
         job = self._tables.jobs_by_id[order.ref.job_id]
         wait_s = time.monotonic() - job.arrived_at
         self._metrics.started(job.route.name, job.route.priority, wait_s)
 
     def stop(self, run: Run) -> None:
         """Order a run to stop."""
-        link = self._links_by_id.get(run.target_id)
-        if link is not None:
-            link.stop(run)
+        self._targets.stop(run)
 
     def finish(self, job: Job, outcome: Outcome) -> None:
         """Tell every member whose callers wait."""
@@ -338,8 +343,7 @@
         """End every run of a target."""
         now = time.monotonic()
         workload.on_target_lost(self._tables, self, target_id, reason, now)
-        if self._directory.is_missing(target_id):
-            self._remove(target_id, reason)
+        self._targets.remove_if_missing(target_id, reason)
         self._dispatch_soon()
 
     def on_superseded(self, target_id: str) -> None:
@@ -347,95 +351,6 @@
         self.superseded_ids.add(target_id)
         self._on_superseded()
 
-    # The directory.
-
-    def _on_directory(self, entries_by_key: Mapping[str, TargetReport]) -> None:
-        for target_id in set(self.reports_by_id) - set(entries_by_key):
-            self._note_missing(target_id)
-        for report in entries_by_key.values():
-            self._take_report(report)
-
-    def _on_directory_change(self, key: str, entry: TargetReport | None) -> None:
-        if entry is None:
-            self._note_missing(key)
-        else:
-            self._take_report(entry)
-
-    def _take_report(self, report: TargetReport) -> None:
-        target_id = report.target_id
-        changed = self._directory.put(report)
-        report = self.reports_by_id[target_id]
-        if self._is_configured(report):
-            workload.on_target(self._tables, self, report)
-            if target_id not in self._links_by_id:
-                self._open_link(report)
-        elif changed:
-            self._ignored.log(
-                Event.TARGET_IGNORED,
-                key=target_id,
-                service=report.service,
-                version=self._routing.version,
-            )
-        if changed:
-            self.on_directory_change(target_id, report)
-            self._dispatch_soon()
-
-    def _is_configured(self, report: TargetReport) -> bool:
-        """Return whether a target's service is one that jobs can be meant for.
-
-        Others may write into the directory. What no queue is sent to is not called: it
-        may be no target, and one that never answers would keep a new leader waiting.
-        """
-        table = self._routing.current
-        return table is None or report.service in table.services_by_name
-
-    def _open_link(self, report: TargetReport) -> None:
-        target = self._tables.targets_by_id[report.target_id]
-        link = TargetLink(
-            authority=Authority(
-                target_id=report.target_id,
-                address=report.address,
-                token=self.leadership.token,
-            ),
-            calls=self._services.targets,
-            events=self,
-            has_runs=lambda: bool(target.runs_by_ref),
-            has_tight_runs=lambda: workload.has_tight_runs(self._tables, target),
-            ended_seen=lambda: target.ended_seen,
-            targets=lambda: len(self._links_by_id),
-            losses=self._losses,
-            load=self._load,
-            settings=self._settings,
-        )
-        self._links_by_id[report.target_id] = link
-        link.open()
-
-    def _note_missing(self, target_id: str) -> None:
-        if not self._directory.note_missing(target_id, time.monotonic()):
-            return
-        target = self._tables.targets_by_id.get(target_id)
-        if target is not None and target.silent and not target.runs_by_ref:
-            self._remove(target_id, "left_directory")
-
-    def _remove_missing(self, now: float) -> None:
-        for target_id in self._directory.overdue(now):
-            target = self._tables.targets_by_id.get(target_id)
-            if target is None or not target.runs_by_ref:
-                self._remove(target_id, "left_directory")
-            else:
-                target.leaving = True
-
-    def _remove(self, target_id: str, reason: str) -> None:
-        now = time.monotonic()
-        self.superseded_ids.discard(target_id)
-        self._directory.remove(target_id)
-        link = self._links_by_id.pop(target_id, None)
-        if link is not None:
-            link.close()
-        workload.on_target_gone(self._tables, self, target_id, reason, now)
-        log_event(Event.TARGET_REMOVED, target=target_id, reason=reason)
-        self.on_directory_change(target_id, None)
-
     # Time.
 
     async def _tick(self) -> None:
@@ -446,9 +361,7 @@
             self._load.ticked(now - due_at)
             self._shed_load(now - due_at, now)
             self.on_tick()
-            for link in list(self._links_by_id.values()):
-                link.tick(now)
-            self._remove_missing(now)
+            self._targets.tick(now)
             if workload.next_check(self._tables, now) is not None:
                 workload.tick(self._tables, self, now)
 
@@ -486,19 +399,4 @@
     def apply_routing(self, table: RoutingTable) -> None:
         """Put a configuration in force for what is decided from now on."""
         self._tables.routing = table
-        for report in list(self.reports_by_id.values()):
-            has_link = report.target_id in self._links_by_id
-            if self._is_configured(report) and not has_link:
-                self._take_report(report)
-            elif has_link and not self._is_configured(report):
-                self._let_go(report.target_id)
-
-    def _let_go(self, target_id: str) -> None:
-        """Give up a target whose service is gone, unless something still runs there."""
-        target = self._tables.targets_by_id[target_id]
-        if target.runs_by_ref:
-            return
-        self._links_by_id.pop(target_id).close()
-        now = time.monotonic()
-        workload.on_target_gone(self._tables, self, target_id, "service_gone", now)
-        log_event(Event.TARGET_REMOVED, target=target_id, reason="service_gone")
+        self._targets.apply_routing()
