Ask for confirmations only while the leader's process has time to spare

Cause: the precaution is paid for just when the leader has no time.

Test: test_there_is_time_after_a_second_of_timers_in_time; the one of the silent target waits for the mode.

--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -71,8 +71,12 @@
     waited_s: float,
     limit_s: float,
     begun_earlier: bool,
+    unconfirmed: bool,
 ) -> pb.JobSubmission:
-    """Return the message of a job on its way to the leader."""
+    """Return the message of a job on its way to the leader.
+
+    :param unconfirmed: whether it is not to be started before it is confirmed.
+    """
     return pb.JobSubmission(
         job_id=request.job_id,
         payload=request.payload,
@@ -88,6 +92,7 @@
         waited_ms=max(0, round(waited_s * MILLISECONDS)),
         limit_ms=max(0, round(limit_s * MILLISECONDS)),
         begun_earlier=begun_earlier,
+        unconfirmed=unconfirmed,
     )
 
 
@@ -96,13 +101,11 @@
     *,
     origin: str,
     failure_domain: str,
-    is_confirmed: bool,
 ) -> Submission:
     """Return a job that another member passed on.
 
     :param origin: the member.
     :param failure_domain: where it runs.
-    :param is_confirmed: whether the job may be started at once.
     """
     route = message.route
     return Submission(
@@ -127,7 +130,7 @@
         limit_s=message.limit_ms / MILLISECONDS,
         begun_earlier=message.begun_earlier,
         failure_domain=failure_domain,
-        is_confirmed=is_confirmed or message.begun_earlier,
+        is_confirmed=not message.unconfirmed,
     )
 
 
--- a/src/cassiaturn/fleet/_desk.py
+++ b/src/cassiaturn/fleet/_desk.py
@@ -107,6 +107,11 @@
         """Whether jobs can be passed on."""
         return self._leader is not None
 
+    @property
+    def waits_for_confirmation(self) -> bool:
+        """Whether the leader starts no new job of here before it is confirmed."""
+        return self._leader is not None and self._leader.waits_for_confirmation
+
     def attach(self, leader: LeaderPort) -> None:
         """Pass every open job on to a leader."""
         self._leader = leader
--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -143,6 +143,7 @@
             waited_s=now - job.arrived_at,
             limit_s=job.limit_at - now,
             begun_earlier=begun_earlier,
+            unconfirmed=not job.may_have_begun,
         )
         self._frames.put_nowait(pb.FollowerFrame(submit=message))
 
@@ -187,7 +188,6 @@
             if not first.HasField("welcome"):
                 named = to_leadership(first.redirect)
                 return Followed(end=FollowEnd.REDIRECTED, named=named)
-            self.waits_for_confirmation = first.welcome.waits_for_confirmation
             self._begin()
             try:
                 return await self._serve(stream)
@@ -287,6 +287,7 @@
     def _take_beat(self, beat: pb.LeaderBeat) -> None:
         self._desk.waiting_by_route = {row.route: row.waiting for row in beat.queues}
         self._desk.shed_share = beat.shed_share
+        self.waits_for_confirmation = beat.asks_first
         table = self._routing.current
         if table is None or table.version <= beat.routing_version:
             return
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -22,7 +22,7 @@
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.fleet._watch import Watch
 from cassiaturn.observability import Event, FleetMetrics, log_event
-from cassiaturn.sharing import LoadShedder
+from cassiaturn.sharing import LoadShedder, SpareTime
 from cassiaturn.workload import (
     Job,
     Outcome,
@@ -121,6 +121,7 @@
             on_news=self._dispatch_soon,
         )
         self._shedder = LoadShedder()
+        self._spare_time = SpareTime()
         self._tasks: list[asyncio.Task[None]] = []
         self._dispatch_due = False
         self._closed = False
@@ -149,6 +150,11 @@
         """Share of all new jobs, 0 to 1, that this process is too full for."""
         return self._shedder.share
 
+    @property
+    def asks_first(self) -> bool:
+        """Whether members should have their new jobs wait for a confirmation."""
+        return self._spare_time.is_there
+
     @property
     def heard_targets(self) -> int:
         """Targets that have told what runs there, and answer."""
@@ -359,6 +365,7 @@
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             self._load.ticked(now - due_at)
+            self._spare_time.observe(now - due_at)
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -321,7 +321,6 @@
                 routing_version=self.routing.version,
                 link_mbps=self.settings.link_mbps,
                 leaving=self._stopping,
-                confirms=True,
             ),
             desk=self.desk,
             routing=self.routing,
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -188,9 +188,7 @@
             failure_domain=hello.failure_domain,
             token=leader.leadership.token,
         )
-        leadership = from_leadership(leader.leadership)
-        leadership.waits_for_confirmation = hello.confirms
-        welcome = pb.LeaderFrame(welcome=leadership)
+        welcome = pb.LeaderFrame(welcome=from_leadership(leader.leadership))
         try:
             await stream.send_message(welcome)
             await self._serve(stream, follower, leader)
@@ -277,6 +275,7 @@
             routing_version=self._routing.version,
             queues=self._queues,
             shed_share=leader.shed_share,
+            asks_first=leader.asks_first,
         )
 
     async def _receive(
@@ -293,7 +292,6 @@
                         frame.submit,
                         origin=follower.hello.member_id,
                         failure_domain=follower.hello.failure_domain,
-                        is_confirmed=not follower.hello.confirms,
                     )
                     leader.take(submission)
                 case "confirm":
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -10,6 +10,7 @@
 from cassiaturn.fleet._leadership import next_leadership
 from cassiaturn.platform.tests.fleet import Fleet, RunningMember
 from cassiaturn.platform.tests.standin_store import LOOPBACK, Fault
+from cassiaturn.sharing import _spare_time
 
 JOB = "5c0e7a21d94b36f8"
 
@@ -70,10 +71,12 @@
 
 
 async def test_a_job_that_never_began_does_not_wait_for_a_silent_target(
-    fleet: Fleet,
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A job on its way to a leader that is gone waited for leases, and was given up."""
+    monkeypatch.setattr(_spare_time, "LATE_S", float("inf"))
     follower = fleet.followers()[0]
+    await fleet.until(lambda: follower.member.desk.waits_for_confirmation)
     fleet.runners[-1].silent = True
     fleet.leader().stand_still()
     assert (await fleet.submit(follower, JOB, count=4))[:2] == COMPLETED
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -12,6 +12,7 @@
 from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared
 from cassiaturn.sharing._room import Room
 from cassiaturn.sharing._shedding import LoadShedder, is_shed
+from cassiaturn.sharing._spare_time import SpareTime
 from cassiaturn.sharing._speed_book import SpeedBook
 from cassiaturn.sharing._target_index import TargetIndex
 
@@ -24,6 +25,7 @@
     "Progress",
     "Room",
     "SharedTarget",
+    "SpareTime",
     "SpeedBook",
     "TargetIndex",
     "choose_shared",
--- /dev/null
+++ b/src/cassiaturn/sharing/tests/test_spare_time.py
@@ -0,0 +1,26 @@
+"""Time to spare of a leader's process, as its timers tell it."""
+
+import pytest
+
+from cassiaturn.sharing import SpareTime
+from cassiaturn.sharing._spare_time import CALM_TIMERS, LATE_S
+
+
+@pytest.mark.parametrize(
+    ("late_s", "is_there"),
+    [
+        ([0.001] * CALM_TIMERS, True),
+        ([0.001] * (CALM_TIMERS - 1), False),
+        ([0.001] * CALM_TIMERS + [LATE_S], False),
+        ([0.06] + [0.001] * CALM_TIMERS, True),
+        ([], False),
+    ],
+)
+def test_there_is_time_after_a_second_of_timers_in_time(
+    late_s: list[float], is_there: bool
+) -> None:
+    """A leader of the callers of an outage spent its time on confirmations."""
+    spare_time = SpareTime()
+    for late in late_s:
+        spare_time.observe(late)
+    assert spare_time.is_there is is_there
