--- a/src/cassiaturn/sharing/_packing.py
+++ b/src/cassiaturn/sharing/_packing.py
@@ -106,7 +106,7 @@
     *,
     avoided: frozenset[str] = frozenset(),
     is_tight: bool = False,
-    home: str = "",
+    preferred_domain: str = "",
 ) -> TargetT | None:
     """Return the target that a task should start on, or None.
 
@@ -116,7 +116,7 @@
     :param avoided: targets that failed this task before; taken only if no other
         fits.
     :param is_tight: whether the task needs a large part of its caller's time.
-    :param home: failure domain of the member whose caller waits; empty: not known.
+    :param preferred_domain: where the member of its caller runs; empty: not known.
     """
     best: TargetT | None = None
     best_rank: tuple[bool, bool, bool, float, float, float] | None = None
@@ -124,7 +124,7 @@
     for target in targets:
         if not target.has(wanted) or not _allowed(group, group_key, target):
             continue
-        is_away = bool(home) and target.failure_domain != home
+        is_away = bool(preferred_domain) and target.failure_domain != preferred_domain
         rank = (
             target.target_id in avoided,
             target.is_slow,
--- a/src/cassiaturn/sharing/_target_index.py
+++ b/src/cassiaturn/sharing/_target_index.py
@@ -101,21 +101,21 @@
         is_usable: Callable[[TargetT], bool],
         avoided: frozenset[str] = frozenset(),
         is_tight: bool = False,
-        home: str = "",
+        preferred_domain: str = "",
     ) -> TargetT | None:
         """Return the target that :func:`choose_shared` would choose.
 
         :param is_usable: whether a target may take work now.
-        :param home: failure domain of the member whose caller waits; empty: not known.
+        :param preferred_domain: where the member of its caller runs; empty: not known.
         """
         self._update()
         if avoided or group.required_label or group.preferred_rack:
             return self._choose_among_all(
-                group, group_key, is_usable, avoided, is_tight, home
+                group, group_key, is_usable, avoided, is_tight, preferred_domain
             )
         if group.max_per_target:
             return self._choose_among_all(
-                group, group_key, is_usable, avoided, is_tight, home
+                group, group_key, is_usable, avoided, is_tight, preferred_domain
             )
         best: _Row[TargetT] | None = None
         best_rank: tuple[bool, float, float, float, int] | None = None
@@ -124,7 +124,9 @@
             row = _first_fit(rows, wanted, is_usable)
             if row is None:
                 continue
-            is_away = bool(home) and alike.failure_domain != home
+            is_away = (
+                bool(preferred_domain) and alike.failure_domain != preferred_domain
+            )
             rank = (
                 alike.is_slow,
                 alike.pace_step + is_away if is_tight else 0,
@@ -145,11 +147,16 @@
         is_usable: Callable[[TargetT], bool],
         avoided: frozenset[str],
         is_tight: bool,
-        home: str,
+        preferred_domain: str,
     ) -> TargetT | None:
         usable = (target for target in self.targets if is_usable(target))
         return choose_shared(
-            group, group_key, usable, avoided=avoided, is_tight=is_tight, home=home
+            group,
+            group_key,
+            usable,
+            avoided=avoided,
+            is_tight=is_tight,
+            preferred_domain=preferred_domain,
         )
 
     def _update(self) -> None:
--- a/src/cassiaturn/sharing/tests/test_packing.py
+++ b/src/cassiaturn/sharing/tests/test_packing.py
@@ -109,7 +109,9 @@
     """A cut between domains ended jobs whose tasks were spread over all of them."""
     home = _target("home", 16_000, failure_domain="h")
     away = _target("away", 16_000, used_away, failure_domain="e")
-    assert _chosen(_group(), away, home, is_tight=is_tight, home="h") == chosen
+    assert (
+        _chosen(_group(), away, home, is_tight=is_tight, preferred_domain="h") == chosen
+    )
 
 
 def test_a_tight_task_leaves_home_for_a_target_that_is_much_faster() -> None:
@@ -117,7 +119,7 @@
     away = _target("away", 16_000, failure_domain="e")
     for _ in range(100):
         away.pace.observe(0.7)
-    assert _chosen(_group(), home, away, is_tight=True, home="h") == "away"
+    assert _chosen(_group(), home, away, is_tight=True, preferred_domain="h") == "away"
 
 
 def test_giving_back_what_was_never_taken_is_a_fault() -> None:
--- a/src/cassiaturn/sharing/tests/test_target_index.py
+++ b/src/cassiaturn/sharing/tests/test_target_index.py
@@ -71,7 +71,7 @@
     group=GROUPS,
     is_tight=st.booleans(),
     avoids_first=st.booleans(),
-    home=st.sampled_from(["", "e"]),
+    preferred_domain=st.sampled_from(["", "e"]),
     removed=st.integers(0, 8),
 )
 def test_the_index_chooses_what_a_look_at_each_target_would(
@@ -80,7 +80,7 @@
     group: TaskGroup,
     is_tight: bool,
     avoids_first: bool,
-    home: str,
+    preferred_domain: str,
     removed: int,
 ) -> None:
     """An index that misses a change starts tasks where there is no room."""
@@ -105,7 +105,12 @@
         is_usable=lambda target: target not in unusable,
         avoided=avoided,
         is_tight=is_tight,
-        home=home,
+        preferred_domain=preferred_domain,
     ) is choose_shared(
-        group, KEY, usable, avoided=avoided, is_tight=is_tight, home=home
+        group,
+        KEY,
+        usable,
+        avoided=avoided,
+        is_tight=is_tight,
+        preferred_domain=preferred_domain,
     )
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -101,7 +101,7 @@
         is_usable=is_usable,
         avoided=task.avoided,
         is_tight=job.is_tight,
-        home=job.failure_domain,
+        preferred_domain=job.failure_domain,
     )
     if target is None:
         return None
