--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -361,11 +361,14 @@
 
     async def _tick(self) -> None:
         while True:
-            due_at = time.monotonic() + TICK_S
+            began_at = time.monotonic()
+            used_s = time.process_time()
+            due_at = began_at + TICK_S
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             self._load.ticked(now - due_at)
-            self._spare_time.observe(now - due_at)
+            share = (time.process_time() - used_s) / (now - began_at)
+            self._spare_time.observe(now - due_at, share)
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -75,6 +75,7 @@
 ) -> None:
     """A job on its way to a leader that is gone waited for leases, and was given up."""
     monkeypatch.setattr(_spare_time, "LATE_S", float("inf"))
+    monkeypatch.setattr(_spare_time, "BUSY_SHARE", float("inf"))
     follower = fleet.followers()[0]
     await fleet.until(lambda: follower.member.desk.waits_for_confirmation)
     fleet.runners[-1].silent = True
