Tell what a caller said beside the limit that was applied

Cause: no line told why a job had the limit it had. The traces had to infer from limits that change with the configuration that the route's timeout was applied.

Change: job_answered gives told_ms (what the caller said) and limit_ms (what was applied); explain counts for each cause the jobs that were ended or refused while their callers still waited. A cause with many of those is ours to mend.

Tests: five cases of the count.

--- a/src/cassiaturn/cli/_explain.py
+++ b/src/cassiaturn/cli/_explain.py
@@ -80,12 +80,13 @@
     meanings = {cause.name: cause.meaning for cause in CAUSES}
     print_table(
         "Jobs by cause",
-        ["Cause", "Jobs", "Late", "Share", "Work, s", "First id", "Meaning"],
+        ["Cause", "Jobs", "Late", "Waiting", "Share", "Work, s", "First id", "Meaning"],
         [
             [
                 row.cause,
                 row.jobs,
                 row.late,
+                row.waiting,
                 f"{row.share:.4f}",
                 f"{row.work_s:.1f}",
                 row.example,
--- a/src/cassiaturn/explain/_stories.py
+++ b/src/cassiaturn/explain/_stories.py
@@ -10,6 +10,9 @@
 
 MILLISECONDS = 1000
 
+ANSWER_WAY_MS = 50.0
+"""Time that an answer may take to its caller, in milliseconds."""
+
 
 @dataclass(slots=True, kw_only=True)
 class JobStory:
@@ -68,6 +71,17 @@
             None,
         )
 
+    @property
+    def caller_still_waited(self) -> bool:
+        """Whether it was ended or refused while its caller would have gone on waiting.
+
+        By what the caller itself said, whatever limit was applied to the job.
+        """
+        if self.end is None or self.verdict in ("completed", "left"):
+            return False
+        told_ms = self.end.number("told_ms")
+        return told_ms is not None and (self.age_ms or 0.0) < told_ms - ANSWER_WAY_MS
+
     @property
     def is_late(self) -> bool:
         """Whether it was complete after it was due."""
--- a/src/cassiaturn/explain/_tables.py
+++ b/src/cassiaturn/explain/_tables.py
@@ -20,6 +20,9 @@
     late: int
     """How many of them were complete, but late."""
 
+    waiting: int
+    """How many of them were ended or refused while their callers still waited."""
+
     share: float
     """Part of all jobs."""
 
@@ -62,6 +65,7 @@
             cause=cause,
             jobs=len(stories),
             late=sum(story.is_late for story in stories),
+            waiting=sum(story.caller_still_waited for story in stories),
             share=len(stories) / len(record.stories_by_id),
             work_s=sum(story.work_s for story in stories),
             example=stories[0].job_id,
--- a/src/cassiaturn/explain/tests/test_explain.py
+++ b/src/cassiaturn/explain/tests/test_explain.py
@@ -117,6 +117,24 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("verdict", "told_ms", "waiting"),
+    [
+        ("abandoned", 4000, 1),
+        ("refused", 4000, 1),
+        ("abandoned", 1520, 0),
+        ("abandoned", None, 0),
+        ("completed", 4000, 0),
+    ],
+)
+def test_jobs_ended_while_their_callers_still_waited_are_counted(
+    verdict: str, told_ms: int | None, waiting: int
+) -> None:
+    """Jobs were ended by another limit than their callers', and nothing told."""
+    answer = _answered(verdict, "limit_passed", 1500, limit_ms=1500, told_ms=told_ms)
+    assert [row.waiting for row in by_cause(_record(_queued(), answer))] == [waiting]
+
+
 def test_starts_of_processes_are_timed() -> None:
     record = _record(
         _line(1.0, Event.PROCESS_STARTING, "m-1"),
--- a/src/cassiaturn/fleet/_desk.py
+++ b/src/cassiaturn/fleet/_desk.py
@@ -29,6 +29,8 @@
 DEFAULT_LIMIT_S = 30.0
 """Limit of a job whose caller and route name none, in seconds."""
 
+MILLISECONDS = 1000
+
 
 class LeaderPort(Protocol):
     """Passes jobs on to whoever leads."""
@@ -63,6 +65,9 @@
     limit_at: float
     """When its caller stops waiting, in seconds."""
 
+    told_limit_s: float | None = None
+    """How long its caller says that it waits, in seconds; None: not told."""
+
     outcome: "asyncio.Future[Outcome]"
     """Set once."""
 
@@ -229,7 +234,11 @@
             verdict=outcome.verdict,
             reason=outcome.reason,
             retry_after_s=outcome.retry_after_s,
-            age_ms=round(response_s * 1000),
+            age_ms=round(response_s * MILLISECONDS),
+            limit_ms=round((job.limit_at - job.arrived_at) * MILLISECONDS),
+            told_ms=None
+            if job.told_limit_s is None
+            else round(job.told_limit_s * MILLISECONDS),
         )
 
     def cancel(self, job_id: str) -> bool:
@@ -280,6 +289,7 @@
             route=route,
             arrived_at=now - waited_s,
             limit_at=limit_at,
+            told_limit_s=limit_s,
             outcome=loop.create_future(),
         )
         self._jobs_by_id[request.job_id] = job
@@ -319,7 +329,7 @@
         log_event(
             Event.JOB_LEFT,
             id=job.request.job_id,
-            age_ms=round((time.monotonic() - job.arrived_at) * 1000),
+            age_ms=round((time.monotonic() - job.arrived_at) * MILLISECONDS),
         )
 
     def _refuse_leaderless(self, job: OpenJob) -> None:
