Add failing tests: a route's timeout ends jobs whose callers still wait

Callers that tell 4 s, or nothing, get 504 at their route's timeout of 0.2 s while their tasks run 0.6 s; a timeout that is shortened ends jobs under way.

--- a/src/cassiaturn/fleet/tests/test_desk.py
+++ b/src/cassiaturn/fleet/tests/test_desk.py
@@ -29,9 +29,11 @@
     waits_for_confirmation: bool = True
     begun_earlier: list[bool] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
+    jobs: list[OpenJob] = field(default_factory=list)
 
     def submit(self, job: OpenJob, *, begun_earlier: bool) -> None:
         self.begun_earlier.append(begun_earlier)
+        self.jobs.append(job)
 
     def cancel(self, job_id: str) -> None:
         self.cancelled.append(job_id)
@@ -95,3 +97,16 @@
     desk.detach(leader)
     desk.keep_for_successor(0.01)
     assert (await waiting).verdict is verdict
+
+
+@pytest.mark.parametrize(("told_s", "limit_s"), [(4.0, 4.0), (0.5, 0.5)])
+async def test_only_its_caller_says_until_when_a_job_is_wanted(
+    told_s: float, limit_s: float
+) -> None:
+    """A leader was told of the route's timeout as the end of the caller's patience."""
+    leader = _Leader()
+    desk = _desk_of(leader)
+    waiting = await _submitted(desk, told_s)
+    (job,) = leader.jobs
+    assert job.limit_at - job.arrived_at == pytest.approx(limit_s)
+    waiting.cancel()
