Let only its caller say how long a job is wanted

What callers saw: 504 while they still waited.

Cause: the desk took the lesser of what a caller tells and its route's timeout. The timeout is some 1.5 s; callers of jobs told 1.8 to 14 s. Class: a field that another kind of request has was taken for a limit of this kind, in the one place from which every decision inherited it.

Evidence: limits in the log equal the route's timeout to the millisecond and change with the configuration; in a trace with what callers told, all 1,706 answers that were none came before the told time was over.

Ruled out as the cause of the long kind's losses: slow targets, placement, runs lost (1 of 42 of the largest that failed started late, 4 on a slow target).

Change: the caller's header alone. None, or nothing sensible (0, negative, nan, inf): 30 s at the most; an hour bounds what is told. A route's timeout ends no job, also when it changes while jobs run.

--- a/src/cassiaturn/entities/_workload.py
+++ b/src/cassiaturn/entities/_workload.py
@@ -170,7 +170,8 @@
     """Order among routes; 0 goes first."""
 
     timeout_s: float = 0.0
-    """Longest time until an answer, in seconds; 0: no limit."""
+    """What operators set as the longest time of a call, in seconds; 0: nothing. It ends
+    no job: how long the caller of a job waits, its request tells."""
 
     latency_objective_s: float = 0.0
     """Time that a job may take beyond ``stretch`` times its own work, in seconds."""
--- a/src/cassiaturn/fleet/_desk.py
+++ b/src/cassiaturn/fleet/_desk.py
@@ -27,7 +27,10 @@
 leader ends the job at the limit, and its answer has a way to go."""
 
 DEFAULT_LIMIT_S = 30.0
-"""Limit of a job whose caller and route name none, in seconds."""
+"""How long a job is kept whose caller does not say how long it waits, in seconds."""
+
+LONGEST_LIMIT_S = 3600.0
+"""Longest time that a job is kept for its caller, in seconds."""
 
 MILLISECONDS = 1000
 
@@ -282,8 +285,8 @@
     ) -> OpenJob:
         now = time.monotonic()
         loop = asyncio.get_running_loop()
-        limits = [limit for limit in (limit_s, route.timeout_s) if limit]
-        limit_at = now - waited_s + min(limits, default=DEFAULT_LIMIT_S)
+        kept_s = DEFAULT_LIMIT_S if limit_s is None else min(limit_s, LONGEST_LIMIT_S)
+        limit_at = now - waited_s + kept_s
         job = OpenJob(
             request=request,
             route=route,
--- a/src/cassiaturn/platform/_entry.py
+++ b/src/cassiaturn/platform/_entry.py
@@ -229,10 +229,12 @@
         return self.request.path[len(route.prefix) :]
 
     def _limit_s(self) -> float | None:
+        """Return how long the caller waits, in seconds; None: it tells no such time."""
         try:
-            return float(self.request.headers[LIMIT_HEADER]) / MILLISECONDS
+            limit_s = float(self.request.headers[LIMIT_HEADER]) / MILLISECONDS
         except (KeyError, ValueError):
             return None
+        return limit_s if 0.0 < limit_s < math.inf else None
 
     def _waited_s(self) -> float:
         connection = cast(HTTP1Connection, self.request.connection)
