Tell until when an answer is due, of use, and wanted apart

Cause: one number stood for three: until when an answer is in its aim, until when it is of use though late, and until when its caller waits. Whoever needed one took another.

Change: sharing/_deadlines.py computes all three from route and request; refusal, order, giving up and the log read them by name. The order has a third band: what can be of no use any more is served where nobody else wants the room, instead of before jobs that came later and can still be late.

Ruled out: refusing queued jobs past their use.

job_queued tells useful_ms beside due_ms and limit_ms, all from the caller's request on.

--- a/src/cassiaturn/bench/_shared_variants.py
+++ b/src/cassiaturn/bench/_shared_variants.py
@@ -7,7 +7,14 @@
 from unittest import mock
 
 from cassiaturn.entities import TaskGroup
-from cassiaturn.sharing import ExpectedRuns, GroupKey, OrderKey, TargetIndex
+from cassiaturn.sharing import (
+    Deadlines,
+    ExpectedRuns,
+    GroupKey,
+    Lateness,
+    OrderKey,
+    TargetIndex,
+)
 from cassiaturn.standins import virtual_targets
 from cassiaturn.workload import Job, Run, Tables, Target, dispatch
 from cassiaturn.workload._backlog import queue_key
@@ -128,7 +135,7 @@
     stopping = sum(
         run.state is RunState.STOPPING for run in tables.runs_by_ref.values()
     )
-    if urgent is None or queue_key(urgent, now).late or stopping >= MOST_PREEMPTED:
+    if urgent is None or queue_key(urgent, now).lateness or stopping >= MOST_PREEMPTED:
         return
     young = [
         run
@@ -150,14 +157,19 @@
 
 def _by_arrival(**fields: object) -> OrderKey:
     # The queue's rows are kept in order of arrival, and sorting keeps equal ones so.
-    return OrderKey(late=False, priority=0, is_new=False, due_at=0.0)
+    return OrderKey(Lateness.IN_TIME, priority=0, is_new=False, due_at=0.0)
 
 
 def _by_priority(
-    *, priority: int, due_at: float, expected_run_s: float, is_new: bool, now: float
+    *,
+    priority: int,
+    deadlines: Deadlines,
+    expected_run_s: float,
+    is_new: bool,
+    now: float,
 ) -> OrderKey:
-    rank = 2 * priority + (due_at < now)
-    return OrderKey(late=False, priority=rank, is_new=False, due_at=due_at)
+    rank = 2 * priority + (deadlines.due_at < now)
+    return OrderKey(Lateness.IN_TIME, rank, is_new=False, due_at=deadlines.due_at)
 
 
 def _least_loaded(
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -4,7 +4,14 @@
 decisions of the other deployment, on slots and tenants, are in `cassiaturn.policy`.
 """
 
-from cassiaturn.sharing._due_order import OrderKey, order_key, spread_retry_after
+from cassiaturn.sharing._deadlines import Deadlines, job_deadlines, longest_chain_s
+from cassiaturn.sharing._due_order import (
+    Lateness,
+    OrderKey,
+    lateness_changes,
+    order_key,
+    spread_retry_after,
+)
 from cassiaturn.sharing._expected_runs import ExpectedRuns
 from cassiaturn.sharing._failed_target import failed_target_pause_s
 from cassiaturn.sharing._outlook import Progress, latest_start
@@ -17,8 +24,10 @@
 from cassiaturn.sharing._target_index import TargetIndex
 
 __all__ = [
+    "Deadlines",
     "ExpectedRuns",
     "GroupKey",
+    "Lateness",
     "LoadShedder",
     "OrderKey",
     "Pace",
@@ -31,7 +40,10 @@
     "choose_shared",
     "failed_target_pause_s",
     "is_shed",
+    "job_deadlines",
+    "lateness_changes",
     "latest_start",
+    "longest_chain_s",
     "needs_fast_target",
     "order_key",
     "spread_retry_after",
--- a/src/cassiaturn/sharing/_due_order.py
+++ b/src/cassiaturn/sharing/_due_order.py
@@ -6,17 +6,20 @@
 the short urgent jobs wait behind long ones and are all late; by priority alone the
 late urgent jobs take the places of others that could be in time.
 
-Grounds: a late answer is worth a fifth of one in time, so what can be in time goes
-first, and what cannot is still served. Among those, strict priority, since operators
-set it to say who goes first. Within one priority jobs that have begun go first, since
-their other tasks hold places for nothing until the last one is done; then the earliest
-time due, which is optimal while all can be in time.
+Grounds: a late answer is worth a fifth of one in time, and one that is later still is
+worth only that its caller has it. So what can be in time goes first, then what can be
+of use, and the rest is served where nobody else wants the room. Among those, strict
+priority, since operators set it to say who goes first. Within one priority jobs that
+have begun go first, since their other tasks hold places for nothing until the last one
+is done; then the earliest time due, which is optimal while all can be in time.
 """
 
+from enum import IntEnum
 from typing import NamedTuple
 
 import xxhash
 
+from cassiaturn.sharing._deadlines import Deadlines
 from cassiaturn.sharing._outlook import HOPE
 
 _HASH_RANGE = float(1 << 64)
@@ -26,11 +29,24 @@
 the advice: those refused in one burst return over the time that it took."""
 
 
+class Lateness(IntEnum):
+    """What a job that starts now can hope for."""
+
+    IN_TIME = 0
+    """An answer that is due."""
+
+    LATE = 1
+    """One that is of use, though late."""
+
+    PAST_USE = 2
+    """One that its caller gets, and no more."""
+
+
 class OrderKey(NamedTuple):
     """Place in the queue; the lowest goes first."""
 
-    late: bool
-    """Whether it can hardly be in time any more."""
+    lateness: Lateness
+    """What it can hope for."""
 
     priority: int
     """Of its route; 0 goes first."""
@@ -43,18 +59,39 @@
 
 
 def order_key(
-    *, priority: int, due_at: float, expected_run_s: float, is_new: bool, now: float
+    *,
+    priority: int,
+    deadlines: Deadlines,
+    expected_run_s: float,
+    is_new: bool,
+    now: float,
 ) -> OrderKey:
     """Return the place of a job in the queue.
 
     :param priority: of its route; 0 goes first.
-    :param due_at: until when its answer is as good as an immediate one, in seconds.
     :param expected_run_s: expected length of its longest chain, in seconds.
     :param is_new: whether none of its tasks has started.
     :param now: time in seconds.
     """
-    late = due_at < now + HOPE * expected_run_s
-    return OrderKey(late, priority, is_new, due_at)
+    late_from, past_use_from = lateness_changes(deadlines, expected_run_s)
+    if now <= late_from:
+        lateness = Lateness.IN_TIME
+    elif now <= past_use_from:
+        lateness = Lateness.LATE
+    else:
+        lateness = Lateness.PAST_USE
+    return OrderKey(lateness, priority, is_new, deadlines.due_at)
+
+
+def lateness_changes(
+    deadlines: Deadlines, expected_run_s: float
+) -> tuple[float, float]:
+    """Return until when a job may start and be in time, and of use, in seconds.
+
+    :param expected_run_s: expected length of its longest chain, in seconds.
+    """
+    hoped_s = HOPE * expected_run_s
+    return deadlines.due_at - hoped_s, deadlines.useful_until - hoped_s
 
 
 def spread_retry_after(job_id: str, least_s: float) -> float:
--- /dev/null
+++ b/src/cassiaturn/sharing/tests/test_deadlines.py
@@ -0,0 +1,45 @@
+"""Until when an answer is worth what."""
+
+import pytest
+
+from cassiaturn.entities import Resources, Route, TaskGroup
+from cassiaturn.sharing import (
+    job_deadlines,
+    longest_chain_s,
+)
+
+ROUTE = Route(
+    name="r",
+    host="",
+    prefix="/",
+    service="s",
+    timeout_s=0.1,
+    stretch=1.5,
+    latency_objective_s=0.1,
+)
+
+
+@pytest.mark.parametrize(
+    ("limit_at", "expected"),
+    [
+        (10.0, (2.6, 5.8, 10.0)),  # the objective is 1.6 s after 1.0
+        (4.0, (2.6, 4.0, 4.0)),  # a caller that leaves before a late answer
+        (2.0, (2.0, 2.0, 2.0)),  # and one that leaves before it is due
+    ],
+)
+def test_deadlines_come_from_the_objective_and_the_caller(
+    limit_at: float, expected: tuple[float, float, float]
+) -> None:
+    """Jobs were ended by their route's timeout while their answers were not yet due."""
+    found = job_deadlines(ROUTE, arrived_at=1.0, chain_s=1.0, limit_at=limit_at)
+    values = (found.due_at, found.useful_until, found.limit_at)
+    assert values == pytest.approx(expected)
+
+
+def test_the_longest_chain_follows_the_groups_before() -> None:
+    resources = Resources(cpu_millis=1)
+    groups = [
+        TaskGroup(count=1, resources=resources, after=after)
+        for after in ((), (), (0,), (1, 2))
+    ]
+    assert longest_chain_s(groups, [0.1, 0.5, 0.2, 0.3]) == pytest.approx(0.8)
--- a/src/cassiaturn/sharing/tests/test_job_timing.py
+++ b/src/cassiaturn/sharing/tests/test_job_timing.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cassiaturn.sharing import (
+    Deadlines,
     ExpectedRuns,
     Pace,
     Progress,
@@ -34,7 +35,9 @@
     keys = [
         order_key(
             priority=priority,
-            due_at=due_at,
+            deadlines=Deadlines(
+                due_at=due_at, useful_until=due_at + 8.0, limit_at=20.0
+            ),
             expected_run_s=0.4,
             is_new=is_new,
             now=1.0,
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -67,7 +67,7 @@
     """Return a job's place in the queue."""
     return order_key(
         priority=job.route.priority,
-        due_at=job.due_at,
+        deadlines=job.deadlines,
         expected_run_s=job.expected_run_s,
         is_new=len(job.waiting) == len(job.tasks_by_ref),
         now=now,
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -57,7 +57,9 @@
     if not job.is_confirmed:
         return False
     if not job.begun and now > latest_start(
-        limit_at=job.limit_at, expected_run_s=job.expected_run_s, is_idle=True
+        limit_at=job.deadlines.limit_at,
+        expected_run_s=job.expected_run_s,
+        is_idle=True,
     ):
         return False
     if now < tables.began_at + tables.settings.survey_s and not tables.hears_all:
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -2,9 +2,14 @@
 
 from dataclasses import dataclass
 
-from cassiaturn.entities import JobRequest, Route, TaskGroup, TaskRef
+from cassiaturn.entities import JobRequest, Route, TaskRef
 from cassiaturn.observability import Event
-from cassiaturn.sharing import latest_start, spread_retry_after
+from cassiaturn.sharing import (
+    job_deadlines,
+    latest_start,
+    longest_chain_s,
+    spread_retry_after,
+)
 from cassiaturn.workload._backlog import backlog_s
 from cassiaturn.workload._ends import claim_ends
 from cassiaturn.workload._ports import Ports
@@ -85,8 +90,10 @@
         origin=submission.origin,
         tasks=len(job.tasks_by_ref),
         expected_ms=round(job.expected_run_s * 1000),
-        due_ms=round((job.due_at - job.arrived_at) * 1000),
-        limit_ms=round((job.limit_at - now) * 1000),
+        due_ms=round((job.deadlines.due_at - job.arrived_at) * 1000),
+        useful_ms=round((job.deadlines.useful_until - job.arrived_at) * 1000),
+        limit_ms=round((job.deadlines.limit_at - job.arrived_at) * 1000),
+        waited_ms=round((now - job.arrived_at) * 1000),
         inherited=submission.begun_earlier,
         confirmed=job.is_confirmed,
         version=tables.routing.version if tables.routing is not None else 0,
@@ -159,7 +166,7 @@
         expected.expected_s(route.name, group.expected_run_s)
         for group in request.groups
     ]
-    chain_s = _longest_chain_s(request.groups, group_runs)
+    chain_s = longest_chain_s(request.groups, group_runs)
     arrived_at = now - submission.waited_s
     first_run = max(next_run, tables.term * tables.settings.runs_per_term + 1)
     tasks = [
@@ -178,8 +185,12 @@
         request=request,
         route=route,
         arrived_at=arrived_at,
-        limit_at=now + submission.limit_s,
-        due_at=arrived_at + route.stretch * chain_s + route.latency_objective_s,
+        deadlines=job_deadlines(
+            route,
+            arrived_at=arrived_at,
+            chain_s=chain_s,
+            limit_at=now + submission.limit_s,
+        ),
         expected_run_s=chain_s,
         origins={submission.origin},
         tasks_by_ref={task.ref: task for task in tasks},
@@ -193,14 +204,6 @@
     )
 
 
-def _longest_chain_s(groups: tuple[TaskGroup, ...], runs_s: list[float]) -> float:
-    """Return the length of the longest chain of groups, in seconds."""
-    ends: list[float] = []
-    for group, run_s in zip(groups, runs_s, strict=True):
-        ends.append(run_s + max((ends[earlier] for earlier in group.after), default=0))
-    return max(ends)
-
-
 def _refusal(tables: Tables, job: Job, now: float) -> Outcome | None:
     """Return why a job cannot be served, if that is known at once."""
     settings = tables.settings
@@ -210,7 +213,7 @@
         return refused("no_target", job, settings.min_retry_after_s)
     wait_s = backlog_s(tables, job, now)
     start_by = latest_start(
-        limit_at=job.limit_at,
+        limit_at=job.deadlines.limit_at,
         expected_run_s=job.expected_run_s,
         is_idle=wait_s == 0.0,
     )
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -13,6 +13,7 @@
     TaskRef,
 )
 from cassiaturn.sharing import (
+    Deadlines,
     ExpectedRuns,
     GroupKey,
     SharedTarget,
@@ -180,14 +181,11 @@
     arrived_at: float
     """When its caller sent it, in seconds."""
 
-    limit_at: float
-    """When its caller stops waiting, in seconds."""
-
-    due_at: float
-    """Until when its answer is as good as an immediate one, in seconds."""
+    deadlines: Deadlines
+    """Until when its answer is worth what."""
 
     expected_run_s: float
-    """Expected length of its longest task, in seconds."""
+    """Expected length of its longest chain of tasks, in seconds."""
 
     origins: set[str]
     """Members whose callers wait for it."""
@@ -227,7 +225,8 @@
     def is_tight(self) -> bool:
         """Whether its tasks need a large part of the time that its caller waits."""
         return needs_fast_target(
-            expected_run_s=self.expected_run_s, limit_s=self.limit_at - self.arrived_at
+            expected_run_s=self.expected_run_s,
+            limit_s=self.deadlines.limit_at - self.arrived_at,
         )
 
     @property
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -62,7 +62,7 @@
     for job in list(tables.jobs_by_id.values()):
         if not job.begun:
             _refuse_if_too_late(tables, ports, job, now)
-        elif now >= job.limit_at:
+        elif now >= job.deadlines.limit_at:
             outcome = Outcome(verdict=Verdict.ABANDONED, reason="limit_passed")
             settle(tables, ports, job, outcome, now)
         elif _is_held_too_long(tables, job, now):
@@ -76,7 +76,9 @@
 def _refuse_if_too_late(tables: Tables, ports: Ports, job: Job, now: float) -> None:
     settings = tables.settings
     start_by = latest_start(
-        limit_at=job.limit_at, expected_run_s=job.expected_run_s, is_idle=True
+        limit_at=job.deadlines.limit_at,
+        expected_run_s=job.expected_run_s,
+        is_idle=True,
     )
     reason = ""
     if now > start_by - settings.refusal_margin_s:
@@ -94,7 +96,9 @@
     if not job.waiting or now < tables.began_at + tables.settings.survey_over_s:
         return False
     start_by = latest_start(
-        limit_at=job.limit_at, expected_run_s=job.expected_run_s, is_idle=True
+        limit_at=job.deadlines.limit_at,
+        expected_run_s=job.expected_run_s,
+        is_idle=True,
     )
     return job.hold_until > start_by and is_held(tables, job, now)
 
@@ -103,7 +107,7 @@
     """Return whether a task that runs will certainly end too late."""
     return any(
         task.run is not None
-        and task.run.started_at + task.run.least_run_s > job.limit_at
+        and task.run.started_at + task.run.least_run_s > job.deadlines.limit_at
         for task in job.tasks_by_ref.values()
     )
 
