Count the time that submissions lie unread on their way to a leader

Cause: a member tells how long a job has waited when it passes it on; what goes by until a full leader reads that is in no one's count. Jobs that lay unread counted as new and went before others that could still be in time.

Change: submissions carry the sender's steady clock; the leader takes what their way took beyond the least of the last 2 to 4 s for time unread. A clock that stood still or drifts is learnt anew within the window.

Tests: told waits, a first message, a frozen and an idle sender.

--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -72,10 +72,12 @@
     limit_s: float,
     begun_earlier: bool,
     unconfirmed: bool,
+    sent_s: float = 0.0,
 ) -> pb.JobSubmission:
     """Return the message of a job on its way to the leader.
 
     :param unconfirmed: whether it is not to be started before it is confirmed.
+    :param sent_s: time by this member's steady clock, in seconds.
     """
     return pb.JobSubmission(
         job_id=request.job_id,
@@ -93,6 +95,7 @@
         limit_ms=max(0, round(limit_s * MILLISECONDS)),
         begun_earlier=begun_earlier,
         unconfirmed=unconfirmed,
+        sent_ms=round(sent_s * MILLISECONDS),
     )
 
 
@@ -101,10 +104,12 @@
     *,
     origin: str,
     failure_domain: str,
+    unread_s: float = 0.0,
 ) -> Submission:
     """Return a job that another member passed on.
 
     :param origin: the member.
+    :param unread_s: how long the message lay unread, in seconds.
     :param failure_domain: where it runs.
     """
     route = message.route
@@ -126,8 +131,8 @@
             max_attempts=route.max_attempts,
         ),
         origin=origin,
-        waited_s=message.waited_ms / MILLISECONDS,
-        limit_s=message.limit_ms / MILLISECONDS,
+        waited_s=message.waited_ms / MILLISECONDS + unread_s,
+        limit_s=message.limit_ms / MILLISECONDS - unread_s,
         begun_earlier=message.begun_earlier,
         failure_domain=failure_domain,
         is_confirmed=not message.unconfirmed,
--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -144,6 +144,7 @@
             limit_s=job.limit_at - now,
             begun_earlier=begun_earlier,
             unconfirmed=not job.may_have_begun,
+            sent_s=now,
         )
         self._frames.put_nowait(pb.FollowerFrame(submit=message))
 
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -9,6 +9,7 @@
 from cassiaturn.fleet._codec import from_outcome
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing_feed import RoutingCursor, RoutingFeed
+from cassiaturn.sharing import TransitDelay
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import Outcome
 
@@ -48,6 +49,7 @@
         self.hello = hello
         self.heard_at = time.monotonic()
         self.leaving = hello.leaving
+        self.transit = TransitDelay()
         self._frames: deque[QueuedFrame] = deque()
         self._wake = asyncio.Event()
         self._roster = feed.join(hello, on_change=self._wake.set)
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -42,6 +42,8 @@
 connection that was reset is replaced in a few milliseconds, and an ended process
 must have its tasks stopped before its callers come back after 1.3 s."""
 
+MILLISECONDS = 1000
+
 STREAM_ERRORS = (OSError, ProtocolError, StreamTerminatedError)
 """What the loss of a stream raises."""
 
@@ -288,10 +290,12 @@
             follower.heard_at = time.monotonic()
             match frame.WhichOneof("frame"):
                 case "submit":
+                    sent_s = frame.submit.sent_ms / MILLISECONDS
                     submission = to_submission(
                         frame.submit,
                         origin=follower.hello.member_id,
                         failure_domain=follower.hello.failure_domain,
+                        unread_s=follower.transit.observe(sent_s, follower.heard_at),
                     )
                     leader.take(submission)
                 case "confirm":
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -23,6 +23,7 @@
 from cassiaturn.sharing._spare_time import SpareTime
 from cassiaturn.sharing._speed_book import SpeedBook
 from cassiaturn.sharing._target_index import TargetIndex
+from cassiaturn.sharing._transit import TransitDelay
 
 __all__ = [
     "Deadlines",
@@ -39,6 +40,7 @@
     "SpareTime",
     "SpeedBook",
     "TargetIndex",
+    "TransitDelay",
     "choose_shared",
     "failed_target_pause_s",
     "is_shed",
