Start what waits in turns of 32 tasks

Cause: one look at the queue started all that had room. After a pause that is hundreds of tasks in one go: whatever is handed in meanwhile, however urgent, is read after it.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -372,8 +372,10 @@
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
-            if workload.next_check(self._tables, now) is not None:
-                workload.tick(self._tables, self, now)
+            if workload.next_check(self._tables, now) is None:
+                continue
+            if workload.tick(self._tables, self, now):
+                self._dispatch_soon()
 
     def _shed_load(self, late_s: float, now: float) -> None:
         was_shedding = bool(self._shedder.share)
@@ -395,8 +397,10 @@
 
     def _dispatch(self) -> None:
         self._dispatch_due = False
-        if not self._closed:
-            workload.dispatch(self._tables, self, time.monotonic())
+        if self._closed:
+            return
+        if workload.dispatch(self._tables, self, time.monotonic()):
+            self._dispatch_soon()
 
     def _tell(self, member_id: str, job_id: str, outcome: Outcome) -> None:
         if member_id == self.leadership.member_id:
--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -319,7 +319,7 @@
         )
         if outcome is not None:
             self.note(job_id, outcome)
-        workload.dispatch(self.tables, self, self.now)
+        self._dispatch()
 
     def note(self, job_id: str, outcome: Outcome) -> None:
         """Remember an outcome and its time."""
@@ -421,17 +421,22 @@
             if work is not None and work.length_s != float("inf"):
                 left_s = work.began_at + work.length_s - self.now
                 self.later(max(0.0, left_s), lambda: self.look(order.target_id))
-        workload.dispatch(self.tables, self, self.now)
+        self._dispatch()
 
     def _take(self, name: str, report: LeaseReport, asked_at: float) -> None:
         self.lease_over_at.pop(name, None)
         workload.on_lease_report(
             self.tables, self, name, report, asked_at=asked_at, now=self.now
         )
-        workload.dispatch(self.tables, self, self.now)
+        self._dispatch()
+
+    def _dispatch(self) -> None:
+        while workload.dispatch(self.tables, self, self.now):
+            continue
 
     def _tick(self) -> None:
-        workload.tick(self.tables, self, self.now)
+        if workload.tick(self.tables, self, self.now):
+            self._dispatch()
         if round(self.now * 20) % 3 == 0:
             for name, row in self.tables.targets_by_id.items():
                 if row.runs_by_ref or row.silent:
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -13,9 +13,17 @@
 """Jobs at the head of the queue that find no room before the rest is left for another
 time: what is free is less than one of these needs, and looking on costs each event."""
 
+MOST_STARTS = 32
+"""Starts after which the rest of a service's queue is left for another turn: jobs that
+were handed in meanwhile, and may be more urgent, are read before it."""
 
-def dispatch(tables: Tables, ports: Ports, now: float) -> None:
-    """Start whatever can be started now."""
+
+def dispatch(tables: Tables, ports: Ports, now: float) -> bool:
+    """Start what can be started now, up to a bound.
+
+    :returns: whether there may be more.
+    """
+    started = 0
     for service, queue in tables.queue_by_service.items():
         index = tables.index_by_service.get(service)
         if not queue or index is None:
@@ -23,7 +31,8 @@
         queue.advance(now)
         is_usable = usable_check(tables, service, now)
         if index.largest_free_cpu_millis(is_usable) >= queue.least_cpu_millis:
-            _start_in_order(tables, ports, queue, index, is_usable, now)
+            started += _start_in_order(tables, ports, queue, index, is_usable, now)
+    return started >= MOST_STARTS
 
 
 def _start_in_order(
@@ -33,12 +42,16 @@
     index: TargetIndex[Target],
     is_usable: Callable[[Target], bool],
     now: float,
-) -> None:
+) -> int:
+    """Start tasks of the first jobs in the queue; returns how many."""
+    all_started = 0
     free_cpu = index.largest_free_cpu_millis(is_usable)
     passed_over = 0
     for job in queue.in_order():
         if free_cpu < queue.least_cpu_millis or passed_over >= MOST_PASSED_OVER:
-            return
+            break
+        if all_started >= MOST_STARTS:
+            break
         if job.least_cpu_millis > free_cpu:
             passed_over += 1
             continue
@@ -56,8 +69,10 @@
                 started.append(run)
                 free_cpu = index.largest_free_cpu_millis(is_usable)
         if started:
+            all_started += len(started)
             tables.requeue(job)
             _record_starts(ports, job, started, now)
+    return all_started
 
 
 def _may_start(tables: Tables, job: Job, now: float) -> bool:
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -21,8 +21,11 @@
 in 1.7 s at 20 ticks a second, so that a recovered target is tried again."""
 
 
-def tick(tables: Tables, ports: Ports, now: float) -> None:
-    """Run every system once."""
+def tick(tables: Tables, ports: Ports, now: float) -> bool:
+    """Run every system once.
+
+    :returns: whether there may be more to start.
+    """
     _check_jobs(tables, ports, now)
     _check_runs(tables, ports, now)
     _forget(tables, now)
@@ -36,7 +39,7 @@
         target.slowness = 1.0 + (target.slowness - 1.0) * SLOWNESS_KEPT
         if was_slow or target.service in moved_services:
             target.note_change()
-    dispatch(tables, ports, now)
+    return dispatch(tables, ports, now)
 
 
 def next_check(tables: Tables, now: float) -> float | None:
