Keep jobs for the next leader, or hand them back, by what their callers have left

Cause: waits sized for callers of 1.5 s: 0.35 s for a new job, 0.6 s for one on its way to a lost leader, 1.0 s after the last word for what may have begun; a leader that reaches no target kept jobs until they could not start any more.

Change: one rule, sharing/_standstill.py. A job that makes no progress is kept for a second, within which a successor is found, and then handed back if its caller has 1.3 s to come back and its run left; else as long as it can be served. The same rule ends jobs of a leader that reaches no target for a second. Where a job may have begun the answer is 504, else 503 with the time to come back.

Tests: five cases of the desk fail on the code before, and two of the leader without targets. The test of 'only what never began is said not to have run' is as it was; it shortens the new constant instead of the old one and needs no call of its own.

--- a/src/cassiaturn/explain/_causes.py
+++ b/src/cassiaturn/explain/_causes.py
@@ -72,7 +72,7 @@
 def _no_leader(story: JobStory, _: Record) -> bool:
     if story.verdict == "refused" and story.reason == "limit_passed":
         return True
-    return story.reason in ("no_leader", "leader_silent")
+    return story.reason in ("no_leader", "leader_lost", "leader_silent")
 
 
 @_cause("no_target", "the leader knew no target of its service")
--- a/src/cassiaturn/fleet/_desk.py
+++ b/src/cassiaturn/fleet/_desk.py
@@ -7,18 +7,14 @@
 
 from cassiaturn.entities import JobRequest, Route
 from cassiaturn.observability import Event, FleetMetrics, log_event
-from cassiaturn.sharing import is_shed, spread_retry_after
+from cassiaturn.sharing import (
+    hand_back_at,
+    is_shed,
+    longest_chain_s,
+    spread_retry_after,
+)
 from cassiaturn.workload import Outcome, Verdict, unserved_feature
 
-LEADERLESS_WAIT_S = 0.35
-"""How long a job waits for a leader before it is refused: a leader whose process
-ended is replaced in some 50 ms; one that fell silent only after most callers of
-short jobs have given up."""
-
-LOST_LEADER_WAIT_S = 0.6
-"""How long a job that was on its way to a leader which is lost waits for the next one,
-in seconds: a claim may fail once, and the second one takes a look around more."""
-
 RETRY_AFTER_S = 1.0
 """Least advice to a caller that is refused here: the header counts whole seconds."""
 
@@ -86,6 +82,12 @@
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
     """What ends it if nobody answers."""
 
+    @property
+    def declared_run_s(self) -> float:
+        """Length of its longest chain of tasks as its caller tells it, in seconds."""
+        groups = self.request.groups
+        return longest_chain_s(groups, [group.expected_run_s for group in groups])
+
 
 class JobDesk:
     """Takes jobs from callers and keeps each with whoever leads."""
@@ -103,7 +105,7 @@
         self._priorities: list[int] = []
         self._jobs_by_id: dict[str, OpenJob] = {}
         self._leader: LeaderPort | None = None
-        self._giving_up: asyncio.TimerHandle | None = None
+        self._leaderless_since = time.monotonic()
 
     @property
     def open_jobs(self) -> int:
@@ -123,48 +125,21 @@
     def attach(self, leader: LeaderPort) -> None:
         """Pass every open job on to a leader."""
         self._leader = leader
-        if self._giving_up is not None:
-            self._giving_up.cancel()
         for job in list(self._jobs_by_id.values()):
             self._pass_on(job, leader)
 
-    def detach(self, leader: LeaderPort) -> None:
-        """Keep jobs here until there is another leader."""
+    def detach(self, leader: LeaderPort, *, heard_at: float | None = None) -> None:
+        """Keep jobs here until there is another leader.
+
+        :param heard_at: when the leader was last heard, in seconds; None: just now.
+        """
         if self._leader is leader:
             self._leader = None
+            self._leaderless_since = time.monotonic() if heard_at is None else heard_at
             self.waiting_by_route = {}
             self.shed_share = 0.0
             for job in self._jobs_by_id.values():
-                if not job.may_have_begun:
-                    self._refuse_without_leader(job, LOST_LEADER_WAIT_S)
-
-    def keep_for_successor(self, wait_s: float) -> None:
-        """Keep the jobs of a leader that fell silent until another one leads.
-
-        Its targets work on until their leases end, and a successor that every target
-        obeys knows from their lists what runs. Given up at once, all that was under
-        way would be lost: callers come back after most of their time.
-
-        :param wait_s: how long they are kept, in seconds.
-        """
-        if self._leader is not None:
-            return
-        if self._giving_up is not None:
-            self._giving_up.cancel()
-        loop = asyncio.get_running_loop()
-        self._giving_up = loop.call_later(wait_s, self._abandon_all, "leader_silent")
-
-    def _abandon_all(self, reason: str) -> None:
-        """Answer every job that a leader had which fell silent.
-
-        Nobody has taken its place, and it has dropped the jobs of a member that it
-        does not hear. The caller is told that nobody knows, and submits again after a
-        pause that outlasts the leases.
-        """
-        for job in list(self._jobs_by_id.values()):
-            if job.may_have_begun:
-                outcome = Outcome(verdict=Verdict.ABANDONED, reason=reason)
-                self.settle(job.request.job_id, outcome)
+                self._keep_without_leader(job)
 
     async def submit(
         self,
@@ -304,16 +279,26 @@
         if self._leader is not None:
             self._pass_on(job, self._leader)
         else:
-            self._refuse_without_leader(job, LEADERLESS_WAIT_S)
+            self._keep_without_leader(job)
         return job
 
-    def _refuse_without_leader(self, job: OpenJob, wait_s: float) -> None:
-        """Refuse a job that never began, if there is no leader in time.
+    def _keep_without_leader(self, job: OpenJob) -> None:
+        """Keep a job until another member leads, or until that is of no more use.
 
-        :param wait_s: how long it waits for one, in seconds.
+        The targets of a leader that fell silent work on until their leases end, and a
+        successor that every target obeys knows from their lists what runs. Given up at
+        once, all that was under way would be lost.
         """
+        kept_until = hand_back_at(
+            stuck_since=max(self._leaderless_since, job.arrived_at),
+            limit_at=job.limit_at,
+            expected_run_s=job.declared_run_s,
+        )
         loop = asyncio.get_running_loop()
-        job.timers.append(loop.call_later(wait_s, self._refuse_leaderless, job))
+        wait_s = max(0.0, kept_until - time.monotonic())
+        job.timers.append(
+            loop.call_later(wait_s, self._hand_back, job, self._leaderless_since)
+        )
 
     def _pass_on(self, job: OpenJob, leader: LeaderPort) -> None:
         begun_earlier = job.may_have_begun
@@ -335,11 +320,21 @@
             age_ms=round((time.monotonic() - job.arrived_at) * MILLISECONDS),
         )
 
-    def _refuse_leaderless(self, job: OpenJob) -> None:
-        if self._leader is None and not job.may_have_begun:
-            self.settle(
-                job.request.job_id, _refused(job.request, "no_leader", RETRY_AFTER_S)
-            )
+    def _hand_back(self, job: OpenJob, leaderless_since: float) -> None:
+        """Answer a job for which nobody leads.
+
+        Where it may have begun its caller is told that nobody knows, and submits again
+        after a pause that outlasts the leases.
+
+        :param leaderless_since: since when nobody led as it was planned, in seconds.
+        """
+        if self._leader is not None or self._leaderless_since != leaderless_since:
+            return
+        if job.may_have_begun:
+            outcome = Outcome(verdict=Verdict.ABANDONED, reason="leader_lost")
+        else:
+            outcome = _refused(job.request, "no_leader", RETRY_AFTER_S)
+        self.settle(job.request.job_id, outcome)
 
     def _expire(self, job: OpenJob) -> None:
         if self._leader is not None and job.passed_on:
--- a/src/cassiaturn/fleet/_follow.py
+++ b/src/cassiaturn/fleet/_follow.py
@@ -83,9 +83,6 @@
     welcomed: bool = False
     """Whether it had taken this member on."""
 
-    heard_at: float = 0.0
-    """When it was heard last, in seconds; 0: never."""
-
 
 class Following:
     """One stream to one leader."""
@@ -162,16 +159,14 @@
         except ConnectionRefusedError:
             return Followed(end=FollowEnd.REFUSED, welcomed=self.welcomed)
         except TimeoutError:
-            return Followed(
-                end=FollowEnd.SILENT, welcomed=self.welcomed, heard_at=self.heard_at
-            )
+            return Followed(end=FollowEnd.SILENT, welcomed=self.welcomed)
         except STREAM_ERRORS as error:
             log_event(
                 Event.PEER_LOST, member=self.leadership.member_id, detail=repr(error)
             )
             return Followed(end=FollowEnd.BROKEN, welcomed=self.welcomed)
         finally:
-            self._desk.detach(self)
+            self._desk.detach(self, heard_at=self.heard_at)
             self.welcomed = False
             channel.close()
 
@@ -307,9 +302,7 @@
         while True:
             silent_s = time.monotonic() - self.heard_at
             if silent_s >= LEADER_SILENCE_S:
-                return Followed(
-                    end=FollowEnd.SILENT, welcomed=True, heard_at=self.heard_at
-                )
+                return Followed(end=FollowEnd.SILENT, welcomed=True)
             await sleep_awake(
                 LEADER_SILENCE_S - silent_s, most_grace_s=LEADER_SILENCE_S
             )
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-import time
 from collections.abc import Mapping, Sequence
 
 from cassiaturn.entities import RoutingTable, TargetReport
@@ -55,11 +54,6 @@
 """How long a leader that stops waits for its successor, in seconds: the claim takes
 two calls to the table service."""
 
-SUCCESSOR_WAIT_S = 1.0
-"""How long after its last word the jobs of a silent leader are kept for the next one,
-in seconds: it is found in 0.5 to 0.8 s, or later where members that are gone are asked
-too. By then a leader that lives has dropped them."""
-
 MILLISECONDS = 1000
 
 
@@ -357,9 +351,6 @@
             case FollowEnd.ASKED:
                 return Loss.ASKED
             case FollowEnd.SILENT:
-                if followed.welcomed:
-                    silent_s = time.monotonic() - followed.heard_at
-                    self.desk.keep_for_successor(SUCCESSOR_WAIT_S - silent_s)
                 return Loss.SILENT
             case _:
                 return Loss.GONE
--- a/src/cassiaturn/fleet/tests/test_desk.py
+++ b/src/cassiaturn/fleet/tests/test_desk.py
@@ -6,9 +6,9 @@
 import pytest
 
 from cassiaturn.entities import JobRequest, Resources, TaskGroup
-from cassiaturn.fleet import _desk
 from cassiaturn.fleet._desk import JobDesk, OpenJob
 from cassiaturn.observability import FleetMetrics
+from cassiaturn.sharing import _standstill
 from cassiaturn.standins.virtual_targets import ROUTE
 from cassiaturn.workload import Outcome, Verdict
 
@@ -88,14 +88,13 @@
     is_confirmed: bool, verdict: Verdict, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A caller was told that its job did not run, and the job ran."""
-    monkeypatch.setattr(_desk, "LOST_LEADER_WAIT_S", 0.01)
+    monkeypatch.setattr(_standstill, "PATIENCE_S", 0.01)
     leader = _Leader()
     desk = _desk_of(leader)
     waiting = await _submitted(desk)
     if is_confirmed:
         desk.confirm(JOB)
     desk.detach(leader)
-    desk.keep_for_successor(0.01)
     assert (await waiting).verdict is verdict
 
 
@@ -110,3 +109,41 @@
     (job,) = leader.jobs
     assert job.limit_at - job.arrived_at == pytest.approx(limit_s)
     waiting.cancel()
+
+
+@pytest.mark.parametrize("limit_s", [1.5, 6.0])
+@pytest.mark.parametrize("has_had_leader", [True, False])
+async def test_a_job_waits_for_a_successor_that_comes_within_its_callers_limit(
+    limit_s: float, has_had_leader: bool
+) -> None:
+    """Jobs were refused 0.35 s after a leader was lost, which takes 0.5 to replace."""
+    lost, following = _Leader(), _Leader()
+    desk = _desk_of(lost)
+    if not has_had_leader:
+        desk.detach(lost)
+    waiting = await _submitted(desk, limit_s)
+    desk.detach(lost)
+    await asyncio.sleep(0.7)
+    desk.attach(following)
+    assert len(following.jobs) == 1
+    waiting.cancel()
+
+
+@pytest.mark.parametrize(
+    ("limit_s", "is_kept"),
+    [(6.0, False), (0.6, True)],
+)
+async def test_a_job_that_nobody_leads_goes_back_to_a_caller_that_can_return(
+    limit_s: float, is_kept: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A member that was cut off kept jobs that other members could have served."""
+    monkeypatch.setattr(_standstill, "PATIENCE_S", 0.1)
+    leader, following = _Leader(), _Leader()
+    desk = _desk_of(leader)
+    desk.detach(leader)
+    waiting = await _submitted(desk, limit_s)
+    await asyncio.sleep(0.25)
+    assert waiting.done() is not is_kept
+    desk.attach(following)
+    assert len(following.jobs) == is_kept
+    waiting.cancel()
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -22,6 +22,7 @@
 from cassiaturn.sharing._shedding import LoadShedder, is_shed
 from cassiaturn.sharing._spare_time import SpareTime
 from cassiaturn.sharing._speed_book import SpeedBook
+from cassiaturn.sharing._standstill import hand_back_at
 from cassiaturn.sharing._target_index import TargetIndex
 from cassiaturn.sharing._transit import TransitDelay
 
@@ -43,6 +44,7 @@
     "TransitDelay",
     "choose_shared",
     "failed_target_pause_s",
+    "hand_back_at",
     "is_shed",
     "job_deadlines",
     "lateness_changes",
--- a/src/cassiaturn/sharing/tests/test_deadlines.py
+++ b/src/cassiaturn/sharing/tests/test_deadlines.py
@@ -3,10 +3,7 @@
 import pytest
 
 from cassiaturn.entities import Resources, Route, TaskGroup
-from cassiaturn.sharing import (
-    job_deadlines,
-    longest_chain_s,
-)
+from cassiaturn.sharing import hand_back_at, job_deadlines, longest_chain_s
 
 ROUTE = Route(
     name="r",
@@ -43,3 +40,19 @@
         for after in ((), (), (0,), (1, 2))
     ]
     assert longest_chain_s(groups, [0.1, 0.5, 0.2, 0.3]) == pytest.approx(0.8)
+
+
+@pytest.mark.parametrize(
+    ("limit_at", "kept_until"),
+    [
+        (7.0, 2.0),  # its caller has time to come back
+        (3.5, 2.0),
+        (3.3, 3.2),  # it has not: kept for as long as it can be served
+    ],
+)
+def test_a_stuck_job_is_kept_where_its_caller_cannot_come_back_in_time(
+    limit_at: float, kept_until: float
+) -> None:
+    """Jobs were refused half a second before the next leader, to callers in a hurry."""
+    found = hand_back_at(stuck_since=1.0, limit_at=limit_at, expected_run_s=0.2)
+    assert found == pytest.approx(kept_until)
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -56,18 +56,21 @@
     ahead = queue.work_ahead_s(queue_key(job, now))
     if ahead == 0.0:
         return 0.0
-    cpu_millis = _usable_cpu_millis(tables, job.route.service, now)
+    cpu_millis = usable_cpu(tables, job.route.service, now).cpu_millis
     return ahead / cpu_millis if cpu_millis else 0.0
 
 
-def _usable_cpu_millis(tables: Tables, service: str, now: float) -> int:
+def usable_cpu(tables: Tables, service: str, now: float) -> UsableCpu:
     """Return what the usable targets of a service have in all, as of lately."""
     known = tables.usable_cpu_by_service.get(service)
-    if known is None or now - known.at >= USABLE_CPU_AGE_S:
-        cpu_millis = sum(
-            target.capacity.cpu_millis
-            for target in usable_targets(tables, service, now)
-        )
-        known = UsableCpu(cpu_millis=cpu_millis, at=now)
-        tables.usable_cpu_by_service[service] = known
-    return known.cpu_millis
+    if known is not None and now - known.at < USABLE_CPU_AGE_S:
+        return known
+    cpu_millis = sum(
+        target.capacity.cpu_millis for target in usable_targets(tables, service, now)
+    )
+    none_since = float("inf")
+    if not cpu_millis:
+        none_since = min(now, known.none_since) if known is not None else now
+    counted = UsableCpu(cpu_millis=cpu_millis, at=now, none_since=none_since)
+    tables.usable_cpu_by_service[service] = counted
+    return counted
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -337,6 +337,9 @@
     at: float
     """When it was counted, in seconds."""
 
+    none_since: float = float("inf")
+    """Since when there is none, in seconds; infinity: there is one."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Counters:
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -1,7 +1,8 @@
 """What runs over the tables each tick: limits, stalls, stops, old entries."""
 
 from cassiaturn.observability import Event
-from cassiaturn.sharing import latest_start
+from cassiaturn.sharing import hand_back_at, latest_start
+from cassiaturn.workload._backlog import usable_cpu
 from cassiaturn.workload._dispatch import dispatch, is_held, put_back
 from cassiaturn.workload._intake import refused
 from cassiaturn.workload._ports import Ports
@@ -63,6 +64,7 @@
 
 def _check_jobs(tables: Tables, ports: Ports, now: float) -> None:
     _refuse_overdue(tables, ports, now)
+    _hand_back(tables, ports, now)
     for job in list(tables.jobs_by_id.values()):
         if not job.begun:
             continue
@@ -89,6 +91,30 @@
         _refuse(tables, ports, job, "no_target", now)
 
 
+def _hand_back(tables: Tables, ports: Ports, now: float) -> None:
+    """End jobs of a service none of whose targets can be reached for long.
+
+    This leader may be cut off; another member may serve their callers.
+    """
+    for service, queue in tables.queue_by_service.items():
+        none_since = usable_cpu(tables, service, now).none_since if queue else now
+        if none_since >= now:
+            continue
+        for job in list(queue.in_order()):
+            kept_until = hand_back_at(
+                stuck_since=max(none_since, job.arrived_at),
+                limit_at=job.deadlines.limit_at,
+                expected_run_s=job.expected_run_s,
+            )
+            if now < kept_until:
+                continue
+            if job.begun:
+                outcome = Outcome(verdict=Verdict.ABANDONED, reason="no_target")
+            else:
+                outcome = refused("no_target", job, tables.settings.min_retry_after_s)
+            settle(tables, ports, job, outcome, now)
+
+
 def _refuse(tables: Tables, ports: Ports, job: Job, reason: str, now: float) -> None:
     if not job.begun:
         outcome = refused(reason, job, tables.settings.min_retry_after_s)
--- a/src/cassiaturn/workload/tests/test_long_queue.py
+++ b/src/cassiaturn/workload/tests/test_long_queue.py
@@ -8,6 +8,7 @@
 from cassiaturn import workload
 from cassiaturn.entities import Route
 from cassiaturn.standins.virtual_targets import ROUTE, Play
+from cassiaturn.workload import Verdict
 
 
 class _CountingRoute(Route):
@@ -55,3 +56,25 @@
     _CountingRoute.looks = 0
     workload.dispatch(play.tables, play, play.now)
     assert _CountingRoute.looks <= 20
+
+
+@pytest.mark.parametrize(
+    ("limit_s", "waited_s"),
+    [(6.0, 1.0), (1.8, 1.75)],
+)
+def test_a_leader_that_reaches_no_target_hands_jobs_back(
+    limit_s: float, waited_s: float
+) -> None:
+    """A member that was cut off alone kept jobs that others could have served."""
+    play = Play()
+    for index in range(4):
+        play.add_target(f"t{index}")
+    play.run(0.1)
+    for index in range(4):
+        play.targets[f"t{index}"].cut = True
+        play.lose(f"t{index}")
+    play.submit("a", run_s=0.06, limit_s=limit_s)
+    play.run(6.0)
+    assert play.verdict("a") is Verdict.REFUSED
+    took_s = play.answered_at["a"] - play.submitted_at["a"]
+    assert took_s == pytest.approx(waited_s, abs=0.1)
