Shed load by what is left to start, and call late what would end late

After a pause new callers waited behind late ones.

Cause: fullness was told by late timers alone, and turns of 32 starts keep timers in time. And a job counted as in time while half of its expected run could still fit: with more work than time, the jobs due first were each started at their last hopeful moment and were all late by a little.

Change: a leader is behind while jobs that could be in time are left for want of time; that counts as lateness, 0.1 s at the most, since what is left for longer is not in time any more. A job is in time if its expected run and 20 ms for its ways fit.

--- a/src/cassiaturn/bench/_shared_variants.py
+++ b/src/cassiaturn/bench/_shared_variants.py
@@ -131,15 +131,15 @@
     return _patched("_tick.dispatch", _preempt)
 
 
-def _preempt(tables: Tables, ports: Ports, now: float) -> bool:
-    has_more = dispatch(tables, ports, now)
+def _preempt(tables: Tables, ports: Ports, now: float) -> Lateness | None:
+    left = dispatch(tables, ports, now)
     waiting = [job for job in tables.jobs_by_id.values() if job.waiting]
     urgent = min(waiting, key=lambda job: queue_key(job, now), default=None)
     stopping = sum(
         run.state is RunState.STOPPING for run in tables.runs_by_ref.values()
     )
     if urgent is None or queue_key(urgent, now).lateness or stopping >= MOST_PREEMPTED:
-        return has_more
+        return left
     young = [
         run
         for run in tables.runs_by_ref.values()
@@ -148,7 +148,7 @@
     for run in sorted(young, key=lambda run: -run.started_at)[: len(urgent.waiting)]:
         stop(tables, ports, run, now)
         put_back(tables, run.ref)
-    return has_more
+    return left
 
 
 def _may_be_preempted(tables: Tables, run: Run, urgent: Job, now: float) -> bool:
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -22,7 +22,7 @@
 from cassiaturn.fleet._routing import RoutingKeeper
 from cassiaturn.fleet._watch import Watch
 from cassiaturn.observability import Event, FleetMetrics, log_event
-from cassiaturn.sharing import LoadShedder, SpareTime
+from cassiaturn.sharing import Lateness, LoadShedder, SpareTime
 from cassiaturn.workload import (
     Job,
     Outcome,
@@ -124,6 +124,10 @@
         self._spare_time = SpareTime()
         self._tasks: list[asyncio.Task[None]] = []
         self._dispatch_due = False
+        self._behind_since = 0.0
+        """Since when jobs that could be in time are left for want of time, in seconds;
+        0: none is."""
+
         self._closed = False
         self.on_directory_change: Callable[[str, TargetReport | None], None] = (
             lambda target_id, report: None
@@ -374,18 +378,19 @@
             self._targets.tick(now)
             if workload.next_check(self._tables, now) is None:
                 continue
-            if workload.tick(self._tables, self, now):
-                self._dispatch_soon()
+            self._note_left(workload.tick(self._tables, self, now), now)
 
     def _shed_load(self, late_s: float, now: float) -> None:
         was_shedding = bool(self._shedder.share)
-        self._shedder.observe(late_s, now)
+        behind_s = now - self._behind_since if self._behind_since else 0.0
+        self._shedder.observe(late_s, now, behind_s=behind_s)
         self._desk.shed_share = self._shedder.share
         if bool(self._shedder.share) is not was_shedding:
             log_event(
                 Event.LEADER_FULL,
                 share=self._shedder.share,
                 late_ms=round(late_s * 1000),
+                behind_ms=round(behind_s * 1000),
                 queued=len(self._tables.jobs_by_id),
             )
 
@@ -399,8 +404,17 @@
         self._dispatch_due = False
         if self._closed:
             return
-        if workload.dispatch(self._tables, self, time.monotonic()):
+        now = time.monotonic()
+        self._note_left(workload.dispatch(self._tables, self, now), now)
+
+    def _note_left(self, left: Lateness | None, now: float) -> None:
+        """Take in what was left to start for want of time, though there is room."""
+        if left is not None:
             self._dispatch_soon()
+        if left is not Lateness.IN_TIME:
+            self._behind_since = 0.0
+        elif not self._behind_since:
+            self._behind_since = now
 
     def _tell(self, member_id: str, job_id: str, outcome: Outcome) -> None:
         if member_id == self.leadership.member_id:
--- a/src/cassiaturn/sharing/_due_order.py
+++ b/src/cassiaturn/sharing/_due_order.py
@@ -20,7 +20,10 @@
 import xxhash
 
 from cassiaturn.sharing._deadlines import Deadlines
-from cassiaturn.sharing._outlook import HOPE
+
+MARGIN_S = 0.02
+"""Time kept for the ways of orders and of the answer, in seconds. Without it the jobs
+that are due first start at their last moment each, and all are late by a little."""
 
 _HASH_RANGE = float(1 << 64)
 
@@ -30,7 +33,7 @@
 
 
 class Lateness(IntEnum):
-    """What a job that starts now can hope for."""
+    """What a job that starts now can expect."""
 
     IN_TIME = 0
     """An answer that is due."""
@@ -46,7 +49,7 @@
     """Place in the queue; the lowest goes first."""
 
     lateness: Lateness
-    """What it can hope for."""
+    """What it can expect."""
 
     priority: int
     """Of its route; 0 goes first."""
@@ -90,8 +93,8 @@
 
     :param expected_run_s: expected length of its longest chain, in seconds.
     """
-    hoped_s = HOPE * expected_run_s
-    return deadlines.due_at - hoped_s, deadlines.useful_until - hoped_s
+    needed_s = expected_run_s + MARGIN_S
+    return deadlines.due_at - needed_s, deadlines.useful_until - needed_s
 
 
 def spread_retry_after(job_id: str, least_s: float) -> float:
--- a/src/cassiaturn/sharing/_shedding.py
+++ b/src/cassiaturn/sharing/_shedding.py
@@ -4,9 +4,11 @@
 cut off. Taken all the same, every caller is late: answers are read after the timeout of
 their orders, sound targets count as silent, and followers take the leader for dead.
 
-Grounds: a timer is late by the work that waited before it. A pause of the process makes
-single timers late, work that does not fit makes all of them late. What cannot be taken
-is refused by the member that the caller reached, the least urgent jobs first.
+Grounds: a timer is late by the work that waited before it, and work that is done in
+small parts is late by how long some of it that could be in time has been left. A pause
+of the process makes single timers late, work that does not fit makes all of them late.
+What cannot be taken is refused by the member that the caller reached, the least urgent
+jobs first.
 """
 
 from collections import deque
@@ -18,6 +20,10 @@
 """Lateness of each of some timers in a row from which the process counts as full, in
 seconds: below the timeout of an order."""
 
+MOST_BEHIND_S = 0.1
+"""Longest time that jobs have been left that counts, in seconds: those that are left
+for longer are not in time any more, so that it says no more about the process."""
+
 TIMERS = 2
 """Timers in a row that must be late: one alone is a pause of the process."""
 
@@ -50,12 +56,15 @@
         self._late_s: deque[float] = deque(maxlen=TIMERS)
         self._raised_at = float("-inf")
 
-    def observe(self, late_s: float, now: float) -> None:
+    def observe(self, late_s: float, now: float, *, behind_s: float = 0.0) -> None:
         """Take in a timer.
 
         :param late_s: by how much it fired late, in seconds.
+        :param behind_s: for how long jobs that could be in time have been left though
+            there is room for them, in seconds.
         :param now: time in seconds.
         """
+        late_s = max(late_s, min(behind_s, MOST_BEHIND_S))
         self._late_s.append(late_s)
         if len(self._late_s) < TIMERS or min(self._late_s) < BUSY_LATE_S:
             self.share = max(0.0, self.share - LOWER)
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -14,7 +14,7 @@
     on_target_silent,
     on_target_unanswered,
 )
-from cassiaturn.workload._dispatch import dispatch
+from cassiaturn.workload._dispatch import MOST_STARTS, dispatch
 from cassiaturn.workload._intake import (
     Submission,
     cancel,
@@ -46,6 +46,7 @@
 __all__ = [
     "Counters",
     "Job",
+    "MOST_STARTS",
     "Outcome",
     "Ports",
     "Run",
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -4,7 +4,13 @@
 
 from cassiaturn.entities import TaskRef
 from cassiaturn.observability import Event
-from cassiaturn.sharing import JobQueue, TargetIndex, latest_start
+from cassiaturn.sharing import (
+    JobQueue,
+    Lateness,
+    TargetIndex,
+    latest_start,
+    queue_key,
+)
 from cassiaturn.workload._backlog import usable_check
 from cassiaturn.workload._ports import Ports, StartOrder
 from cassiaturn.workload._tables import Job, Run, RunState, Tables, Target, Task
@@ -18,12 +24,13 @@
 were handed in meanwhile, and may be more urgent, are read before it."""
 
 
-def dispatch(tables: Tables, ports: Ports, now: float) -> bool:
+def dispatch(tables: Tables, ports: Ports, now: float) -> Lateness | None:
     """Start what can be started now, up to a bound.
 
-    :returns: whether there may be more.
+    :returns: what the first job that was left for another turn can expect; None:
+        none was left.
     """
-    started = 0
+    left: list[Lateness] = []
     for service, queue in tables.queue_by_service.items():
         index = tables.index_by_service.get(service)
         if not queue or index is None:
@@ -31,8 +38,10 @@
         queue.advance(now)
         is_usable = usable_check(tables, service, now)
         if index.largest_free_cpu_millis(is_usable) >= queue.least_cpu_millis:
-            started += _start_in_order(tables, ports, queue, index, is_usable, now)
-    return started >= MOST_STARTS
+            first = _start_in_order(tables, ports, queue, index, is_usable, now)
+            if first is not None:
+                left.append(queue_key(first, now).lateness)
+    return min(left, default=None)
 
 
 def _start_in_order(
@@ -42,16 +51,16 @@
     index: TargetIndex[Target],
     is_usable: Callable[[Target], bool],
     now: float,
-) -> int:
-    """Start tasks of the first jobs in the queue; returns how many."""
+) -> Job | None:
+    """Start tasks of the first jobs in the queue; returns the first that is left."""
     all_started = 0
     free_cpu = index.largest_free_cpu_millis(is_usable)
     passed_over = 0
     for job in queue.in_order():
         if free_cpu < queue.least_cpu_millis or passed_over >= MOST_PASSED_OVER:
-            break
+            return None
         if all_started >= MOST_STARTS:
-            break
+            return job
         if job.least_cpu_millis > free_cpu:
             passed_over += 1
             continue
@@ -72,7 +81,7 @@
             all_started += len(started)
             tables.requeue(job)
             _record_starts(ports, job, started, now)
-    return all_started
+    return None
 
 
 def _may_start(tables: Tables, job: Job, now: float) -> bool:
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -1,7 +1,7 @@
 """What runs over the tables each tick: limits, stalls, stops, old entries."""
 
 from cassiaturn.observability import Event
-from cassiaturn.sharing import hand_back_at, latest_start
+from cassiaturn.sharing import Lateness, hand_back_at, latest_start
 from cassiaturn.workload._backlog import usable_cpu
 from cassiaturn.workload._dispatch import dispatch, is_held, put_back
 from cassiaturn.workload._intake import refused
@@ -22,10 +22,10 @@
 in 1.7 s at 20 ticks a second, so that a recovered target is tried again."""
 
 
-def tick(tables: Tables, ports: Ports, now: float) -> bool:
+def tick(tables: Tables, ports: Ports, now: float) -> Lateness | None:
     """Run every system once.
 
-    :returns: whether there may be more to start.
+    :returns: what :func:`dispatch` does.
     """
     _check_jobs(tables, ports, now)
     _check_runs(tables, ports, now)
--- a/src/cassiaturn/workload/tests/test_long_queue.py
+++ b/src/cassiaturn/workload/tests/test_long_queue.py
@@ -7,6 +7,7 @@
 
 from cassiaturn import workload
 from cassiaturn.entities import Route
+from cassiaturn.sharing import Lateness
 from cassiaturn.standins.virtual_targets import ROUTE, Play
 from cassiaturn.workload import Verdict
 
@@ -58,6 +59,27 @@
     assert _CountingRoute.looks <= 20
 
 
+def test_jobs_that_become_urgent_meanwhile_start_before_the_rest_of_a_burst() -> None:
+    """A burst was started in one go, and an urgent job waited until all was sent."""
+    play = Play()
+    for index in range(100):
+        play.add_target(f"t{index}")
+    play.run(0.1)
+    relaxed = replace(ROUTE, priority=2)
+    play.auto_dispatch = False
+    for index in range(60):
+        play.submit(f"a{index}", count=2, run_s=0.3, route=relaxed, limit_s=9.0)
+    left = workload.dispatch(play.tables, play, play.now)
+    assert left is Lateness.IN_TIME
+    play.submit("urgent", count=2, run_s=0.06, limit_s=9.0)
+    workload.dispatch(play.tables, play, play.now)
+    assert play.tables.jobs_by_id["urgent"].begun
+    assert not play.tables.jobs_by_id["a59"].begun
+    play.auto_dispatch = True
+    play.run(1.0)
+    assert {play.verdict(f"a{index}") for index in range(60)} == {Verdict.COMPLETED}
+
+
 @pytest.mark.parametrize(
     ("limit_s", "waited_s"),
     [(6.0, 1.0), (1.8, 1.75)],
