Learn nothing from the length of a run that was adopted

What callers saw: after a change of leader long jobs counted as short ones for some 20 s.

Cause: a new leader finds a run in a target's list and timed it from that moment; the first run of a route sets its mean alone. Class: what one did not see from its begin was measured as if one had.

Change: an adopted run says nothing of its route's run times nor of its target's speed, neither by its end nor by its progress.

Test: a run adopted 30 ms before its end; declared 0.9 s stays 0.9, it became 0.37.

--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -47,7 +47,7 @@
         return
     if run is not None:
         _judge(tables, target, job, run, ended.end, now)
-        task.length_s = now - run.started_at
+        task.length_s = 0.0 if run.is_adopted else now - run.started_at
     if ended.end is RunEnd.DONE:
         _complete(tables, ports, job, task, now)
     elif ended.end is RunEnd.FAILED:
@@ -115,6 +115,8 @@
 ) -> None:
     if end is RunEnd.DONE:
         target.failures_in_row = 0
+        if run.is_adopted:
+            return
         run_s = now - run.started_at
         learn_speed(target, job, run_s)
         target.note_change()
--- a/src/cassiaturn/workload/_reports.py
+++ b/src/cassiaturn/workload/_reports.py
@@ -143,6 +143,7 @@
         state=RunState.RUNNING,
         started_at=now,
         known_since=now,
+        is_adopted=True,
         settled=True,
         begun_clock_ms=clock_ms,
         percent=listing.percent,
@@ -189,7 +190,7 @@
     progress = Progress(elapsed_s=elapsed_s, percent=listing.percent)
     run.least_run_s = max(run.least_run_s, progress.least_run_s())
     job = tables.jobs_by_id.get(run.ref.job_id)
-    if job is not None and run.least_run_s:
+    if job is not None and run.least_run_s and not run.is_adopted:
         learn_speed(target, job, run.least_run_s)
 
 
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -97,6 +97,9 @@
     known_since: float
     """Time of the last answer about it, in seconds."""
 
+    is_adopted: bool = False
+    """Whether an earlier leader started it, so that its length is not known."""
+
     settled: bool = False
     """Whether its target has answered an order about it, or listed it. From then on
     a list that was asked for later and leaves it out proves that it is over; before,
--- a/src/cassiaturn/workload/tests/test_successors.py
+++ b/src/cassiaturn/workload/tests/test_successors.py
@@ -146,6 +146,22 @@
     assert play.verdict("a") is Verdict.COMPLETED
 
 
+def test_a_run_that_is_adopted_near_its_end_tells_nothing_of_its_length() -> None:
+    """After a change of leader jobs were expected to take a fifth of their time."""
+    play = Play(term=1)
+    play.add_target("t0")
+    play.targets["t0"].cut = True
+    play.targets["t0"].start(TaskRef("a", 0, 0, 0), 1, GROUP, 0.9, play.now)
+    play.run(0.87)
+    play.targets["t0"].cut = False
+    play.look("t0")
+    play.submit("a", run_s=0.9, begun_earlier=True, limit_s=4.0)
+    play.run(0.3)
+    assert play.verdict("a") is Verdict.COMPLETED
+    assert play.tables.expected.expected_s("quick", 0.9) == pytest.approx(0.9)
+    assert play.tables.targets_by_id["t0"].slowness == 1.0
+
+
 def test_a_job_does_not_wait_for_what_surely_ended() -> None:
     """A target is there again in another life: nothing of the one before runs on."""
     play = Play(term=1)
