Ask a member with a wider link to lead once the leader's own is full

What callers saw: a broken rule.

Cause: after a power loss no process knows the others' links, and the first that is back leads: liege-5 with 12.5 Mbit/s. It kept the lead, though five hosts with wide links followed it. Class: what is decided once, from what is known at that moment, and never looked at again.

Ruled out: processor time (not charged), the targets (the leader before had 0 unanswered).

Tests: a leader over a narrow link beside a wide member; fails without the change.

--- a/src/cassiaturn/fleet/_leader_load.py
+++ b/src/cassiaturn/fleet/_leader_load.py
@@ -16,6 +16,10 @@
 """Period of the line of a leader's load, in seconds: callers notice a second, and a
 line a second is a 600th of what a process may write."""
 
+BITS = 8
+
+MEGA = 1_000_000
+
 MOST_FOLLOWERS = 512
 """Followers that are counted apart, by name; those past it share one count."""
 
@@ -130,18 +134,22 @@
         waiting: int,
         called_bytes: int,
         asks_first: bool = False,
-    ) -> None:
+    ) -> float | None:
         """Write the line of the last second, if it is over.
 
         :param followers: members that follow.
         :param waiting: frames that wait for the follower with the most of them.
         :param called_bytes: bytes of all calls since the process began.
         :param asks_first: whether new jobs wait for a confirmation now.
+        :returns: what was sent in it, in megabits a second; None: it is not over.
         """
         now = time.monotonic()
         period = self._period
         if now - period.began_at < LINE_EVERY_S:
-            return
+            return None
+        called = called_bytes - period.called_bytes_before
+        sent = called + sum(period.bytes_by_kind.values())
+        sent_mbps = sent * BITS / MEGA / (now - period.began_at)
         self._period = _Period(began_at=now, called_bytes_before=called_bytes)
         log_event(
             Event.LEADER_LOAD,
@@ -150,7 +158,8 @@
             **{
                 f"{kind}_b": size for kind, size in sorted(period.bytes_by_kind.items())
             },
-            calls_b=called_bytes - period.called_bytes_before,
+            calls_b=called,
+            sent_mbps=round(sent_mbps, 2),
             requests=period.requests,
             unanswered=period.unanswered,
             waiting=waiting,
@@ -158,3 +167,4 @@
             late_ms=round(period.latest_s * 1000),
             asks_first=asks_first,
         )
+        return sent_mbps
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -40,6 +40,7 @@
 from cassiaturn.fleet._term import LeaderTerm
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.settings import FleetSettings
+from cassiaturn.sharing import should_hand_over
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import settings_for_lease
 
@@ -423,12 +424,32 @@
         self._step_down(await self._term.run())
 
     def _tell_load(self) -> None:
-        self.load.tell(
+        sent_mbps = self.load.tell(
             followers=len(self.service.followers),
             waiting=self.service.most_waiting,
             called_bytes=self._services.bytes_sent(),
             asks_first=self.leader is not None and self.leader.asks_first,
         )
+        if sent_mbps is not None:
+            self._hand_over_if_full(sent_mbps)
+
+    def _hand_over_if_full(self, sent_mbps: float) -> None:
+        """Ask a member with a wider link to lead, if the own one is full."""
+        own_mbps = self.settings.link_mbps
+        widest_mbps = self.service.widest_link_mbps
+        is_full = should_hand_over(
+            own_mbps=own_mbps, used_mbps=sent_mbps, widest_mbps=widest_mbps
+        )
+        if self.leader is None or self._stopping or not is_full:
+            return
+        log_event(
+            Event.LEADER_RESIGNED,
+            reason="link_full",
+            sent_mbps=round(sent_mbps, 2),
+            link_mbps=own_mbps,
+            widest_mbps=widest_mbps,
+        )
+        self.service.hand_over(self.leader.leadership)
 
     def _step_down(self, successor: Leadership | None) -> None:
         leader = self.leader
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -132,6 +132,14 @@
         for follower in self.followers:
             follower.tell(frame)
 
+    @property
+    def widest_link_mbps(self) -> float:
+        """Widest link of a follower that stays, in megabits a second; 0: none does."""
+        return max(
+            (row.hello.link_mbps for row in self.followers if not row.leaving),
+            default=0.0,
+        )
+
     def hand_over(self, leadership: Leadership) -> bool:
         """Ask a member to lead: of those with the widest link, that heard last.
 
--- a/src/cassiaturn/platform/tests/test_wide_links.py
+++ b/src/cassiaturn/platform/tests/test_wide_links.py
@@ -91,6 +91,22 @@
     assert fleet.leader() is wide
 
 
+async def test_a_leader_whose_link_is_full_asks_a_wide_one_to_lead(
+    fleet: Fleet,
+) -> None:
+    """After a power loss of all the first process back led with a narrow link."""
+    (wide,) = await _with_wide_members(fleet, 1)
+    narrow = fleet.leader()
+    narrow.member.settings = replace(narrow.member.settings, link_mbps=0.02)
+    answers = []
+    for number in range(60):
+        member = fleet.members[number % 4]
+        answers.append(asyncio.ensure_future(fleet.submit(member, f"{number:016x}")))
+        await asyncio.sleep(0.05)
+    assert fleet.leader() is wide
+    assert {answer[0] for answer in await asyncio.gather(*answers)} == {200}
+
+
 async def test_a_leader_that_stopped_is_not_asked_to_lead_again(fleet: Fleet) -> None:
     """Two leaders are stopped within seconds, the first with the widest link.
 
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -15,6 +15,7 @@
 from cassiaturn.sharing._expected_runs import ExpectedRuns
 from cassiaturn.sharing._failed_target import failed_target_pause_s
 from cassiaturn.sharing._job_queue import JobQueue, queue_key
+from cassiaturn.sharing._link_room import should_hand_over
 from cassiaturn.sharing._outlook import Progress, latest_start
 from cassiaturn.sharing._pace import Pace, needs_fast_target
 from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared
@@ -53,5 +54,6 @@
     "needs_fast_target",
     "order_key",
     "queue_key",
+    "should_hand_over",
     "spread_retry_after",
 ]
