Queue jobs that ask for no processor, and let none that fits nowhere hold up others

Change: whether tasks wait is asked for itself; the look past jobs that find no room has no bound, since one of the queue does fit whenever it is made; what is planned for jobs that are gone is dropped once it is more than twice what is planned for others.

--- a/src/cassiaturn/sharing/_job_queue.py
+++ b/src/cassiaturn/sharing/_job_queue.py
@@ -27,6 +27,13 @@
 
 MICROSECONDS = 1_000_000
 
+MOST_PLANNED = 4
+"""Planned changes for each queued job, two of which are its own, before those of jobs
+that are not queued any more are dropped."""
+
+LEAST_PLANNED = 64
+"""Planned changes that are kept in any case."""
+
 
 class QueuedJob(Protocol):
     """What the queue asks of a job."""
@@ -55,9 +62,13 @@
     def least_cpu_millis(self) -> int:
         """Least that a task of it asks for, in thousandths of a core."""
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a task of it waits."""
+
     @property
     def waiting_cpu_millis(self) -> int:
-        """What its waiting tasks ask for together; 0: none waits."""
+        """What its waiting tasks ask for together, in thousandths of a core."""
 
 
 JobT = TypeVar("JobT", bound=QueuedJob)
@@ -182,7 +193,7 @@
         before = self._row_by_id.get(job.job_id)
         if before is not None:
             self._delete(before)
-        if not job.waiting_cpu_millis:
+        if not job.has_waiting:
             if before is not None:
                 self._forget(before)
             return
@@ -196,14 +207,33 @@
         self._row_by_id[job.job_id] = row
         if before is None:
             insort(self._least_cpus, job.least_cpu_millis)
-            for at in lateness_changes(job.deadlines, job.expected_run_s):
-                heapq.heappush(self._changes, (at, number, job.job_id))
-            start_by = latest_start(
-                limit_at=job.deadlines.limit_at,
-                expected_run_s=job.expected_run_s,
-                is_idle=True,
-            )
-            heapq.heappush(self._latest_starts, (start_by, number, job.job_id))
+            self._plan(job, number)
+
+    def _plan(self, job: JobT, number: int) -> None:
+        """Note the times at which something is to be done about a job."""
+        for at in lateness_changes(job.deadlines, job.expected_run_s):
+            heapq.heappush(self._changes, (at, number, job.job_id))
+        start_by = latest_start(
+            limit_at=job.deadlines.limit_at,
+            expected_run_s=job.expected_run_s,
+            is_idle=True,
+        )
+        heapq.heappush(self._latest_starts, (start_by, number, job.job_id))
+        most = MOST_PLANNED * len(self._row_by_id) + LEAST_PLANNED
+        if len(self._changes) > most:
+            self._changes = self._of_queued(self._changes)
+            self._latest_starts = self._of_queued(self._latest_starts)
+
+    def _of_queued(
+        self, planned: list[tuple[float, int, str]]
+    ) -> list[tuple[float, int, str]]:
+        """Return what is planned for jobs that are still queued, as a heap."""
+        number_by_id = {
+            job_id: row.place.number for job_id, row in self._row_by_id.items()
+        }
+        kept = [entry for entry in planned if number_by_id.get(entry[2]) == entry[1]]
+        heapq.heapify(kept)
+        return kept
 
     def discard(self, job: JobT) -> None:
         """Take a job out, if it is queued."""
--- a/src/cassiaturn/sharing/tests/test_job_queue.py
+++ b/src/cassiaturn/sharing/tests/test_job_queue.py
@@ -17,6 +17,7 @@
     is_new: bool = True
     least_cpu_millis: int = 1_000
     waiting_cpu_millis: int = 4_000
+    has_waiting: bool = True
 
 
 def _draw(chance: random.Random, number: int, now: float) -> _Job:
@@ -52,7 +53,7 @@
                 other.is_new = not other.is_new
                 queue.put(other)
             case 1:
-                other.waiting_cpu_millis = 0
+                other.has_waiting = False
                 queue.put(other)
                 del jobs[other.job_id]
             case 2:
@@ -84,3 +85,20 @@
     queue.put(job)
     queue.discard(job)
     assert not queue.take_overdue(9.0)
+
+
+def test_jobs_that_are_done_leave_nothing_behind() -> None:
+    """A leader's memory grew with jobs whose callers would have waited for long."""
+    queue: JobQueue[_Job] = JobQueue()
+    queue.advance(0.0)
+    for number in range(2_000):
+        job = _Job(
+            job_id=f"j{number}",
+            priority=0,
+            deadlines=Deadlines(due_at=1.0, useful_until=3.0, limit_at=3_600.0),
+            expected_run_s=0.1,
+        )
+        queue.put(job)
+        queue.discard(job)
+    assert not len(queue)
+    assert len(queue._changes) + len(queue._latest_starts) < 200
--- a/src/cassiaturn/sharing/tests/test_slow_leader.py
+++ b/src/cassiaturn/sharing/tests/test_slow_leader.py
@@ -54,6 +54,7 @@
     is_new: bool = True
     least_cpu_millis: int = 1_000
     waiting_cpu_millis: int = 4_000
+    has_waiting: bool = True
 
 
 def _deadlines(arrived_at: float, run_s: float, limit_at: float) -> Deadlines:
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -15,10 +15,6 @@
 from cassiaturn.workload._ports import Ports, StartOrder
 from cassiaturn.workload._tables import Job, Run, RunState, Tables, Target, Task
 
-MOST_PASSED_OVER = 64
-"""Jobs at the head of the queue that find no room before the rest is left for another
-time: what is free is less than one of these needs, and looking on costs each event."""
-
 MOST_STARTS = 32
 """Starts after which the rest of a service's queue is left for another turn: jobs that
 were handed in meanwhile, and may be more urgent, are read before it."""
@@ -55,16 +51,12 @@
     """Start tasks of the first jobs in the queue; returns the first that is left."""
     all_started = 0
     free_cpu = index.largest_free_cpu_millis(is_usable)
-    passed_over = 0
     for job in queue.in_order():
-        if free_cpu < queue.least_cpu_millis or passed_over >= MOST_PASSED_OVER:
+        if free_cpu < queue.least_cpu_millis:
             return None
         if all_started >= MOST_STARTS:
             return job
-        if job.least_cpu_millis > free_cpu:
-            passed_over += 1
-            continue
-        if not _may_start(tables, job, now):
+        if job.least_cpu_millis > free_cpu or not _may_start(tables, job, now):
             continue
         started: list[Run] = []
         for task in list(job.waiting):
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -235,6 +235,11 @@
         """Whether none of its tasks has started, or all have to start again."""
         return len(self.waiting) == len(self.tasks_by_ref)
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a task of it waits."""
+        return bool(self.waiting)
+
     @property
     def waiting_cpu_millis(self) -> int:
         """What its waiting tasks ask for together, in thousandths of a core."""
@@ -340,9 +345,6 @@
     at: float
     """When it was counted, in seconds."""
 
-    none_since: float = float("inf")
-    """Since when there is none, in seconds; infinity: there is one."""
-
 
 @dataclass(slots=True, kw_only=True)
 class Counters:
@@ -395,6 +397,9 @@
     usable_cpu_by_service: dict[str, UsableCpu] = field(default_factory=dict)
     """Processors of each service's usable targets, counted lately."""
 
+    unreached_since_by_service: dict[str, float] = field(default_factory=dict)
+    """Since when no target of a service answers, in seconds; not there: one does."""
+
     retired_by_id: "OrderedDict[str, Retired]" = field(default_factory=OrderedDict)
     """Jobs that ended lately, oldest first."""
 
@@ -453,6 +458,13 @@
         target = self.targets_by_id.pop(target_id)
         self.index_by_service[target.service].remove(target)
 
+    def reaches_target(self, service: str) -> bool:
+        """Return whether a target of a service answers."""
+        return any(
+            target.service == service and target.heard and not target.silent
+            for target in self.targets_by_id.values()
+        )
+
     def checks_room(self, service: str) -> bool:
         """Return whether a service's targets refuse a start that does not fit."""
         known = self.routing.services_by_name if self.routing is not None else {}
