Keep jobs over changes of leader, joins and stops for as long as callers wait

The latest time to start says nothing of a job that has begun, and a leader is replaced within 0.6 s. - A planned stop closed connections of callers that still waited at the end of the grace; each open job is answered first now, 503 where it never began, else 504. - A cancel while a member had no stream was never told; the job ran on until its limit.

job_timed is written for every begun job that is given up, not only for tight ones.

--- a/src/cassiaturn/fleet/_desk.py
+++ b/src/cassiaturn/fleet/_desk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -15,6 +16,10 @@
 )
 from cassiaturn.workload import Outcome, Verdict, unserved_feature
 
+RECONNECT_WAIT_S = 0.6
+"""Least time that jobs are kept when a leader is lost, in seconds: a stream that was
+reset, and a leader that hands over, are replaced within it."""
+
 RETRY_AFTER_S = 1.0
 """Least advice to a caller that is refused here: the header counts whole seconds."""
 
@@ -28,6 +33,10 @@
 LONGEST_LIMIT_S = 3600.0
 """Longest time that a job is kept for its caller, in seconds."""
 
+TAKEN_BACK_S = 5.0
+"""How long a member remembers which jobs it took back, in seconds: another leader is
+found within it."""
+
 MILLISECONDS = 1000
 
 
@@ -106,6 +115,8 @@
         self._jobs_by_id: dict[str, OpenJob] = {}
         self._leader: LeaderPort | None = None
         self._leaderless_since = time.monotonic()
+        self._taken_back_at_by_id: OrderedDict[str, float] = OrderedDict()
+        """Jobs that a leader may still have though nobody waits here, oldest first."""
 
     @property
     def open_jobs(self) -> int:
@@ -127,6 +138,11 @@
         self._leader = leader
         for job in list(self._jobs_by_id.values()):
             self._pass_on(job, leader)
+        # What was taken back while there was no stream, or on one that broke, would
+        # run on at a leader that never heard of it.
+        self._forget_taken_back(time.monotonic() - TAKEN_BACK_S)
+        for job_id in self._taken_back_at_by_id:
+            leader.cancel(job_id)
 
     def detach(self, leader: LeaderPort, *, heard_at: float | None = None) -> None:
         """Keep jobs here until there is another leader.
@@ -158,7 +174,9 @@
         if unserved is not None:
             return self._refuse(request, route, unserved, 0.0)
         job = self._jobs_by_id.get(request.job_id)
-        if job is None:
+        if job is not None:
+            self._extend(job, time.monotonic() - waited_s + _kept_s(limit_s))
+        else:
             if self._is_shed(request, route):
                 return self._refuse(request, route, "leader_full", RETRY_AFTER_S)
             job = self._open(request, route, limit_s, waited_s)
@@ -227,8 +245,7 @@
         job = self._jobs_by_id.get(job_id)
         if job is None:
             return False
-        if self._leader is not None and job.passed_on:
-            self._leader.cancel(job_id)
+        self._take_back(job)
         self.settle(job_id, Outcome(verdict=Verdict.FAILED, reason="cancelled"))
         return True
 
@@ -260,8 +277,7 @@
     ) -> OpenJob:
         now = time.monotonic()
         loop = asyncio.get_running_loop()
-        kept_s = DEFAULT_LIMIT_S if limit_s is None else min(limit_s, LONGEST_LIMIT_S)
-        limit_at = now - waited_s + kept_s
+        limit_at = now - waited_s + _kept_s(limit_s)
         job = OpenJob(
             request=request,
             route=route,
@@ -271,17 +287,58 @@
             outcome=loop.create_future(),
         )
         self._jobs_by_id[request.job_id] = job
+        self._taken_back_at_by_id.pop(request.job_id, None)
         if limit_at <= now:
             loop.call_soon(self._expire, job)
             return job
-        expiry_s = limit_at - now + ANSWER_MARGIN_S
-        job.timers.append(loop.call_later(expiry_s, self._expire, job))
+        self._expire_at_limit(job)
         if self._leader is not None:
             self._pass_on(job, self._leader)
         else:
             self._keep_without_leader(job)
         return job
 
+    def _expire_at_limit(self, job: OpenJob) -> None:
+        expiry_s = job.limit_at - time.monotonic() + ANSWER_MARGIN_S
+        loop = asyncio.get_running_loop()
+        job.timers.append(loop.call_later(expiry_s, self._expire, job))
+
+    def _extend(self, job: OpenJob, limit_at: float) -> None:
+        """Keep a job for another request of its caller's that waits for longer."""
+        if limit_at <= job.limit_at:
+            return
+        job.limit_at = limit_at
+        for timer in job.timers:
+            timer.cancel()
+        job.timers.clear()
+        self._expire_at_limit(job)
+        if self._leader is None:
+            self._keep_without_leader(job)
+        else:
+            self._leader.submit(job, begun_earlier=False)
+
+    def _take_back(self, job: OpenJob) -> None:
+        """Tell the leader that nobody here waits for a job any more."""
+        if not job.passed_on:
+            return
+        job_id = job.request.job_id
+        now = time.monotonic()
+        self._forget_taken_back(now - TAKEN_BACK_S)
+        self._taken_back_at_by_id[job_id] = now
+        if self._leader is not None:
+            self._leader.cancel(job_id)
+
+    def _forget_taken_back(self, before: float) -> None:
+        taken_back = self._taken_back_at_by_id
+        while taken_back and next(iter(taken_back.values())) < before:
+            taken_back.popitem(last=False)
+
+    def end_all(self, reason: str) -> None:
+        """Answer every open job: this member's process is about to end."""
+        for job in list(self._jobs_by_id.values()):
+            self._take_back(job)
+            self.settle(job.request.job_id, _ended(job, reason))
+
     def _keep_without_leader(self, job: OpenJob) -> None:
         """Keep a job until another member leads, or until that is of no more use.
 
@@ -293,9 +350,10 @@
             stuck_since=max(self._leaderless_since, job.arrived_at),
             limit_at=job.limit_at,
             expected_run_s=job.declared_run_s,
+            has_begun=job.may_have_begun,
         )
         loop = asyncio.get_running_loop()
-        wait_s = max(0.0, kept_until - time.monotonic())
+        wait_s = max(RECONNECT_WAIT_S, kept_until - time.monotonic())
         job.timers.append(
             loop.call_later(wait_s, self._hand_back, job, self._leaderless_since)
         )
@@ -312,8 +370,7 @@
         self._jobs_by_id.pop(job.request.job_id, None)
         for timer in job.timers:
             timer.cancel()
-        if self._leader is not None and job.passed_on:
-            self._leader.cancel(job.request.job_id)
+        self._take_back(job)
         log_event(
             Event.JOB_LEFT,
             id=job.request.job_id,
@@ -330,20 +387,28 @@
         """
         if self._leader is not None or self._leaderless_since != leaderless_since:
             return
-        if job.may_have_begun:
-            outcome = Outcome(verdict=Verdict.ABANDONED, reason="leader_lost")
-        else:
-            outcome = _refused(job.request, "no_leader", RETRY_AFTER_S)
-        self.settle(job.request.job_id, outcome)
+        self._take_back(job)
+        reason = "leader_lost" if job.may_have_begun else "no_leader"
+        self.settle(job.request.job_id, _ended(job, reason))
 
     def _expire(self, job: OpenJob) -> None:
-        if self._leader is not None and job.passed_on:
-            self._leader.cancel(job.request.job_id)
-        if job.may_have_begun:
-            outcome = Outcome(verdict=Verdict.ABANDONED, reason="limit_passed")
-        else:
-            outcome = _refused(job.request, "limit_passed", RETRY_AFTER_S)
-        self.settle(job.request.job_id, outcome)
+        self._take_back(job)
+        self.settle(job.request.job_id, _ended(job, "limit_passed"))
+
+
+def _kept_s(limit_s: float | None) -> float:
+    """Return how long a job is kept for its caller, in seconds.
+
+    :param limit_s: how long that waits, in seconds; None: not told.
+    """
+    return DEFAULT_LIMIT_S if limit_s is None else min(limit_s, LONGEST_LIMIT_S)
+
+
+def _ended(job: OpenJob, reason: str) -> Outcome:
+    """Return the outcome of a job that is not served here any more."""
+    if job.may_have_begun:
+        return Outcome(verdict=Verdict.ABANDONED, reason=reason)
+    return _refused(job.request, reason, RETRY_AFTER_S)
 
 
 def _refused(request: JobRequest, reason: str, retry_after_s: float) -> Outcome:
--- a/src/cassiaturn/fleet/_process.py
+++ b/src/cassiaturn/fleet/_process.py
@@ -29,6 +29,9 @@
 STOP_MARGIN_S = 0.4
 """Time left between the end of a planned stop and the kill, in seconds."""
 
+ANSWER_WAY_S = 0.1
+"""Time for the last answers to be written before connections end, in seconds."""
+
 START_WAIT_S = 0.35
 """Longest wait for a configuration and a leader before callers are heard, in seconds:
 both are there after some 30 ms, unless the store is away."""
@@ -179,6 +182,8 @@
                 return
             await asyncio.sleep(0.05)
         log_event(Event.DRAIN_TIMED_OUT, open=member.desk.open_jobs)
+        member.desk.end_all("stopping")
+        await asyncio.sleep(ANSWER_WAY_S)
 
     async def _watch_settings(self, member: Member) -> None:
         seen = _changed_at(self._path)
--- a/src/cassiaturn/fleet/tests/test_desk.py
+++ b/src/cassiaturn/fleet/tests/test_desk.py
@@ -1,11 +1,12 @@
 """Jobs of a member's own callers, while leaders come and go."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
 from cassiaturn.entities import JobRequest, Resources, TaskGroup
+from cassiaturn.fleet import _desk
 from cassiaturn.fleet._desk import JobDesk, OpenJob
 from cassiaturn.observability import FleetMetrics
 from cassiaturn.sharing import _standstill
@@ -138,6 +139,7 @@
 ) -> None:
     """A member that was cut off kept jobs that other members could have served."""
     monkeypatch.setattr(_standstill, "PATIENCE_S", 0.1)
+    monkeypatch.setattr(_desk, "RECONNECT_WAIT_S", 0.1)
     leader, following = _Leader(), _Leader()
     desk = _desk_of(leader)
     desk.detach(leader)
@@ -147,3 +149,64 @@
     desk.attach(following)
     assert len(following.jobs) == is_kept
     waiting.cancel()
+
+
+async def test_a_job_near_its_end_outlives_a_change_of_leader() -> None:
+    """A planned change of leader ended all jobs past half of their time at once."""
+    request = replace(REQUEST, groups=(replace(REQUEST.groups[0], expected_run_s=1.0),))
+    lost, following = _Leader(waits_for_confirmation=False), _Leader()
+    desk = _desk_of(lost)
+    waiting = asyncio.ensure_future(desk.submit(request, ROUTE, 1.45, waited_s=0.98))
+    await asyncio.sleep(0)
+    desk.detach(lost)
+    await asyncio.sleep(0.1)
+    desk.attach(following)
+    assert following.begun_earlier == [True]
+    waiting.cancel()
+
+
+async def test_a_job_that_was_cancelled_without_a_leader_is_taken_back_later() -> None:
+    """A cancelled job ran on, since its leader's stream was broken just then."""
+    leader = _Leader()
+    desk = _desk_of(leader)
+    waiting = await _submitted(desk)
+    desk.detach(leader)
+    assert desk.cancel(JOB)
+    await waiting
+    desk.attach(leader)
+    assert leader.cancelled == [JOB]
+    again = await _submitted(desk)
+    desk.detach(leader)
+    desk.attach(leader)
+    assert leader.cancelled == [JOB]
+    again.cancel()
+
+
+async def test_a_request_that_waits_for_longer_keeps_the_job_that_it_joins() -> None:
+    """A caller came again with more time, and got the end of its first request."""
+    leader = _Leader()
+    desk = _desk_of(leader)
+    first = await _submitted(desk, 0.1)
+    second = await _submitted(desk, 5.0)
+    await asyncio.sleep(0.4)
+    assert not first.done()
+    assert leader.jobs[-1].limit_at - leader.jobs[0].arrived_at > 4.0
+    second.cancel()
+    first.cancel()
+
+
+@pytest.mark.parametrize(
+    ("is_confirmed", "verdict"),
+    [(False, Verdict.REFUSED), (True, Verdict.ABANDONED)],
+)
+async def test_every_open_job_is_answered_before_its_process_ends(
+    is_confirmed: bool, verdict: Verdict
+) -> None:
+    """A planned stop closed the connections of callers that still waited."""
+    desk = _desk_of(_Leader())
+    waiting = await _submitted(desk, 60.0)
+    if is_confirmed:
+        desk.confirm(JOB)
+    desk.end_all("stopping")
+    assert (await waiting).verdict is verdict
+    assert not desk.open_jobs
--- a/src/cassiaturn/sharing/_standstill.py
+++ b/src/cassiaturn/sharing/_standstill.py
@@ -15,22 +15,26 @@
 """How long a job waits where nothing is done for it, in seconds: a successor of a
 silent leader is found in 0.5 to 0.8 s."""
 
-RETURN_S = 1.3
-"""Time until a caller comes back that was told to, in seconds."""
+RETURN_S = 2.0
+"""Time until a caller comes back, in seconds: after 1.3 s where its job may have begun,
+and when it is told to otherwise, in whole seconds."""
 
 
 def hand_back_at(
-    *, stuck_since: float, limit_at: float, expected_run_s: float
+    *, stuck_since: float, limit_at: float, expected_run_s: float, has_begun: bool
 ) -> float:
     """Return until when a job is kept that makes no progress, in seconds.
 
     :param stuck_since: since when nothing is done for it, in seconds.
     :param limit_at: when its caller stops waiting, in seconds.
     :param expected_run_s: expected length of its longest chain, in seconds.
+    :param has_begun: whether tasks of it may run, or have ended: the latest time to
+        start it says nothing then.
     """
     start_by = latest_start(
         limit_at=limit_at, expected_run_s=expected_run_s, is_idle=True
     )
     patient_until = stuck_since + PATIENCE_S
-    has_time_to_return = patient_until + RETURN_S <= start_by
-    return patient_until if has_time_to_return else start_by
+    if patient_until + RETURN_S <= start_by:
+        return patient_until
+    return max(patient_until, limit_at if has_begun else start_by)
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -68,9 +68,6 @@
     cpu_millis = sum(
         target.capacity.cpu_millis for target in usable_targets(tables, service, now)
     )
-    none_since = float("inf")
-    if not cpu_millis:
-        none_since = min(now, known.none_since) if known is not None else now
-    counted = UsableCpu(cpu_millis=cpu_millis, at=now, none_since=none_since)
+    counted = UsableCpu(cpu_millis=cpu_millis, at=now)
     tables.usable_cpu_by_service[service] = counted
     return counted
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -65,8 +65,7 @@
     if job is not None:
         # The caller lost its connection and came by another member. Joining keeps
         # one job; starting it afresh would run its tasks twice at once.
-        job.origins.add(submission.origin)
-        job.is_confirmed |= submission.is_confirmed or submission.begun_earlier
+        _join(tables, job, submission, now)
         ports.record(Event.JOB_JOINED, id=job_id, origin=submission.origin)
         return None
     retired = tables.retired_by_id.pop(job_id, None)
@@ -102,6 +101,25 @@
     return None
 
 
+def _join(tables: Tables, job: Job, submission: Submission, now: float) -> None:
+    """Take in that a caller of another request waits for a job, too."""
+    job.origins.add(submission.origin)
+    job.is_confirmed |= submission.is_confirmed or submission.begun_earlier
+    if submission.begun_earlier and not job.begun:
+        job.begun = True
+        job.hold_until = now + tables.settings.inherited_hold_s
+    limit_at = now + submission.limit_s
+    if limit_at > job.deadlines.limit_at:
+        job.deadlines = job_deadlines(
+            job.route,
+            arrived_at=job.arrived_at,
+            chain_s=job.expected_run_s,
+            limit_at=limit_at,
+        )
+        tables.queue_by_service[job.route.service].discard(job)
+        tables.requeue(job)
+
+
 def confirm(tables: Tables, job_id: str) -> bool:
     """Take in that a job may be started.
 
--- a/src/cassiaturn/workload/_settle.py
+++ b/src/cassiaturn/workload/_settle.py
@@ -31,7 +31,7 @@
         tasks=len(job.tasks_by_ref),
         left=job.remaining,
     )
-    if job.is_tight and job.begun:
+    if job.begun and (job.is_tight or outcome.verdict is Verdict.ABANDONED):
         _record_timing(tables, ports, job, outcome, now)
     retire(tables, ports, job, outcome, now)
 
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -2,7 +2,6 @@
 
 from cassiaturn.observability import Event
 from cassiaturn.sharing import Lateness, hand_back_at, latest_start
-from cassiaturn.workload._backlog import usable_cpu
 from cassiaturn.workload._dispatch import dispatch, is_held, put_back
 from cassiaturn.workload._intake import refused
 from cassiaturn.workload._ports import Ports
@@ -21,6 +20,11 @@
 """Part of a target's excess slowness that is left after a tick: half of it is gone
 in 1.7 s at 20 ticks a second, so that a recovered target is tried again."""
 
+STALL_SHARE = 0.05
+"""Least share of its expected length for which a run shows no progress that counts as
+standing still: progress is told in hundredths, and a slow target takes several times
+as long for each."""
+
 
 def tick(tables: Tables, ports: Ports, now: float) -> Lateness | None:
     """Run every system once.
@@ -97,14 +101,17 @@
     This leader may be cut off; another member may serve their callers.
     """
     for service, queue in tables.queue_by_service.items():
-        none_since = usable_cpu(tables, service, now).none_since if queue else now
-        if none_since >= now:
+        unreached = tables.unreached_since_by_service
+        if not queue or tables.reaches_target(service):
+            unreached.pop(service, None)
             continue
+        since = unreached.setdefault(service, now)
         for job in list(queue.in_order()):
             kept_until = hand_back_at(
-                stuck_since=max(none_since, job.arrived_at),
+                stuck_since=max(since, job.arrived_at),
                 limit_at=job.deadlines.limit_at,
                 expected_run_s=job.expected_run_s,
+                has_begun=job.begun,
             )
             if now < kept_until:
                 continue
@@ -165,7 +172,10 @@
 
 def _stands_still(tables: Tables, run: Run) -> bool:
     """Return whether a list that is newer by the stall time shows no progress."""
-    return run.known_since - run.percent_at >= tables.settings.stall_s
+    job = tables.jobs_by_id.get(run.ref.job_id)
+    expected_run_s = job.expected_run_s if job is not None else 0.0
+    stall_s = max(tables.settings.stall_s, STALL_SHARE * expected_run_s)
+    return run.known_since - run.percent_at >= stall_s
 
 
 def _replace(tables: Tables, ports: Ports, run: Run, now: float) -> None:
--- a/src/cassiaturn/workload/tests/test_long_queue.py
+++ b/src/cassiaturn/workload/tests/test_long_queue.py
@@ -100,3 +100,50 @@
     assert play.verdict("a") is Verdict.REFUSED
     took_s = play.answered_at["a"] - play.submitted_at["a"]
     assert took_s == pytest.approx(waited_s, abs=0.1)
+
+
+def test_a_job_whose_tasks_ask_for_no_processor_is_served() -> None:
+    """Such a job was never queued, and never answered."""
+    play = _play(0)
+    play.submit("a", cpu=0)
+    play.run(0.5)
+    assert play.verdict("a") is Verdict.COMPLETED
+
+
+def test_jobs_that_fit_nowhere_hold_up_nobody() -> None:
+    """Jobs wider than any target at the head of the queue kept all others waiting."""
+    play = _play(0)
+    for index in range(80):
+        play.submit(f"a{index}", cpu=20_000, limit_s=30.0)
+    play.submit("b", cpu=1_000, limit_s=30.0)
+    play.run(0.5)
+    assert play.verdict("b") is Verdict.COMPLETED
+
+
+def test_targets_that_are_paused_are_not_out_of_reach() -> None:
+    """All targets paused for a failing job, and everybody was refused."""
+    play = _play(0)
+    for row in play.tables.targets_by_id.values():
+        row.paused_until = play.now + 1.6
+    play.submit("a", limit_s=20.0)
+    play.run(3.0)
+    assert play.verdict("a") is Verdict.COMPLETED
+
+
+def test_a_long_run_is_not_taken_for_one_that_stands_still() -> None:
+    """Runs of a minute show progress every 0.6 s, and were stopped after 0.35."""
+    play = _play(0)
+    play.submit("a", run_s=60.0, limit_s=200.0)
+    play.run(70.0)
+    assert play.verdict("a") is Verdict.COMPLETED
+    assert play.tables.counters.starts == 1
+
+
+def test_a_request_that_joins_a_job_keeps_it_for_as_long_as_it_waits() -> None:
+    """A caller came again at another member, and got the end of its first request."""
+    play = _play(8)
+    play.submit("b", run_s=0.06, limit_s=1.0)
+    play.run(0.5)
+    play.submit("b", run_s=0.06, limit_s=9.0, origin="m2")
+    play.run(4.0)
+    assert play.verdict("b") is Verdict.COMPLETED
