Bound what is sent and asked, and start nothing right after standing still

Change: fields of 32 bits are clamped; 0 means not told; a pause of 5 s between requests to lead, with an event of its own; no start for 0.3 s after 0.75 s without a tick.

--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -7,6 +7,9 @@
 
 MILLISECONDS = 1000
 
+LARGEST_FIELD = (1 << 32) - 1
+"""Largest value of a field of 32 bits."""
+
 _VERDICT_TO_MESSAGE = {
     Verdict.COMPLETED: pb.JobOutcome.VERDICT_COMPLETED,
     Verdict.FAILED: pb.JobOutcome.VERDICT_FAILED,
@@ -47,7 +50,7 @@
         job_id=job_id,
         verdict=_VERDICT_TO_MESSAGE[outcome.verdict],
         reason=outcome.reason,
-        retry_after_ms=round(outcome.retry_after_s * MILLISECONDS),
+        retry_after_ms=_milliseconds(outcome.retry_after_s),
     )
 
 
@@ -87,12 +90,12 @@
             name=route.name,
             service=route.service,
             priority=route.priority,
-            latency_objective_ms=round(route.latency_objective_s * MILLISECONDS),
+            latency_objective_ms=_milliseconds(route.latency_objective_s),
             stretch=route.stretch,
             max_attempts=route.max_attempts,
         ),
-        waited_ms=max(0, round(waited_s * MILLISECONDS)),
-        limit_ms=max(0, round(limit_s * MILLISECONDS)),
+        waited_ms=_milliseconds(waited_s),
+        limit_ms=_milliseconds(limit_s),
         begun_earlier=begun_earlier,
         unconfirmed=unconfirmed,
         sent_ms=round(sent_s * MILLISECONDS),
@@ -167,11 +170,16 @@
     )
 
 
+def _milliseconds(seconds: float) -> int:
+    """Return a time as a field of 32 bits holds it."""
+    return max(0, min(round(seconds * MILLISECONDS), LARGEST_FIELD))
+
+
 def _from_group(group: TaskGroup) -> pb.JobGroup:
     return pb.JobGroup(
         count=group.count,
         resources=_from_resources(group.resources),
-        expected_run_ms=round(group.expected_run_s * MILLISECONDS),
+        expected_run_ms=_milliseconds(group.expected_run_s),
         after=group.after,
         required_label=group.required_label,
         preferred_rack=group.preferred_rack,
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -45,6 +45,13 @@
 """Least pause between two such calls, in seconds. Targets write every 1.5 s each,
 so calls without a pause would come back at once."""
 
+STOOD_STILL_S = 0.75
+"""Time without a tick after which followers have another leader, in seconds."""
+
+RESUME_WAIT_S = 0.3
+"""How long a process that stood still starts nothing, in seconds: what it had queued
+may run under another leader, and its followers and targets tell so within this time."""
+
 LEFTOVER_S = 0.3
 """When a superseded leader stops what it left, in seconds: its successor has reached
 every target that it can reach by then, and those refuse the order."""
@@ -128,6 +135,10 @@
         """Since when jobs that could be in time are left for want of time, in seconds;
         0: none is."""
 
+        self._ticked_at = time.monotonic()
+        self._resume_at = 0.0
+        """Until when nothing is started, after the process stood still, in seconds."""
+
         self._closed = False
         self.on_directory_change: Callable[[str, TargetReport | None], None] = (
             lambda target_id, report: None
@@ -370,12 +381,17 @@
             due_at = began_at + TICK_S
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
+            self._ticked_at = now
+            if now - due_at >= STOOD_STILL_S:
+                self._resume_at = now + RESUME_WAIT_S
             self._load.ticked(now - due_at)
             share = (time.process_time() - used_s) / (now - began_at)
             self._spare_time.observe(now - due_at, share)
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
+            if now < self._resume_at:
+                continue
             if workload.next_check(self._tables, now) is None:
                 continue
             self._note_left(workload.tick(self._tables, self, now), now)
@@ -405,6 +421,8 @@
         if self._closed:
             return
         now = time.monotonic()
+        if now < self._resume_at or now - self._ticked_at >= STOOD_STILL_S:
+            return
         self._note_left(workload.dispatch(self._tables, self, now), now)
 
     def _note_left(self, left: Lateness | None, now: float) -> None:
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+import time
 from collections.abc import Mapping, Sequence
 
 from cassiaturn.entities import RoutingTable, TargetReport
@@ -55,6 +56,10 @@
 """How long a leader that stops waits for its successor, in seconds: the claim takes
 two calls to the table service."""
 
+HAND_OVER_PAUSE_S = 5.0
+"""Least pause before another member is asked to lead, in seconds: one that is asked
+drops its stream, and the callers of it lose what runs if it does not lead in time."""
+
 MILLISECONDS = 1000
 
 
@@ -101,6 +106,7 @@
         self._stopping = False
         self._leftovers: asyncio.Future[None] | None = None
         self._tried_token = NO_TOKEN
+        self._asked_to_lead_at = float("-inf")
         self.routing.on_change(self._apply_routing)
         observe(self)
 
@@ -442,8 +448,12 @@
         )
         if self.leader is None or self._stopping or not is_full:
             return
+        now = time.monotonic()
+        if now - self._asked_to_lead_at < HAND_OVER_PAUSE_S:
+            return
+        self._asked_to_lead_at = now
         log_event(
-            Event.LEADER_RESIGNED,
+            Event.HAND_OVER_ASKED,
             reason="link_full",
             sent_mbps=round(sent_mbps, 2),
             link_mbps=own_mbps,
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -299,11 +299,14 @@
             match frame.WhichOneof("frame"):
                 case "submit":
                     sent_s = frame.submit.sent_ms / MILLISECONDS
+                    unread_s = 0.0
+                    if sent_s:
+                        unread_s = follower.transit.observe(sent_s, follower.heard_at)
                     submission = to_submission(
                         frame.submit,
                         origin=follower.hello.member_id,
                         failure_domain=follower.hello.failure_domain,
-                        unread_s=follower.transit.observe(sent_s, follower.heard_at),
+                        unread_s=unread_s,
                     )
                     leader.take(submission)
                 case "confirm":
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -98,6 +98,9 @@
     TARGET_HEARD = _info("target_heard", "A target answers and told what it runs.")
     LEADER_ELECTED = _info("leader_elected", "This member leads from now on.")
     LEADER_RESIGNED = _info("leader_resigned", "This member no longer leads.")
+    HAND_OVER_ASKED = _info(
+        "hand_over_asked", "This leader asks a member with a wider link to lead."
+    )
     LEADER_FOLLOWED = _info("leader_followed", "This member follows `leader`.")
     LEADER_LOST = _warning("leader_lost", "The leader is gone or silent.")
     LEADER_UNKNOWN = _warning("leader_unknown", "No leader can be reached from here.")
