Play callers that wait longer than an answer is of use, and a limit that is too short

Cause: every shared load had callers that wait 1.5 s, whatever their jobs' objective, so that a limit of 1.5 s cost nothing in any of them.

Change: loads with patient callers (three times the objective and 1.6 s): ordinary, heavy, after an outage, twice and three times the rate; a variant that ends jobs after 1.5 s.

Texts that spoke of callers' 1.5 s are corrected.

--- a/src/cassiaturn/bench/_shared_load.py
+++ b/src/cassiaturn/bench/_shared_load.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MIN_CPU_MILLIS = 1_000
 """Least that a task asks for, in thousandths of a core."""
@@ -17,7 +17,14 @@
 """Most that one asks for on Kwabena's site, in thousandths of a core."""
 
 LIMIT_S = 1.5
-"""How long every caller waits, in seconds."""
+"""How long callers wait that have the same limit for every job, in seconds."""
+
+PATIENCE_S = 1.6
+"""How long patient callers wait after an answer has ceased to be of use, in seconds."""
+
+LATE_FACTOR = 3.0
+"""Up to so many times its due time an answer is late; after that it is worth
+nothing."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -156,6 +163,10 @@
     length_s: float = 30.0
     """Time in which jobs arrive, in seconds."""
 
+    has_patient_callers: bool = False
+    """Whether callers wait until an answer is of no use any more, and longer, instead
+    of :data:`LIMIT_S`."""
+
 
 SHARED_LOADS_BY_NAME: Mapping[str, SharedLoad] = {
     "ordinary": SharedLoad(name="ordinary", rate=0.65),
@@ -166,6 +177,23 @@
     "after-outage": SharedLoad(
         name="after-outage", rate=1.2, outage=(6.0, 7.8), length_s=14.0
     ),
+    "patient": SharedLoad(name="patient", rate=0.65, has_patient_callers=True),
+    "patient-heavy": SharedLoad(
+        name="patient-heavy", rate=1.2, burst=1.8, has_patient_callers=True
+    ),
+    "patient-after-outage": SharedLoad(
+        name="patient-after-outage",
+        rate=1.2,
+        outage=(6.0, 7.8),
+        length_s=14.0,
+        has_patient_callers=True,
+    ),
+    "patient-double": SharedLoad(
+        name="patient-double", rate=2.0, length_s=14.0, has_patient_callers=True
+    ),
+    "patient-triple": SharedLoad(
+        name="patient-triple", rate=3.0, length_s=14.0, has_patient_callers=True
+    ),
 }
 """The scenarios, by name."""
 
@@ -192,6 +220,14 @@
     cpu_millis: int
     """What each task asks for."""
 
+    is_patient: bool = False
+    """Whether its caller waits until an answer is of no use any more, and longer."""
+
+    @property
+    def limit_s(self) -> float:
+        """How long its caller waits, in seconds."""
+        return LATE_FACTOR * self.due_s + PATIENCE_S if self.is_patient else LIMIT_S
+
     @property
     def due_s(self) -> float:
         """Time within which its answer is in time, in seconds."""
@@ -221,7 +257,8 @@
             at += rng.expovariate(rate)
             if at >= load.length_s:
                 break
-            jobs.append(_draw(rng, site, kind, at, len(jobs)))
+            job = _draw(rng, site, kind, at, len(jobs))
+            jobs.append(replace(job, is_patient=load.has_patient_callers))
     return sorted(jobs, key=lambda job: job.arrives_at)
 
 
--- a/src/cassiaturn/bench/_shared_result.py
+++ b/src/cassiaturn/bench/_shared_result.py
@@ -6,7 +6,12 @@
 from itertools import pairwise
 from typing import NamedTuple
 
-from cassiaturn.bench._shared_load import LIMIT_S, SharedJob, SharedLoad, SharedSite
+from cassiaturn.bench._shared_load import (
+    LATE_FACTOR,
+    SharedJob,
+    SharedLoad,
+    SharedSite,
+)
 from cassiaturn.standins.virtual_targets import Play
 from cassiaturn.workload import Verdict
 
@@ -16,10 +21,6 @@
 LATE_SHARE = 0.2
 """Worth of a late answer, as a share of one in time."""
 
-LATE_FACTOR = 3.0
-"""Up to so many times its due time an answer is late; after that it is worth
-nothing."""
-
 
 @dataclass(slots=True, kw_only=True)
 class SharedTally:
@@ -188,7 +189,7 @@
 
 def _is_served(job: SharedJob, play: Play) -> bool:
     is_complete = play.verdict(job.job_id) is Verdict.COMPLETED
-    return is_complete and _took_s(job, play) <= LIMIT_S
+    return is_complete and _took_s(job, play) <= job.limit_s
 
 
 def _count(tally: SharedTally, job: SharedJob, play: Play) -> None:
--- a/src/cassiaturn/bench/_shared_variants.py
+++ b/src/cassiaturn/bench/_shared_variants.py
@@ -6,7 +6,8 @@
 from typing import Any
 from unittest import mock
 
-from cassiaturn.entities import TaskGroup
+from cassiaturn.bench._shared_load import LIMIT_S
+from cassiaturn.entities import Route, TaskGroup
 from cassiaturn.sharing import (
     Deadlines,
     ExpectedRuns,
@@ -14,6 +15,7 @@
     Lateness,
     OrderKey,
     TargetIndex,
+    job_deadlines,
     queue_key,
 )
 from cassiaturn.standins import virtual_targets
@@ -107,6 +109,12 @@
     return _patched("_intake._refusal", _none)
 
 
+@_variant
+def short_limit() -> AbstractContextManager[Any]:
+    """End jobs after :data:`LIMIT_S`, also those of callers that wait for longer."""
+    return _patched("_intake.job_deadlines", _with_short_limit)
+
+
 @_variant
 def no_expected_runs() -> AbstractContextManager[Any]:
     """Trust declared run times."""
@@ -200,6 +208,17 @@
     return False
 
 
+def _with_short_limit(
+    route: Route, *, arrived_at: float, chain_s: float, limit_at: float
+) -> Deadlines:
+    return job_deadlines(
+        route,
+        arrived_at=arrived_at,
+        chain_s=chain_s,
+        limit_at=min(limit_at, arrived_at + LIMIT_S),
+    )
+
+
 def _none(*args: object) -> None:
     return None
 
--- a/src/cassiaturn/sharing/_outlook.py
+++ b/src/cassiaturn/sharing/_outlook.py
@@ -1,8 +1,8 @@
 """Whether a job can still be answered while its caller waits.
 
 Load pattern: tasks whose run times vary by a factor of three, of which some need
-longer than the caller's deadline allows, at a load at which every place is taken. Run
-to its end such a task gives nobody an answer, and what waits behind it is late.
+longer than their callers wait, at a load at which every place is taken. Run to its end
+such a task gives nobody an answer, and what waits behind it is late.
 
 Grounds: the share of its work that a run reports tells its whole length once a
 fair part is done. A job that cannot be complete in time is ended as soon as that
@@ -46,12 +46,12 @@
 
 
 def latest_start(*, limit_at: float, expected_run_s: float, is_idle: bool) -> float:
-    """Return until when a job may start and still be of use, in seconds.
+    """Return until when a job may start and still be answered, in seconds.
 
     Where nothing else waits, a start costs nobody anything and its progress tells
     soon whether it can be in time; where others wait, it takes their place.
 
-    :param limit_at: when its answer is of no more use, in seconds.
+    :param limit_at: when its caller stops waiting, in seconds.
     :param expected_run_s: expected length of its longest chain, in seconds.
     :param is_idle: whether nothing else waits for the same targets.
     """
--- a/src/cassiaturn/workload/_settings.py
+++ b/src/cassiaturn/workload/_settings.py
@@ -50,7 +50,7 @@
     of the request for its first list have gone out for 0.11 s by then, and each is
     answered in 3 ms. A cut is noticed after 0.45 s and led past 0.1 s later, so
     that callers whose jobs cannot be told apart from what runs behind it hear so
-    within half of the 1.5 s that they wait, and may turn elsewhere."""
+    within 0.75 s, if they have no time to wait for its leases."""
 
     inherit_s: float = 2.5
     """How long after its begin a leader may conclude from the lists of its targets
@@ -98,8 +98,9 @@
     """Least advice to a refused caller: the header counts whole seconds."""
 
     runs_per_term: int = 64
-    """Distance of the run numbers of one leadership from those of the next; more
-    starts of one task than fit into a caller's deadline."""
+    """Distance of the run numbers of one leadership from those of the next: more
+    starts of one task than its leadership makes in general. A number that is too low
+    is answered as outdated, and raised."""
 
 
 def settings_for_lease(granted_s: float) -> WorkloadSettings:
