--- a/src/cassiaturn/explain/_causes.py
+++ b/src/cassiaturn/explain/_causes.py
@@ -68,7 +68,7 @@
     return story.reason.endswith("_not_served")
 
 
-@_cause("no_leader", "no member led, or its leader was silent for a second")
+@_cause("no_leader", "no member led, or its leader was silent for too long")
 def _no_leader(story: JobStory, _: Record) -> bool:
     if story.verdict == "refused" and story.reason == "limit_passed":
         return True
@@ -80,7 +80,7 @@
     return story.reason == "no_target"
 
 
-@_cause("no_room", "refused: it could not start in time behind what was queued")
+@_cause("no_room", "refused: it could hardly end within its limit behind the queue")
 def _no_room(story: JobStory, _: Record) -> bool:
     return story.verdict == "refused"
 
@@ -137,7 +137,7 @@
     return story.last_start_wait_ms >= WAIT_SHARE * (story.due_ms or float("inf"))
 
 
-@_cause("long_task", "a task of it took longer than its caller waits")
+@_cause("long_task", "ended since a task of it could not end within its limit")
 def _long_task(story: JobStory, _: Record) -> bool:
     return story.verdict == "abandoned"
 
--- a/src/cassiaturn/explain/_sizes.py
+++ b/src/cassiaturn/explain/_sizes.py
@@ -2,6 +2,10 @@
 
 The largest jobs fail first: each of their tasks has to be fast. Some have a task that
 takes longer than its caller waits wherever it runs; the others could have been served.
+
+Which is which holds only where ``limit_ms`` of a ``job_timed`` line is the caller's own
+limit. Earlier versions wrote the lesser of that and the timeout of its route: by their
+logs a job counts as too long although its caller would have waited.
 """
 
 from collections.abc import Iterator, Mapping, Sequence
@@ -16,7 +20,8 @@
 """Classes of a route's jobs by their work, the smallest first."""
 
 SIZE_BOUNDS = (0.0, 0.7, 0.9, 1.0)
-"""Where each class begins and ends, as shares of the route's jobs by their work."""
+"""Where each class begins and ends, as shares of the route's timed jobs by their
+work."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,10 +38,11 @@
     """How many were begun."""
 
     served: int
-    """How many of them were complete within their callers' time."""
+    """How many of them were complete within their callers' own limits."""
 
     possible: int
-    """How many could have been: each of their tasks, on a fast target."""
+    """How many could have been: each of their tasks, on a fast target, takes no longer
+    than their caller's own limit."""
 
     missed_by_cause: Mapping[str, int]
     """Those that could have been served and were not, by cause."""
@@ -53,6 +59,7 @@
 
     @property
     def is_possible(self) -> bool:
+        """Whether it could have been served within its caller's own limit."""
         fastest_ms = self.timing.number("fastest_ms") or 0.0
         limit_ms = self.timing.number("limit_ms") or float("inf")
         return self.is_served or fastest_ms <= limit_ms
