--- a/src/cassiaturn/explain/_sizes.py
+++ b/src/cassiaturn/explain/_sizes.py
@@ -2,10 +2,6 @@
 
 The largest jobs fail first: each of their tasks has to be fast. Some have a task that
 takes longer than its caller waits wherever it runs; the others could have been served.
-
-Which is which holds only where ``limit_ms`` of a ``job_timed`` line is the caller's own
-limit. Earlier versions wrote the lesser of that and the timeout of its route: by their
-logs a job counts as too long although its caller would have waited.
 """
 
 from collections.abc import Iterator, Mapping, Sequence
