Hand finished work on at a planned change of leader

Cause: between the claim of the successor and the moment at which the leader that stops hears of it, that leader still reads lists and acknowledges ends. Its followers have left it by then: the one that it asked closes the stream at once, the others do so at the successor's announcement. So the outcome, or the fact that some tasks of a job are done, reaches nobody, and the targets have forgotten the ends that they would list to the successor.

Ruled out: two runs at once, and the fake runner's count of repeated orders: the leaders' logs show two starts of one task. Considered: acknowledging an end only once its caller has the answer. It covers killed leaders too, but a target that holds an end that is not acknowledged answers each long poll at once.

Change: a follower that hears its leader waits up to two heartbeats for that leader's redirect; the follower that is asked to lead keeps its stream open until then, and takes its own callers' jobs over after it. A leader that steps down tells the finished tasks of each open job ahead of the redirect; the next submission of the job names them.

--- a/src/cassiaturn/fleet/_caller_jobs.py
+++ b/src/cassiaturn/fleet/_caller_jobs.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from cassiaturn.entities import JobRequest, Route
+from cassiaturn.entities import JobRequest, Route, TaskRef
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.sharing import (
     is_shed,
@@ -89,6 +89,9 @@
     may_have_begun: bool = False
     """Whether a leader may have started it, so that "not run" may be a wrong answer."""
 
+    completed: frozenset[TaskRef] = frozenset()
+    """Its tasks that are done, as a leader told that stepped down."""
+
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
     """Timers that end the job if no answer arrives."""
 
@@ -271,6 +274,12 @@
         job.may_have_begun = True
         return True
 
+    def note_completed(self, job_id: str, completed: frozenset[TaskRef]) -> None:
+        """Record tasks of an open job that are done, to tell the next leader."""
+        job = self._jobs_by_id.get(job_id)
+        if job is not None:
+            job.completed |= completed
+
     def is_open(self, job_id: str) -> bool:
         """Return whether a job with this id is open here."""
         return job_id in self._jobs_by_id
--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -1,6 +1,15 @@
 """Converts messages between members to and from domain types."""
 
-from cassiaturn.entities import JobRequest, Resources, Route, TargetReport, TaskGroup
+from collections.abc import Iterable
+
+from cassiaturn.entities import (
+    JobRequest,
+    Resources,
+    Route,
+    TargetReport,
+    TaskGroup,
+    TaskRef,
+)
 from cassiaturn.fleet._leadership import Leadership
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import Outcome, Submission, Verdict
@@ -68,6 +77,26 @@
     )
 
 
+def from_completed(refs: Iterable[TaskRef]) -> list[pb.CompletedTask]:
+    """Return the messages for completed tasks of one job."""
+    return [
+        pb.CompletedTask(
+            occurrence=ref.occurrence, group=ref.group, task_index=ref.task_index
+        )
+        for ref in refs
+    ]
+
+
+def to_completed(
+    job_id: str, messages: Iterable[pb.CompletedTask]
+) -> frozenset[TaskRef]:
+    """Return the completed tasks of a job that messages name."""
+    return frozenset(
+        TaskRef(job_id, message.occurrence, message.group, message.task_index)
+        for message in messages
+    )
+
+
 def from_submission(
     request: JobRequest,
     route: Route,
@@ -77,6 +106,7 @@
     begun_earlier: bool,
     unconfirmed: bool,
     sent_s: float = 0.0,
+    completed: Iterable[TaskRef] = (),
 ) -> pb.JobSubmission:
     """Return the message that forwards a job to the leader.
 
@@ -87,6 +117,7 @@
         confirms it.
     :param sent_s: time of sending on this member's monotonic clock, in seconds; 0 if
         not told.
+    :param completed: its tasks that are done under an earlier leader.
     """
     return pb.JobSubmission(
         job_id=request.job_id,
@@ -105,6 +136,7 @@
         begun_earlier=begun_earlier,
         unconfirmed=unconfirmed,
         sent_ms=round(sent_s * MILLISECONDS),
+        completed=from_completed(completed),
     )
 
 
@@ -145,6 +177,7 @@
         begun_earlier=message.begun_earlier,
         failure_domain=failure_domain,
         is_confirmed=not message.unconfirmed,
+        completed=to_completed(message.job_id, message.completed),
     )
 
 
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -3,10 +3,11 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from cassiaturn.fleet._codec import from_outcome
+from cassiaturn.entities import TaskRef
+from cassiaturn.fleet._codec import from_completed, from_outcome
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing_feed import RoutingCursor, RoutingFeed
 from cassiaturn.sharing import TransitDelay
@@ -86,6 +87,11 @@
         """Tell the follower the outcome of a job."""
         self.enqueue(pb.LeaderFrame(outcome=from_outcome(job_id, outcome)))
 
+    def send_progress(self, job_id: str, completed: Iterable[TaskRef]) -> None:
+        """Tell the follower which tasks of a job are done."""
+        message = pb.JobProgress(job_id=job_id, completed=from_completed(completed))
+        self.enqueue(pb.LeaderFrame(progress=message))
+
     async def next_frame(self, beat: Callable[[], pb.LeaderBeat]) -> QueuedFrame:
         """Wait for a frame to send; returns a heartbeat if none comes in its period.
 
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from cassiaturn import workload
@@ -67,6 +67,9 @@
     def send_outcome(self, job_id: str, outcome: Outcome) -> None:
         """Report the outcome of a job."""
 
+    def send_progress(self, job_id: str, completed: Iterable[TaskRef]) -> None:
+        """Report which tasks of a job are done."""
+
 
 class Leader:
     """One term of this member's leadership."""
@@ -196,6 +199,9 @@
         self._tasks = [loop.create_task(watch.run()), loop.create_task(self._tick())]
         for task in self._tasks:
             task.add_done_callback(report_failure)
+
+    def attach_callers(self) -> None:
+        """Take over the jobs of this member's own callers."""
         self._caller_jobs.attach(self)
 
     def raise_token(self, leadership: Leadership) -> None:
@@ -214,6 +220,21 @@
             task.cancel()
         self._targets.close()
 
+    def send_progress(self) -> None:
+        """Tell the members of each open job which of its tasks are done.
+
+        Their ends are acknowledged, so that no target lists them to the successor.
+        """
+        for job in self._tables.jobs_by_id.values():
+            done = [task.ref for task in job.tasks_by_ref.values() if task.done]
+            if not done:
+                continue
+            for origin in job.origins:
+                if origin == self.leadership.member_id:
+                    self._caller_jobs.note_completed(job.job_id, frozenset(done))
+                elif origin in self.followers_by_id:
+                    self.followers_by_id[origin].send_progress(job.job_id, done)
+
     async def stop_leftovers(self) -> None:
         """Stop the runs on targets that the successor has not reached.
 
@@ -243,6 +264,7 @@
             limit_s=job.limit_at - now,
             begun_earlier=begun_earlier,
             failure_domain=self._failure_domain,
+            completed=job.completed,
         )
         self.accept_submission(submission)
 
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -14,6 +14,7 @@
 from cassiaturn.fleet._codec import (
     from_leadership,
     from_submission,
+    to_completed,
     to_leadership,
     to_outcome,
 )
@@ -40,6 +41,11 @@
 """How recently the leader must have been heard for this member to report it to peers as
 alive, in seconds."""
 
+FAREWELL_WAIT_S = 0.3
+"""Longest wait for the redirect of a leader that is still heard after another member
+announced itself, in seconds: two heartbeats. Until its redirect, the leader sends
+outcomes of jobs whose ends it has acknowledged, which their targets list no more."""
+
 LOOK_TIMEOUT_S = 0.1
 """Longest wait for a peer's view of the leader, in seconds: thirty times the usual one.
 In a network partition some peers never answer, and callers wait meanwhile."""
@@ -123,6 +129,8 @@
         self._on_leadership = on_leadership
         self._frames: asyncio.Queue[pb.FollowerFrame] = asyncio.Queue()
         self._sent_routing_version = 0
+        self._asked = asyncio.Event()
+        self._running: asyncio.Task[FollowResult] | None = None
         self._successor: asyncio.Future[Leadership] = (
             asyncio.get_running_loop().create_future()
         )
@@ -148,6 +156,7 @@
             begun_earlier=begun_earlier,
             unconfirmed=not job.may_have_begun,
             sent_s=now,
+            completed=job.completed,
         )
         self._frames.put_nowait(pb.FollowerFrame(submit=message))
 
@@ -157,7 +166,43 @@
         self._frames.put_nowait(pb.FollowerFrame(cancel=message))
 
     async def run(self) -> FollowResult:
-        """Follow until the stream ends, the leader falls silent, or it redirects."""
+        """Follow until the stream ends, the leader falls silent, or it redirects.
+
+        If the leader asks this member to lead, the stream stays open until that leader
+        steps down; see :meth:`wait_for_redirect`.
+        """
+        loop = asyncio.get_running_loop()
+        self._running = loop.create_task(self._run_to_end())
+        asked = loop.create_task(self._asked.wait())
+        try:
+            await asyncio.wait(
+                [self._running, asked], return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            self._running.cancel()
+            raise
+        finally:
+            asked.cancel()
+        if self._running.done():
+            return self._running.result()
+        self._detach()
+        return FollowResult(end=FollowEnd.ASKED, welcomed=True)
+
+    async def wait_for_redirect(self, timeout_s: float) -> None:
+        """Wait until a leader that asked this member to lead has stepped down.
+
+        :param timeout_s: longest wait, in seconds; then the stream is closed.
+        """
+        if self._running is None or self._running.done():
+            return
+        await asyncio.wait([self._running], timeout=timeout_s)
+        self._running.cancel()
+
+    def _detach(self) -> None:
+        self._caller_jobs.detach(self, heard_at=self.heard_at)
+        self.welcomed = False
+
+    async def _run_to_end(self) -> FollowResult:
         host, _, port = self.leadership.address.rpartition(":")
         channel = Channel(host, int(port))
         try:
@@ -172,8 +217,7 @@
             )
             return FollowResult(end=FollowEnd.BROKEN, welcomed=self.welcomed)
         finally:
-            self._caller_jobs.detach(self, heard_at=self.heard_at)
-            self.welcomed = False
+            self._detach()
             channel.close()
 
     async def _run(self, channel: Channel) -> FollowResult:
@@ -276,8 +320,12 @@
                         named_leadership=named_leadership,
                         welcomed=True,
                     )
+                case "progress":
+                    job_id = frame.progress.job_id
+                    completed = to_completed(job_id, frame.progress.completed)
+                    self._caller_jobs.note_completed(job_id, completed)
                 case "hand_over":
-                    return FollowResult(end=FollowEnd.ASKED, welcomed=True)
+                    self._asked.set()
                 case _:
                     continue
         return None
@@ -310,6 +358,9 @@
 
     async def _wait_for_successor(self) -> FollowResult:
         named_leadership = await asyncio.shield(self._successor)
+        if self.hears_leader:
+            # Its redirect ends the stream.
+            await asyncio.sleep(FAREWELL_WAIT_S)
         return FollowResult(
             end=FollowEnd.REDIRECTED, named_leadership=named_leadership, welcomed=True
         )
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -17,6 +17,7 @@
     LeaderRow,
 )
 from cassiaturn.fleet._leader_stream import (
+    FAREWELL_WAIT_S,
     FollowEnd,
     FollowResult,
     LeaderStream,
@@ -101,6 +102,10 @@
         self._roster = Roster()
         self._peers = Peers(settings=settings, roster=self._roster)
         self._following: LeaderStream | None = None
+        self._asked_by: LeaderStream | None = None
+        """Stream to a leader that asked this member to lead and may not have stepped
+        down yet."""
+
         self._superseded_signal = SupersededSignal()
         self._term: LeaderTerm | None = None
         self._resigned = asyncio.Event()
@@ -316,6 +321,10 @@
         return step
 
     async def _follow(self, leadership: Leadership) -> FollowResult:
+        asked_by, self._asked_by = self._asked_by, None
+        if asked_by is not None:
+            is_same = asked_by.leadership.member_id == leadership.member_id
+            await asked_by.wait_for_redirect(0.0 if is_same else FAREWELL_WAIT_S)
         stream = LeaderStream(
             leadership=leadership,
             hello=pb.Hello(
@@ -339,6 +348,7 @@
         self._peers.last_leader_address = leadership.address
         result = await stream.run()
         self._following = None
+        self._asked_by = stream if result.end is FollowEnd.ASKED else None
         if result.welcomed:
             self._row.reset()
         log_event(
@@ -428,6 +438,8 @@
             targets=len(leader.reports_by_id),
         )
         leader.open()
+        attaching = asyncio.ensure_future(self._attach_callers(leader))
+        attaching.add_done_callback(report_failure)
         self._term = LeaderTerm(
             leader=leader,
             member=self,
@@ -437,6 +449,18 @@
         )
         self._step_down(await self._term.run())
 
+    async def _attach_callers(self, leader: Leader) -> None:
+        """Take over this member's own jobs, with what an earlier leader tells of them.
+
+        A leader that asked this member to lead steps down when it hears of the new
+        term, and tells outcomes and finished tasks before that.
+        """
+        asked_by, self._asked_by = self._asked_by, None
+        if asked_by is not None:
+            await asked_by.wait_for_redirect(FAREWELL_WAIT_S)
+        if self.leader is leader:
+            leader.attach_callers()
+
     def _report_load(self) -> None:
         sent_mbps = self.load.log_if_due(
             followers=len(self.service.followers),
@@ -478,6 +502,7 @@
         self._resigned.set()
         self._roster.replace_targets(leader.reports_by_id)
         leader.close()
+        leader.send_progress()
         if successor is not None:
             self.known_leadership = successor
             if not self._stopping:
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -77,6 +77,9 @@
     JOB_LEFT = _info("job_left", "A caller closed its connection before the answer.")
     JOB_RESUBMITTED = _info("job_resubmitted", "A job goes to another leader.")
     TASK_FAILED = _info("task_failed", "A run of a task failed on a target.")
+    TASK_INHERITED_DONE = _info(
+        "task_inherited_done", "A task was done under an earlier leader."
+    )
     RUN_ENDED = _info("run_ended", "A run ended otherwise than done or failed.")
     RUN_LOST = _warning("run_lost", "A run ended with its target or its lease.")
     RUN_STALLED = _warning("run_stalled", "A run stands still and is stopped.")
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -3,12 +3,13 @@
 from cassiaturn.entities import (
     EndedRun,
     RunEnd,
+    TaskRef,
 )
 from cassiaturn.observability import Event
 from cassiaturn.sharing import failed_target_pause_s
 from cassiaturn.workload._dispatch import requeue_task
 from cassiaturn.workload._ports import Ports
-from cassiaturn.workload._settle import settle
+from cassiaturn.workload._settle import settle, stop
 from cassiaturn.workload._tables import (
     Job,
     Outcome,
@@ -63,6 +64,33 @@
         requeue_task(tables, ended.ref)
 
 
+def apply_completed(
+    tables: Tables,
+    ports: Ports,
+    job: Job,
+    completed: frozenset[TaskRef],
+    now: float,
+) -> None:
+    """Record tasks of a job that are done under an earlier leader.
+
+    That leader has acknowledged their ends, so their targets list them no more, and
+    the tasks would run again.
+
+    :param completed: references of these tasks.
+    """
+    for task in list(job.tasks_by_ref.values()):
+        if task.ref not in completed or task.done:
+            continue
+        job.begun = True
+        run = task.run
+        ports.record(Event.TASK_INHERITED_DONE, id=job.job_id, task=task.ref.task_index)
+        _complete(tables, ports, job, task, now)
+        if run is not None:
+            stop(tables, ports, run, now)
+        if job.job_id not in tables.jobs_by_id:
+            return
+
+
 def apply_unclaimed_ends(tables: Tables, ports: Ports, job: Job, now: float) -> None:
     """Apply the ends of a job's tasks that targets listed before the job.
 
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -11,7 +11,7 @@
     spread_retry_after,
 )
 from cassiaturn.workload._backlog import backlog_s
-from cassiaturn.workload._ends import apply_unclaimed_ends
+from cassiaturn.workload._ends import apply_completed, apply_unclaimed_ends
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settle import remove_ended_job
 from cassiaturn.workload._tables import (
@@ -49,6 +49,9 @@
     failure_domain: str = ""
     """Failure domain of that member; empty: not known."""
 
+    completed: frozenset[TaskRef] = frozenset()
+    """Its tasks that are done under an earlier leader."""
+
     is_confirmed: bool = True
     """Whether it may be started at once. Otherwise it waits for :func:`confirm`: its
     member first records that the job may have begun, to tell a later leader."""
@@ -69,6 +72,7 @@
         # the job anew would run its tasks twice at the same time.
         _join(tables, job, submission, now)
         ports.record(Event.JOB_JOINED, id=job_id, origin=submission.origin)
+        apply_completed(tables, ports, job, submission.completed, now)
         return None
     ended_job = tables.ended_jobs_by_id.pop(job_id, None)
     known_outcome = ended_job.outcome if ended_job is not None else None
@@ -83,7 +87,6 @@
         tables.counters.refused += 1
         return refusal
     tables.add_job(job, now)
-    _adopt_listed_runs(tables, job)
     ports.record(
         Event.JOB_QUEUED,
         id=job_id,
@@ -99,7 +102,10 @@
         confirmed=job.is_confirmed,
         version=tables.routing.version if tables.routing is not None else 0,
     )
-    apply_unclaimed_ends(tables, ports, job, now)
+    apply_completed(tables, ports, job, submission.completed, now)
+    if job.job_id in tables.jobs_by_id:
+        _adopt_listed_runs(tables, job)
+        apply_unclaimed_ends(tables, ports, job, now)
     return None
 
 
