Start nothing in failure domains that operators drain

What operators saw: a request to start nothing on the targets of a failure domain had no effect.

Cause: no part of the program knew of such a request.

Change: the adapter decodes one row a domain; a drain holds as long as its row is there, whatever it contains. The rows are read with the configuration, by the same watch, so that no further calls are made. A member believes the state with the newest version of the rows, from the store or from another member; heartbeats in both directions and the first frame of a follower carry it, so that a leader that is cut from the store, and a successor without the store, know it. A leader that knows nothing of it yet starts nothing. Its targets count neither as places nor as capacity: no start, no repeated order, no second attempt; runs end by themselves; admission reckons with the rest, and jobs that the rest can't serve in time, or all jobs where every domain is drained, are refused when the drain comes into force.

Ways weighed: drained domains as a mark on each target's entry (a target that joins later, or on another member, would lack it); stopping what runs there (operators ask that it ends in peace); a queue that waits for the domain to come back (callers would learn at their limit).

--- a/src/cassiaturn/entities/__init__.py
+++ b/src/cassiaturn/entities/__init__.py
@@ -4,6 +4,7 @@
 
 from cassiaturn._lazy import lazy_exports
 from cassiaturn.entities._address import Address
+from cassiaturn.entities._drained_domains import DrainedDomains, DrainRequest
 from cassiaturn.entities._resources import Resources
 from cassiaturn.entities._run import Refusal, RunStatus
 from cassiaturn.entities._task import TaskKey
@@ -50,6 +51,8 @@
     "Address",
     "AdvicePolicy",
     "Answer",
+    "DrainRequest",
+    "DrainedDomains",
     "EndedRun",
     "JobRequest",
     "JobStatus",
--- a/src/cassiaturn/explain/_causes.py
+++ b/src/cassiaturn/explain/_causes.py
@@ -75,6 +75,11 @@
     return story.reason in ("no_leader", "leader_lost", "leader_silent")
 
 
+@_cause("drained", "refused: operators drain failure domains that it would need")
+def _drained(story: JobStory, _: Record) -> bool:
+    return story.reason == "drained"
+
+
 @_cause("no_target", "the leader knew no target of its service")
 def _no_target(story: JobStory, _: Record) -> bool:
     return story.reason == "no_target"
--- a/src/cassiaturn/explain/tests/test_explain.py
+++ b/src/cassiaturn/explain/tests/test_explain.py
@@ -74,6 +74,7 @@
         ("not_offered", [_line(1, Event.JOB_REFUSED, id=JOB, reason="x_not_served")]),
         ("no_leader", [_answered("refused", "no_leader")]),
         ("no_leader", [_queued(), _answered("abandoned", "leader_silent")]),
+        ("drained", [_answered("refused", "drained")]),
         ("no_target", [_answered("refused", "no_target")]),
         ("no_room", [_answered("refused", "backlog")]),
         ("held", [_queued(inherited=True), _answered("abandoned", "held_too_long")]),
--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from cassiaturn.entities import (
+    DrainedDomains,
     JobRequest,
     Resources,
     Route,
@@ -77,6 +78,24 @@
     )
 
 
+def from_drains(drains: DrainedDomains | None) -> pb.DrainedDomains:
+    """Return the message for drained failure domains; an empty one for None."""
+    if drains is None:
+        return pb.DrainedDomains()
+    return pb.DrainedDomains(
+        version=drains.version, failure_domains=sorted(drains.failure_domains)
+    )
+
+
+def to_drains(message: pb.DrainedDomains) -> DrainedDomains | None:
+    """Return the drained failure domains in a message; None if it is empty."""
+    if not message.version:
+        return None
+    return DrainedDomains(
+        version=message.version, failure_domains=frozenset(message.failure_domains)
+    )
+
+
 def from_completed(refs: Iterable[TaskRef]) -> list[pb.CompletedTask]:
     """Return the messages for completed tasks of one job."""
     return [
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -7,6 +7,7 @@
 
 from cassiaturn import workload
 from cassiaturn.entities import (
+    DrainedDomains,
     LeaseReport,
     RoutingTable,
     StartAnswer,
@@ -14,6 +15,7 @@
     TaskRef,
 )
 from cassiaturn.fleet._caller_jobs import CallerJobs, OpenJob
+from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._leader_targets import LeaderTargets
@@ -80,6 +82,7 @@
         leadership: Leadership,
         services: PlatformServices,
         routing: CurrentRouting,
+        drains: CurrentDrains,
         caller_jobs: CallerJobs,
         metrics: FleetMetrics,
         settings: WorkloadSettings,
@@ -119,6 +122,7 @@
             began_at=time.monotonic(),
             knows_targets=knows_all_targets and bool(known_targets),
             routing=routing.current,
+            drained_domains=drains.failure_domains,
         )
         self._targets = LeaderTargets(
             reports_by_id=known_targets,
@@ -492,3 +496,10 @@
         """Use a new configuration for all further decisions."""
         self._tables.routing = table
         self._targets.apply_routing()
+
+    def apply_drains(self, drains: DrainedDomains) -> None:
+        """Start nothing more on the targets of drained failure domains."""
+        workload.on_drained_domains(
+            self._tables, self, drains.failure_domains, time.monotonic()
+        )
+        self._schedule_dispatch()
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -12,12 +12,14 @@
 from cassiaturn.entities import Address
 from cassiaturn.fleet._caller_jobs import CallerJobs, OpenJob
 from cassiaturn.fleet._codec import (
+    from_drains,
     from_leadership,
     from_submission,
     to_completed,
     to_leadership,
     to_outcome,
 )
+from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._follower import HEARTBEAT_S
 from cassiaturn.fleet._leadership import Leadership, Look, LookFailure
 from cassiaturn.fleet._roster import Roster
@@ -103,8 +105,10 @@
         hello: pb.Hello,
         caller_jobs: CallerJobs,
         routing: CurrentRouting,
+        drains: CurrentDrains,
         roster: Roster,
         read_routing: Callable[[pb.RoutingDocument], None],
+        read_drains: Callable[[pb.DrainedDomains], None],
         on_leadership: Callable[[Leadership], None],
     ) -> None:
         """Prepare to follow; :meth:`run` opens the stream.
@@ -112,6 +116,8 @@
         :param hello: this member's first frame.
         :param roster: updated with the lists that the leader sends.
         :param read_routing: called with a configuration that the leader sends.
+        :param read_drains: called with the drained failure domains that the leader
+            knows.
         :param on_leadership: called when the leader continues under a higher token.
         """
         self.leadership = leadership
@@ -124,8 +130,10 @@
         self._hello = hello
         self._caller_jobs = caller_jobs
         self._routing = routing
+        self._drains = drains
         self._roster = roster
         self._read_routing = read_routing
+        self._read_drains = read_drains
         self._on_leadership = on_leadership
         self._frames: asyncio.Queue[pb.FollowerFrame] = asyncio.Queue()
         self._sent_routing_version = 0
@@ -282,7 +290,9 @@
 
     def _heartbeat(self) -> pb.FollowerFrame:
         beat = pb.FollowerBeat(
-            routing_version=self._routing.version, leaving=self.leaving
+            routing_version=self._routing.version,
+            leaving=self.leaving,
+            drained=from_drains(self._drains.current),
         )
         return pb.FollowerFrame(beat=beat)
 
@@ -346,6 +356,7 @@
         }
         self._caller_jobs.shed_share = beat.shed_share
         self.waits_for_confirmation = beat.asks_first
+        self._read_drains(beat.drained)
         table = self._routing.current
         if table is None or table.version <= beat.routing_version:
             return
--- a/src/cassiaturn/fleet/_leader_targets.py
+++ b/src/cassiaturn/fleet/_leader_targets.py
@@ -188,6 +188,7 @@
             has_runs=lambda: bool(target.runs_by_ref),
             has_tight_runs=lambda: workload.has_tight_runs(self._tables, target),
             ended_seen=lambda: target.ended_seen,
+            may_start=lambda: self._tables.may_start_on(target),
             targets=lambda: len(self._links_by_id),
             answer_loss=self._answer_loss,
             load=self._load,
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -5,9 +5,11 @@
 import time
 from collections.abc import Mapping, Sequence
 
-from cassiaturn.entities import RoutingTable, TargetReport
+from cassiaturn.entities import DrainedDomains, RoutingTable, TargetReport
 from cassiaturn.fleet._caller_jobs import CallerJobs
+from cassiaturn.fleet._codec import from_drains
 from cassiaturn.fleet._configuration import ConfigurationSource
+from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_load import LeaderLoad
@@ -81,6 +83,7 @@
         # before it.
         self.member_id = f"{settings.member_name}/{secrets.token_hex(4)}"
         self.routing = CurrentRouting()
+        self.drains = CurrentDrains()
         self.metrics = FleetMetrics(
             member_name=settings.member_name, failure_domain=settings.failure_domain
         )
@@ -91,12 +94,13 @@
         self.service = FleetService(
             member=self,
             routing=self.routing,
+            drains=self.drains,
             load=self.load,
             link_mbps=settings.link_mbps,
         )
         self._services = services
         self._configuration = ConfigurationSource(
-            services=services, routing=self.routing
+            services=services, routing=self.routing, drains=self.drains
         )
         self._row = LeaderRow(table=services.table)
         self._roster = Roster()
@@ -115,6 +119,7 @@
         self._last_followed_token = NO_TOKEN
         self._asked_to_lead_at = float("-inf")
         self.routing.on_change(self._apply_routing)
+        self.drains.on_change(self._apply_drains)
         register_metrics(self)
 
     @property
@@ -159,6 +164,10 @@
         """Offer a configuration that another member sent."""
         self._configuration.read(document)
 
+    def read_drains(self, message: pb.DrainedDomains) -> None:
+        """Offer the drained failure domains that another member knows."""
+        self._configuration.read_drains(message)
+
     def note_reachable_leader(self, leadership: Leadership) -> None:
         """Record that another member leads and can be reached.
 
@@ -336,11 +345,14 @@
                 routing_version=self.routing.version,
                 link_mbps=self.settings.link_mbps,
                 leaving=self._stopping,
+                drained=from_drains(self.drains.current),
             ),
             caller_jobs=self.caller_jobs,
             routing=self.routing,
+            drains=self.drains,
             roster=self._roster,
             read_routing=self.read_routing,
+            read_drains=self.read_drains,
             on_leadership=self._note_leadership,
         )
         self._following = stream
@@ -416,6 +428,7 @@
             leadership=leadership,
             services=self._services,
             routing=self.routing,
+            drains=self.drains,
             caller_jobs=self.caller_jobs,
             metrics=self.metrics,
             settings=settings_for_lease(self.settings.lease_ms / MILLISECONDS),
@@ -530,3 +543,9 @@
             self.service.note_routing()
         elif self._following is not None:
             self._following.send_heartbeat()
+
+    def _apply_drains(self, drains: DrainedDomains) -> None:
+        if self.leader is not None:
+            self.leader.apply_drains(drains)
+        elif self._following is not None:
+            self._following.send_heartbeat()
--- a/src/cassiaturn/fleet/_member_metrics.py
+++ b/src/cassiaturn/fleet/_member_metrics.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from cassiaturn.fleet._caller_jobs import CallerJobs
+from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.observability import FleetMetrics
@@ -15,6 +16,7 @@
     metrics: FleetMetrics
     caller_jobs: CallerJobs
     routing: CurrentRouting
+    drains: CurrentDrains
 
     @property
     def leader(self) -> Leader | None:
@@ -42,6 +44,11 @@
         "Configuration in force.",
         lambda: member.routing.version,
     )
+    metrics.observe_gauge(
+        "cassiaturn.drained_failure_domains",
+        "Failure domains whose targets get no start; -1: not known yet.",
+        lambda: _drained(member.drains),
+    )
     metrics.observe_gauge(
         "cassiaturn.heard_targets",
         "Targets that answer this leader.",
@@ -49,5 +56,10 @@
     )
 
 
+def _drained(drains: CurrentDrains) -> float:
+    failure_domains = drains.failure_domains
+    return -1.0 if failure_domains is None else float(len(failure_domains))
+
+
 def _counts(leader: Leader | None) -> dict[str, float]:
     return asdict(leader.tables.counters) if leader is not None else {}
--- a/src/cassiaturn/fleet/_ports.py
+++ b/src/cassiaturn/fleet/_ports.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 
 from cassiaturn.entities import (
+    DrainRequest,
     LeaseReport,
     RoutingTable,
     StartAnswer,
@@ -16,6 +17,9 @@
 from cassiaturn.services import ReadError, TableService
 from cassiaturn.workload import StartOrder
 
+OperatorEntry = RoutingTable | DrainRequest
+"""What operators publish: the configuration, and drains of failure domains."""
+
 EntryT = TypeVar("EntryT")
 EntryT_co = TypeVar("EntryT_co", covariant=True)
 
@@ -175,8 +179,8 @@
     table: TableService
     """Stores cassiaturn's own rows."""
 
-    routing: Watchable[RoutingTable]
-    """The configuration that operators publish."""
+    operators: Watchable[OperatorEntry]
+    """What operators publish."""
 
     read_routing: RoutingReader
     """Parses a configuration that another member passed on."""
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -10,10 +10,12 @@
 
 from cassiaturn.entities import TargetReport
 from cassiaturn.fleet._codec import (
+    from_drains,
     from_leadership,
     to_leadership,
     to_submission,
 )
+from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._follower import HEARTBEAT_S, Follower
 from cassiaturn.fleet._leader import Leader
@@ -67,6 +69,9 @@
     def read_routing(self, document: pb.RoutingDocument) -> None:
         """Offer a configuration that another member sent."""
 
+    def read_drains(self, message: pb.DrainedDomains) -> None:
+        """Offer the drained failure domains that another member knows."""
+
     def note_reachable_leader(self, leadership: Leadership) -> None:
         """Record that another member leads and can be reached."""
 
@@ -88,6 +93,7 @@
         *,
         member: MemberState,
         routing: CurrentRouting,
+        drains: CurrentDrains,
         load: LeaderLoad,
         link_mbps: float,
     ) -> None:
@@ -95,6 +101,7 @@
 
         :param member: the member that this service belongs to.
         :param routing: the configuration in force.
+        :param drains: the drained failure domains in force.
         :param load: counts what is sent to followers.
         :param link_mbps: bandwidth of the host's link, in megabits per second.
         """
@@ -107,6 +114,7 @@
             routing=routing, pace=ListPace(link_mbps=link_mbps)
         )
         self._routing = routing
+        self._drains = drains
         self._followers_by_id: dict[str, Follower] = {}
         self._queue_lengths: Sequence[pb.QueueLength] = ()
         self._counted_at = float("-inf")
@@ -193,6 +201,7 @@
         if first is None or not first.HasField("hello"):
             return
         hello = first.hello
+        self._member.read_drains(hello.drained)
         leader = self._member.leader
         if leader is None or hello.token > leader.leadership.token:
             self._member.note_token(hello.token)
@@ -300,6 +309,7 @@
             queues=self._queue_lengths,
             shed_share=leader.shed_share,
             asks_first=leader.asks_first,
+            drained=from_drains(self._drains.current),
         )
 
     async def _receive(
@@ -332,6 +342,7 @@
                 case "beat":
                     follower.note_routing(frame.beat.routing_version)
                     follower.leaving = frame.beat.leaving
+                    self._member.read_drains(frame.beat.drained)
                 case "routing":
                     self._member.read_routing(frame.routing)
                 case _:
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -105,6 +105,7 @@
         has_runs: Callable[[], bool],
         has_tight_runs: Callable[[], bool],
         ended_seen: Callable[[], int],
+        may_start: Callable[[], bool],
         targets: Callable[[], int],
         answer_loss: AnswerLossMonitor,
         load: LeaderLoad,
@@ -119,6 +120,7 @@
             callers.
         :param ended_seen: returns the sequence number of the last ended run that was
             processed.
+        :param may_start: returns whether operators allow starts on the target.
         :param targets: returns the number of targets that the leader has links to.
         :param answer_loss: lost answers of all links of the leader.
         :param load: counts the requests.
@@ -129,6 +131,7 @@
         self._has_runs = has_runs
         self._has_tight_runs = has_tight_runs
         self._ended_seen = ended_seen
+        self._may_start = may_start
         self._targets = targets
         self._answer_loss = answer_loss
         self._load = load
@@ -408,6 +411,8 @@
         for timeout_s in timeouts_s[1:]:
             if reply.answer is not StartAnswer.UNKNOWN or self._closed:
                 return reply
+            if not self._may_start():
+                return reply
             reply = await self._attempt_start(order, timeout_s)
             if reply.answer is not StartAnswer.UNKNOWN:
                 self._answer_loss.record_loss(time.monotonic())
--- a/src/cassiaturn/fleet/_watch.py
+++ b/src/cassiaturn/fleet/_watch.py
@@ -37,6 +37,7 @@
         on_change: Callable[[str, EntryT | None], None],
         wait_s: float,
         pause_s: float = 0.0,
+        on_version: Callable[[int], None] = lambda version: None,
     ) -> None:
         """Prepare the watch; :meth:`run` starts it.
 
@@ -46,6 +47,8 @@
         :param on_change: receives one changed entry, or None if it was removed.
         :param wait_s: longest wait for a change in one call, in seconds.
         :param pause_s: minimum pause between two calls, in seconds.
+        :param on_version: called with the list's version after the owner has received
+            all that one call returned.
         """
         self._name = name
         self._source = source
@@ -53,6 +56,7 @@
         self._on_change = on_change
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._on_version = on_version
         self._reachable = True
 
     async def run(self) -> None:
@@ -83,6 +87,7 @@
             case Success(Changes() as changes):
                 for key, entry in changes.entries_by_key.items():
                     self._on_change(key, entry)
+                self._on_version(changes.version)
                 return changes.version
             case Failure(HistoryLost() | Unavailable() | Throttled() | Misused() as e):
                 return e
@@ -92,6 +97,7 @@
         match await self._source.snapshot():
             case Success(Snapshot() as snapshot):
                 self._on_snapshot(snapshot.entries_by_key)
+                self._on_version(snapshot.version)
                 return snapshot.version
             case Failure(Unavailable() | Throttled() | Misused() as error):
                 return error
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -355,7 +355,19 @@
     assert calls.asked == 3
 
 
-def _link(calls: FakeTargetCalls, events: RecordedEvents) -> TargetLink:
+async def test_a_start_on_a_drained_target_is_not_repeated() -> None:
+    """Guards against a copy of a start after its failure domain was drained."""
+    calls = FakeTargetCalls([True], (StartAnswer.UNKNOWN, StartAnswer.STARTED))
+    events = RecordedEvents()
+    link = _link(calls, events, may_start=False)
+    await link._start(StartOrder(target_id="t", ref=REF, number=65, payload="x"))
+    assert calls.started == [65]
+    assert events.start_answers == [StartAnswer.UNKNOWN]
+
+
+def _link(
+    calls: FakeTargetCalls, events: RecordedEvents, *, may_start: bool = True
+) -> TargetLink:
     return TargetLink(
         authority=Authority(target_id="t", address="127.0.0.1:1", token=1),
         calls=calls,  # type: ignore[arg-type]
@@ -363,6 +375,7 @@
         has_runs=lambda: True,
         has_tight_runs=lambda: False,
         ended_seen=lambda: 0,
+        may_start=lambda: may_start,
         targets=lambda: 1,
         answer_loss=AnswerLossMonitor(),
         load=LeaderLoad(metrics=FleetMetrics(member_name="m", failure_domain="a")),
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -77,6 +77,12 @@
     JOB_LEFT = _info("job_left", "A caller closed its connection before the answer.")
     JOB_RESUBMITTED = _info("job_resubmitted", "A job goes to another leader.")
     TASK_FAILED = _info("task_failed", "A run of a task failed on a target.")
+    DRAINS_APPLIED = _info(
+        "drains_applied", "Other failure domains are drained from now on."
+    )
+    DRAINS_IN_FORCE = _info(
+        "drains_in_force", "A leader starts nothing on drained failure domains."
+    )
     TASK_INHERITED_DONE = _info(
         "task_inherited_done", "A task was done under an earlier leader."
     )
--- a/src/cassiaturn/platform/_decode.py
+++ b/src/cassiaturn/platform/_decode.py
@@ -5,6 +5,7 @@
 
 from cassiaturn.entities import (
     AdvicePolicy,
+    DrainRequest,
     EndedRun,
     JobRequest,
     LeaseReport,
@@ -33,6 +34,12 @@
 
 MS_PER_S = 1000
 
+CONFIGURATION_KEY = "config"
+"""Key of the operators' row that holds the configuration."""
+
+DRAIN_KEY_PREFIX = "evacuate/"
+"""Prefix of the keys of rows that drain a failure domain, before its name."""
+
 MAX_TASKS_PER_JOB = 100_000
 """Limit on the tasks of one job. The largest jobs have about 750."""
 
@@ -87,6 +94,24 @@
     )
 
 
+def is_operator_key(key: str) -> bool:
+    """Return whether an operators' row with a key concerns this system."""
+    return key == CONFIGURATION_KEY or key.startswith(DRAIN_KEY_PREFIX)
+
+
+def decode_operator_row(
+    key: str, document: bytes
+) -> RoutingTable | DrainRequest | None:
+    """Decode an operators' row; None if it is malformed.
+
+    A drain is in force as long as its row is there, whatever the row contains.
+    """
+    if key == CONFIGURATION_KEY:
+        return decode_configuration(document)
+    failure_domain = key.removeprefix(DRAIN_KEY_PREFIX)
+    return DrainRequest(failure_domain=failure_domain) if failure_domain else None
+
+
 def decode_configuration(document: bytes) -> RoutingTable | None:
     """Decode the configuration that operators publish; None if it is malformed."""
     try:
--- a/src/cassiaturn/platform/_services.py
+++ b/src/cassiaturn/platform/_services.py
@@ -4,7 +4,12 @@
 
 from cassiaturn.fleet import CallerJobService, PlatformServices
 from cassiaturn.platform._caller_server import CallerServer
-from cassiaturn.platform._decode import decode_configuration, decode_target
+from cassiaturn.platform._decode import (
+    decode_configuration,
+    decode_operator_row,
+    decode_target,
+    is_operator_key,
+)
 from cassiaturn.platform._store_client import StoreClient
 from cassiaturn.platform._table import PlatformTable
 from cassiaturn.platform._targets import RunnerCalls
@@ -12,8 +17,7 @@
 from cassiaturn.settings import FleetSettings
 from cassiaturn.transport.http_client import HttpClient
 
-CONFIGURATION_TABLE = "op"
-CONFIGURATION_KEY = "config"
+OPERATORS_TABLE = "op"
 TARGETS_TABLE = "servers"
 
 OWN_TABLE = "cassiaturn"
@@ -40,11 +44,12 @@
         store = StoreClient(client=self._client, address=address)
         return PlatformServices(
             table=PlatformTable(store=store, table=OWN_TABLE),
-            routing=WatchedTable(
+            operators=WatchedTable(
                 store=store,
-                table=CONFIGURATION_TABLE,
-                decode=lambda _, document: decode_configuration(document),
-                keys=frozenset({CONFIGURATION_KEY}),
+                table=OPERATORS_TABLE,
+                decode=decode_operator_row,
+                is_read=is_operator_key,
+                without_value=lambda key: decode_operator_row(key, b""),
             ),
             read_routing=decode_configuration,
             directory=WatchedTable(
--- a/src/cassiaturn/platform/_watched_table.py
+++ b/src/cassiaturn/platform/_watched_table.py
@@ -16,9 +16,7 @@
     parse_reply,
 )
 from cassiaturn.platform._table import NEXT_KEY_SUFFIX, READ_PATH
-from cassiaturn.services import (
-    ReadError,
-)
+from cassiaturn.services import ReadError
 from cassiaturn.transport.http_client import Reply
 
 FEED_PATH = "/api/rows-feed"
@@ -38,19 +36,22 @@
         store: StoreClient,
         table: str,
         decode: Callable[[str, bytes], EntryT | None],
-        keys: frozenset[str] | None = None,
+        is_read: Callable[[str], bool] = lambda key: True,
+        without_value: Callable[[str], EntryT | None] = lambda key: None,
     ) -> None:
         """Create a reader of one table.
 
         :param store: client of the store.
         :param table: name of the table.
         :param decode: decodes a row's key and value; returns None if malformed.
-        :param keys: keys of the rows to read; None for all.
+        :param is_read: returns whether to read the row of a key.
+        :param without_value: returns the entry of a key whose value is not base64.
         """
         self._store = store
         self._table = table
         self._decode = decode
-        self._keys = keys
+        self._is_read = is_read
+        self._without_value = without_value
         self._malformed_log = SeldomLog()
 
     async def snapshot(self) -> "Result[Snapshot[EntryT], ReadError]":
@@ -70,13 +71,8 @@
                     # Later pages may be newer: keep the first page's version, so that
                     # changes made while reading are requested again.
                     version = page.row_version if version is None else version
-                    entries.update(
-                        {
-                            key: row
-                            for key, row in self._decode_rows(page)
-                            if row is not None
-                        }
-                    )
+                    decoded = self._decode_rows(page)
+                    entries |= {key: row for key, row in decoded if row is not None}
                     if not page.truncated or not page.rows:
                         return Success(
                             Snapshot(version=version, entries_by_key=entries)
@@ -112,13 +108,16 @@
     def _decode_rows(self, page: RowsReply) -> "list[tuple[str, EntryT | None]]":
         found: list[tuple[str, EntryT | None]] = []
         for row in page.rows:
-            if row.part or (self._keys is not None and row.key not in self._keys):
+            if row.part or not self._is_read(row.key):
                 continue
             if row.tombstone:
                 found.append((row.key, None))
                 continue
             value = decode_value(row)
-            entry = self._decode(row.key, value) if value is not None else None
+            if value is None:
+                entry = self._without_value(row.key)
+            else:
+                entry = self._decode(row.key, value)
             if entry is None:
                 event, version = Event.ENTRY_MALFORMED, row.row_version
                 self._malformed_log.log(event, key=row.key, version=version)
--- a/src/cassiaturn/platform/tests/test_decode.py
+++ b/src/cassiaturn/platform/tests/test_decode.py
@@ -8,14 +8,16 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
-from cassiaturn.entities import Resources, RunEnd, TaskRef
+from cassiaturn.entities import DrainRequest, Resources, RunEnd, TaskRef
 from cassiaturn.platform._decode import (
     decode_configuration,
     decode_job,
     decode_lease_report,
+    decode_operator_row,
     decode_ref,
     decode_target,
     encode_ref,
+    is_operator_key,
 )
 from cassiaturn.platform._documents import (
     AdviceReply,
@@ -196,3 +198,26 @@
     assert (wave.max_count, wave.machines) == (2, ["m"])
     advice = AdviceReply.model_validate_json('{"good":[["i-1","t"]],"validMs":3000}')
     assert advice.good == [("i-1", "t")]
+
+
+@pytest.mark.parametrize("document", [b"", b"{}", b"null", b"{", b"\xff\x00", b"[1]"])
+def test_a_drain_holds_whatever_its_row_contains(document: bytes) -> None:
+    """Guards against starts on a drained domain whose row is empty or malformed."""
+    assert is_operator_key("evacuate/osu")
+    request = decode_operator_row("evacuate/osu", document)
+    assert request == DrainRequest(failure_domain="osu")
+
+
+def test_rows_that_concern_others_are_not_read() -> None:
+    keys = ["config", "evacuate/osu", "evacuate/", "wave/1", "evacuate", "config/2", ""]
+    assert [key for key in keys if is_operator_key(key)] == keys[:3]
+    assert decode_operator_row("evacuate/", b"{}") is None
+
+
+@given(key=st.text(max_size=30), document=st.binary(max_size=60))
+@settings(max_examples=200, deadline=None)
+def test_any_operator_row_is_decoded_or_malformed(key: str, document: bytes) -> None:
+    """Guards against a member that ends at an unexpected row."""
+    drain = decode_operator_row(f"evacuate/{key}", document)
+    assert drain == (DrainRequest(failure_domain=key) if key else None)
+    decode_operator_row("config", document)
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -16,6 +16,7 @@
     on_target_unanswered,
 )
 from cassiaturn.workload._dispatch import MAX_STARTS_PER_TURN, dispatch
+from cassiaturn.workload._drains import on_drained_domains
 from cassiaturn.workload._intake import (
     Submission,
     cancel,
@@ -65,6 +66,7 @@
     "dispatch",
     "has_tight_runs",
     "next_check",
+    "on_drained_domains",
     "on_lease_report",
     "on_member_gone",
     "on_start_answer",
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -29,6 +29,7 @@
         return (
             target.has_reported
             and not target.leaving
+            and tables.may_start_on(target)
             and not target.silent
             and target.paused_until <= now
             and (checks_admission or target.usage_is_known)
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -238,23 +238,42 @@
     if not tables.targets_by_id and now < tables.began_at + settings.directory_wait_s:
         return None
     if not has_target(tables, job.route.service):
-        return make_refusal("no_target", job, settings.min_retry_after_s)
+        reason = "drained" if has_drained(tables, job.route.service) else "no_target"
+        return make_refusal(reason, job, settings.min_retry_after_s)
+    excess_s = excess_wait_s(tables, job, now)
+    if excess_s <= 0.0:
+        return None
+    return make_refusal("backlog", job, max(settings.min_retry_after_s, excess_s))
+
+
+def excess_wait_s(tables: Tables, job: Job, now: float) -> float:
+    """Return how much too long a job would wait in the queue to be answered in time.
+
+    :returns: in seconds; at most 0 if it can be answered.
+    """
     wait_s = backlog_s(tables, job, now)
     start_by = latest_start(
         limit_at=job.deadlines.limit_at,
         expected_run_s=job.expected_run_s,
         is_idle=wait_s == 0.0,
     )
-    if now + wait_s <= start_by - settings.refusal_margin_s:
-        return None
-    excess_s = max(settings.min_retry_after_s, now + wait_s - start_by)
-    return make_refusal("backlog", job, excess_s)
+    return now + wait_s - (start_by - tables.settings.refusal_margin_s)
 
 
 def has_target(tables: Tables, service: str) -> bool:
     """Return whether any target of a service accepts new work."""
     return any(
-        target.service == service and not target.leaving
+        target.service == service
+        and not target.leaving
+        and not tables.is_drained(target)
+        for target in tables.targets_by_id.values()
+    )
+
+
+def has_drained(tables: Tables, service: str) -> bool:
+    """Return whether operators drain any target of a service."""
+    return any(
+        target.service == service and tables.is_drained(target)
         for target in tables.targets_by_id.values()
     )
 
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -430,9 +430,21 @@
     routing: RoutingTable | None = None
     """Routing configuration in force; None: not known yet."""
 
+    drained_domains: frozenset[str] | None = frozenset()
+    """Failure domains whose targets get no start; None: not known yet, so that nothing
+    starts."""
+
     counters: Counters = field(default_factory=Counters)
     """Counters for the metrics."""
 
+    def may_start_on(self, target: Target) -> bool:
+        """Return whether operators are known to allow starts on a target."""
+        return self.drained_domains is not None and not self.is_drained(target)
+
+    def is_drained(self, target: Target) -> bool:
+        """Return whether operators drain a target's failure domain."""
+        return target.failure_domain in (self.drained_domains or ())
+
     def add_job(self, job: Job, now: float) -> None:
         """Add a job and queue it.
 
@@ -466,9 +478,12 @@
         self.index_by_service[target.service].remove(target)
 
     def has_responding_target(self, service: str) -> bool:
-        """Return whether any target of a service responds."""
+        """Return whether any target of a service that may get a start responds."""
         return any(
-            target.service == service and target.has_reported and not target.silent
+            target.service == service
+            and target.has_reported
+            and not target.silent
+            and self.may_start_on(target)
             for target in self.targets_by_id.values()
         )
 
