Let operators of the own deployment drain a failure domain

Cause: the shared configuration names drained targets one by one, so that a target that joins later gets work. Ruled out: draining each known target by the command. The concept is the one of the users' platform. Conclusion: an unknown failure domain is believed and shown. The command does not warn of one yet, since the shared configuration does not list failure domains.

--- a/src/cassiaturn/cli/_configuration.py
+++ b/src/cassiaturn/cli/_configuration.py
@@ -133,26 +133,36 @@
 
 @app.command()
 def drain(
-    target_id: Annotated[str, typer.Argument(help="The target.")],
     table: TableOption,
+    target_id: Annotated[str | None, typer.Argument(help="The target.")] = None,
+    failure_domain: Annotated[
+        str | None, typer.Option(help="All targets of a failure domain instead.")
+    ] = None,
     activate: Annotated[bool, typer.Option(help="Take the drain back.")] = False,
     author: AuthorOption = "",
 ) -> None:
-    """Drain a target for every instance, also for those that restart.
+    """Drain a target, or a failure domain, for every instance, also after restarts.
 
     Of two operators who drain and activate at once, one wins and the other is
     told. Exit codes: as of propose.
     """
     from cassiaturn.configuration import read_current, read_version
 
+    if (target_id is None) == (failure_domain is None):
+        fail(ExitCode.USAGE, "name either a target or a --failure-domain")
     version = _run(table, read_current).row.version
     if version == 0:
         fail(ExitCode.USAGE, NO_CONFIGURATION)
     content = _run(table, lambda service: read_version(service, version)).content
-    changed = content.with_drain(target_id, drained=not activate)
+    if failure_domain is not None:
+        changed = content.with_domain_drain(failure_domain, drained=not activate)
+    else:
+        changed = content.with_drain(str(target_id), drained=not activate)
     if changed == content:
         state = "active" if activate else "drained"
-        typer.echo(f"version {version}: {target_id} is {state} already")
+        typer.echo(
+            f"version {version}: {failure_domain or target_id} is {state} already"
+        )
         return
     _propose(table, changed, version, author)
 
--- a/src/cassiaturn/cli/tests/test_operators.py
+++ b/src/cassiaturn/cli/tests/test_operators.py
@@ -137,6 +137,27 @@
     assert "drained_targets: []\n" in shown.stdout
 
 
+async def test_a_failure_domain_is_drained_and_taken_back(
+    run: Run, table: str, tmp_path: Path
+) -> None:
+    """Guards against a drain that names nothing, or both a target and a domain."""
+    file = tmp_path / "shared.yaml"
+    file.write_text(SHARED)
+    await run("configuration", "propose", file, "--table", table, "--base", 0)
+    drain = ["configuration", "drain", "--table", table]
+    assert (await run(*drain)).exit_code == ExitCode.USAGE
+    domain = ["--failure-domain", "osu"]
+    both = await run("configuration", "drain", "runner-1", "--table", table, *domain)
+    assert both.exit_code == ExitCode.USAGE
+    assert (await run(*drain, *domain)).stdout == "version 2 is in force within 5 s\n"
+    assert (await run(*drain, *domain)).stdout == "version 2: osu is drained already\n"
+    shown = await run("configuration", "show", "--table", table)
+    assert "drained_failure_domains:\n- osu\n" in shown.stdout
+    await run(*drain, *domain, "--activate")
+    shown = await run("configuration", "show", "--table", table)
+    assert "drained_failure_domains: []\n" in shown.stdout
+
+
 @pytest.mark.parametrize(
     ("content", "text"),
     [("tenants: []", "tenants: []: "), ("a: [", "each key once"), (None, "wrong.yaml")],
--- a/src/cassiaturn/configuration/_shared.py
+++ b/src/cassiaturn/configuration/_shared.py
@@ -78,6 +78,9 @@
     drained_targets: tuple[Identifier, ...] = ()
     """Targets that get no new start, whoever holds them."""
 
+    drained_failure_domains: tuple[Identifier, ...] = ()
+    """Failure domains whose targets, also later ones, get no new start."""
+
     note: Annotated[str, Field(strict=True, max_length=MAX_NOTE_CHARACTERS)] = ""
     """Why it was changed, for the next operator."""
 
@@ -87,10 +90,21 @@
         :param target_id: the target.
         :param drained: whether it gets no new start.
         """
-        others = [other for other in self.drained_targets if other != target_id]
-        if drained:
-            others.append(target_id)
-        return replace(self, drained_targets=tuple(sorted(others)))
+        targets = _with_member(self.drained_targets, target_id, included=drained)
+        return replace(self, drained_targets=targets)
+
+    def with_domain_drain(
+        self, failure_domain: str, *, drained: bool
+    ) -> "ConfigurationContent":
+        """Return the content with a failure domain drained or active.
+
+        :param failure_domain: the failure domain.
+        :param drained: whether its targets get no new start.
+        """
+        failure_domains = _with_member(
+            self.drained_failure_domains, failure_domain, included=drained
+        )
+        return replace(self, drained_failure_domains=failure_domains)
 
 
 @with_config(STRICT_KEYS)
@@ -131,3 +145,11 @@
         if not self.content.guards.retries:
             retries = replace(retries, max_attempts=1)
         return replace(policy, admission=admission, health=health, retries=retries)
+
+
+def _with_member(
+    names: tuple[str, ...], name: str, *, included: bool
+) -> tuple[str, ...]:
+    """Return sorted names with one of them included or left out."""
+    others = [other for other in names if other != name]
+    return tuple(sorted([*others, name] if included else others))
--- a/src/cassiaturn/configuration/tests/test_documents.py
+++ b/src/cassiaturn/configuration/tests/test_documents.py
@@ -27,6 +27,7 @@
   urgent: {max_wait_ms: 1500}
 guards: {ejection: false, retries: false}
 drained_targets: [runner-7]
+drained_failure_domains: [osu]
 note: rally morning
 """
 
@@ -118,6 +119,16 @@
         assert len(parsed.failure().detail.splitlines()) == 1
 
 
+def test_drained_failure_domains_are_part_of_the_content() -> None:
+    drained = content().with_domain_drain("osu", drained=True)
+    drained = drained.with_domain_drain("makola", drained=True)
+    assert drained.drained_failure_domains == ("makola", "osu")
+    assert drained.with_domain_drain("osu", drained=True) == drained
+    active = drained.with_domain_drain("osu", drained=False)
+    assert active.drained_failure_domains == ("makola",)
+    assert active.with_domain_drain("makola", drained=False) == content()
+
+
 def test_drains_are_part_of_the_content() -> None:
     drained = content().with_drain("runner-2", drained=True)
     drained = drained.with_drain("runner-1", drained=True)
--- a/src/cassiaturn/server/_instance.py
+++ b/src/cassiaturn/server/_instance.py
@@ -247,7 +247,10 @@
         }
         self.state.tenants_by_name = tenants
         self.state.reconfigure(configuration.applied_to(self.settings.policy))
-        self.targets.set_drained_by_configuration(configuration.content.drained_targets)
+        content = configuration.content
+        self.targets.set_drained_by_configuration(
+            content.drained_targets, content.drained_failure_domains
+        )
         self.state.queue.set_weights(
             {name: tenant.weight for name, tenant in tenants.items()}
         )
--- a/src/cassiaturn/server/_targets.py
+++ b/src/cassiaturn/server/_targets.py
@@ -36,6 +36,7 @@
         self._released: set[str] = set()
         self._drained: set[str] = set()
         self._drained_by_configuration: frozenset[str] = frozenset()
+        self._drained_domains: frozenset[str] = frozenset()
         self._reported_leaving: set[str] = set()
         self._listed_leaving: set[str] = set()
         self._closing: set[asyncio.Task[None]] = set()
@@ -71,9 +72,16 @@
             self._drained.add(target_id)
         self._set_leaving(target_id)
 
-    def set_drained_by_configuration(self, target_ids: Collection[str]) -> None:
-        """Replace the set of targets that the shared configuration drains."""
+    def set_drained_by_configuration(
+        self, target_ids: Collection[str], failure_domains: Collection[str]
+    ) -> None:
+        """Replace what the shared configuration drains.
+
+        :param target_ids: single targets.
+        :param failure_domains: failure domains with all their targets.
+        """
         self._drained_by_configuration = frozenset(target_ids)
+        self._drained_domains = frozenset(failure_domains)
         for target_id in self._state.targets_by_id:
             self._set_leaving(target_id)
 
@@ -138,10 +146,14 @@
                 target_id in self._released
                 or target_id in self._drained
                 or target_id in self._drained_by_configuration
+                or self._failure_domain(target_id) in self._drained_domains
                 or target_id in self._reported_leaving
                 or target_id in self._listed_leaving
             )
 
+    def _failure_domain(self, target_id: str) -> str:
+        return self._settings_by_target[target_id].failure_domain
+
     def _on_welcome(self, target_id: str, welcome: runner_pb2.Welcome) -> None:
         row = self._state.targets_by_id.get(target_id)
         if row is None:
--- a/src/cassiaturn/server/tests/test_target_failures.py
+++ b/src/cassiaturn/server/tests/test_target_failures.py
@@ -17,8 +17,10 @@
 )
 from cassiaturn.standins import (
     FaultRequest,
+    JournalEvent,
     PlatformStandIn,
     RunnerFault,
+    read_journal,
 )
 
 
@@ -148,3 +150,26 @@
             answers = await asyncio.gather(*jobs)
         assert {answer.outcome for answer in answers} == {Outcome.COMPLETE}
         assert set(fleet.starts_by_task().values()) == {1}
+
+
+async def test_a_drained_failure_domain_gets_no_start(
+    tmp_path: Path, platform: PlatformStandIn
+) -> None:
+    """Guards against starts on any target of a failure domain that operators drain."""
+    async with fleet_with(platform, tmp_path) as fleet, fleet.client() as client:
+        for instance in fleet.instances:
+            instance.targets.set_drained_by_configuration([], ["tema"])
+        answers = await asyncio.gather(
+            *(client.submit(CHECK, PROPS, deadline_s=20) for _ in range(10))
+        )
+        assert {answer.outcome for answer in answers} == {Outcome.COMPLETE}
+        for target in fleet.targets:
+            row = fleet.row_of(target.target_id)
+            assert row.leaving is (target.failure_domain == "tema")
+            journal = fleet.directory / f"{target.target_id}.jsonl"
+            started = [
+                entry
+                for entry in read_journal(journal)
+                if entry.event is JournalEvent.STARTED
+            ]
+            assert bool(started) is (target.failure_domain != "tema")
