Count an end once that an old leader and a target both tell

Cause: a leader that steps down tells finished tasks. If it had not acknowledged an end yet, the target lists that end to the successor, too. The unclaimed end then completed the task a second time, and the count of tasks left of the job fell by two.

Change: the end of a task that is done already is dropped. Evidence: the new test fails without the change for an end that is done.

--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -284,12 +284,14 @@
         begun_earlier: bool = False,
         waited_s: float = 0.0,
         told_wait_s: float | None = None,
+        completed: frozenset[TaskRef] = frozenset(),
     ) -> None:
         """Submit a job of one group.
 
         :param lengths: of each task, in seconds; None: all as declared.
         :param waited_s: how long its caller has waited already, in seconds.
         :param told_wait_s: what the leader is told of that; None: the truth.
+        :param completed: its tasks that are done under an earlier leader.
         """
         known_wait_s = waited_s if told_wait_s is None else told_wait_s
         group = TaskGroup(
@@ -315,6 +317,7 @@
                 limit_s=limit_s - known_wait_s,
                 begun_earlier=begun_earlier,
                 failure_domain=failure_domain,
+                completed=completed,
             ),
             self.now,
         )
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -101,7 +101,7 @@
     """
     for task in list(job.tasks_by_ref.values()):
         unclaimed_end = tables.unclaimed_ends_by_ref.pop(task.ref, None)
-        if unclaimed_end is None:
+        if unclaimed_end is None or task.done:
             continue
         job.begun = True
         task.next_run = max(task.next_run, unclaimed_end.ended.run + 1)
--- a/src/cassiaturn/workload/tests/test_leader_change.py
+++ b/src/cassiaturn/workload/tests/test_leader_change.py
@@ -257,6 +257,24 @@
     assert not play.targets["t0"].works
 
 
+@pytest.mark.parametrize("end", [RunEnd.DONE, RunEnd.FAILED])
+def test_an_end_that_is_told_twice_counts_once(end: RunEnd) -> None:
+    """Guards against a job that is shown as completed while a task of it still waits.
+
+    The leader that stepped down tells that a task is done, and its target, whose list
+    that leader had not acknowledged yet, lists the end to the successor, too.
+    """
+    play = _leader_with_ended_tasks(end)
+    told = frozenset({TaskRef("a", 0, 0, 0)})
+    play.submit("a", count=2, run_s=0.3, begun_earlier=True, completed=told)
+    assert play.verdict("a") is None
+    play.run(0.1)
+    assert play.running("a") == 1
+    play.run(0.5)
+    assert play.verdict("a") is Verdict.COMPLETED
+    assert play.tables.counters.starts == 1
+
+
 def test_stopped_and_expired_runs_of_unknown_jobs_are_not_kept() -> None:
     play = _leader_with_ended_tasks(RunEnd.STOPPED, RunEnd.LEASE_EXPIRED)
     assert not play.tables.unclaimed_ends_by_ref
