Run the tests in virtual time beside the others

Ruled out: fewer draws in test_shared.py (a check would be taken away); several workers for the tests on sockets (their timing would depend on each other). Change: make test runs both parts at the same time. No test is moved, changed or left out. The check that KNOWN-RED.txt names existing tests now holds for each run of whole folders, for the listed tests that the run should collect; it was tried with a missing test in either part, and both runs ended with the error.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup check format test demo bench dist dist-check proto
+.PHONY: setup check format test test-virtual-time test-real-time demo bench dist dist-check proto
 
 setup: $(STAMP)
 
@@ -23,8 +23,17 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 
+# Tests in virtual time need processor time only, so they run beside the others.
+VIRTUAL_TIME := src/cassiaturn/bench
+
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(MAKE) --jobs=2 --output-sync=target test-virtual-time test-real-time
+
+test-virtual-time: $(STAMP)
+	$(BIN)/python -m pytest $(VIRTUAL_TIME)
+
+test-real-time: $(STAMP)
+	$(BIN)/python -m pytest --ignore=$(VIRTUAL_TIME)
 
 demo: $(STAMP)
 	$(BIN)/python -m cassiaturn.load demo
--- a/conftest.py
+++ b/conftest.py
@@ -33,14 +33,29 @@
         print(f"known red: {item.nodeid}: {listed[item.nodeid]}")
     items[:] = [item for item in items if item.nodeid not in listed]
     config.hook.pytest_deselected(items=passed_over)
-    whole = not config.getoption("keyword") and config.args == config.getini(
-        "testpaths"
-    )
-    missing = set(listed) - {item.nodeid for item in passed_over}
-    if whole and missing:
+    missing = _expected(config, listed) - {item.nodeid for item in passed_over}
+    if missing:
         raise pytest.UsageError(f"KNOWN-RED.txt names no test: {sorted(missing)}")
 
 
+def _expected(config: pytest.Config, listed: dict[str, str]) -> set[str]:
+    """Return the listed tests that a run of whole folders must have collected."""
+    if config.getoption("keyword") or any("::" in arg for arg in config.args):
+        return set()
+    roots = [Path(arg).resolve() for arg in config.args]
+    ignored = [Path(path).resolve() for path in config.getoption("ignore") or []]
+    return {
+        test
+        for test in listed
+        if _is_below(test, roots) and not _is_below(test, ignored)
+    }
+
+
+def _is_below(test: str, folders: list[Path]) -> bool:
+    path = LIST.parent / test.partition("::")[0]
+    return any(path.is_relative_to(folder) for folder in folders)
+
+
 def pytest_collection_finish() -> None:
     """Leave what was imported and collected out of later garbage collections.
 
