Log which tasks a leader that steps down tells as done

Ruled out: logging it at the receiving member alone; task_inherited_done is written by the next leader and says nothing if the job never reaches it. Change: one line a job with finished tasks, job_handed_on, at the leader that steps down.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -233,6 +233,12 @@
             done = [task.ref for task in job.tasks_by_ref.values() if task.done]
             if not done:
                 continue
+            log_event(
+                Event.JOB_HANDED_ON,
+                id=job.job_id,
+                done=",".join(str(ref.task_index) for ref in done),
+                left=job.remaining,
+            )
             for origin in job.origins:
                 if origin == self.leadership.member_id:
                     self._caller_jobs.note_completed(job.job_id, frozenset(done))
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -83,6 +83,9 @@
     DRAINS_IN_FORCE = _info(
         "drains_in_force", "A leader starts nothing on drained failure domains."
     )
+    JOB_HANDED_ON = _info(
+        "job_handed_on", "A leader that steps down tells which tasks of a job are done."
+    )
     TASK_INHERITED_DONE = _info(
         "task_inherited_done", "A task was done under an earlier leader."
     )
