Reword the virtual targets of the stand-ins

Play -> VirtualLeader, Work -> VirtualRun, look -> request_list, works -> runs_by_ref, guards -> checks_admission, blocked -> last_run_by_ref; each field of a virtual target is described. The other files of standins are not reworded.

--- a/src/cassiaturn/bench/_shared_play.py
+++ b/src/cassiaturn/bench/_shared_play.py
@@ -12,7 +12,7 @@
 )
 from cassiaturn.bench._shared_result import SharedResult, tally
 from cassiaturn.bench._shared_variants import EXACT, variants_by_name
-from cassiaturn.standins.virtual_targets import ROUTE, Play
+from cassiaturn.standins.virtual_targets import ROUTE, VirtualLeader
 from cassiaturn.transport import spread_arrivals
 
 WORKERS_PER_RACK = 6
@@ -27,7 +27,7 @@
 
 
 def _play(site: SharedSite, load: SharedLoad, variant: str, seed: int) -> SharedResult:
-    play = Play()
+    play = VirtualLeader()
     for index in range(WORKERS):
         add_worker(play, site, index)
     play.run(0.1)
@@ -53,7 +53,7 @@
     return tally(site, load, variant, jobs, lambda _: play)
 
 
-def add_worker(play: Play, site: SharedSite, index: int) -> None:
+def add_worker(play: VirtualLeader, site: SharedSite, index: int) -> None:
     """Add one of a site's workers, by its number."""
     size = 3 if index % 3 == 2 else 2
     kind = index // 3 % len(site.speeds)
@@ -95,7 +95,7 @@
 
 
 def submit_job(
-    play: Play,
+    play: VirtualLeader,
     job: SharedJob,
     *,
     waited_s: float,
@@ -130,7 +130,7 @@
     )
 
 
-def fail_workers(play: Play) -> None:
+def fail_workers(play: VirtualLeader) -> None:
     """Let two workers stall, two fail all, and four work at a sixth, for 6 s each."""
 
     def change(indexes: range, **traits: object) -> None:
@@ -151,5 +151,5 @@
             play.later(26.0, _restore(play, f"w{index}", target.speed))
 
 
-def _restore(play: Play, name: str, speed: float) -> Callable[[], None]:
+def _restore(play: VirtualLeader, name: str, speed: float) -> Callable[[], None]:
     return lambda: setattr(play.targets[name], "speed", speed)
--- a/src/cassiaturn/bench/_shared_result.py
+++ b/src/cassiaturn/bench/_shared_result.py
@@ -12,7 +12,7 @@
     SharedLoad,
     SharedSite,
 )
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 from cassiaturn.workload import Verdict
 
 WINDOW_S = 2.0
@@ -155,7 +155,7 @@
     load: SharedLoad,
     variant: str,
     jobs: list[SharedJob],
-    play_of: Callable[[SharedJob], Play],
+    play_of: Callable[[SharedJob], VirtualLeader],
 ) -> SharedResult:
     """Count what callers got.
 
@@ -183,16 +183,16 @@
     )
 
 
-def _took_s(job: SharedJob, play: Play) -> float:
+def _took_s(job: SharedJob, play: VirtualLeader) -> float:
     return play.answered_at[job.job_id] - play.submitted_at[job.job_id]
 
 
-def _is_served(job: SharedJob, play: Play) -> bool:
+def _is_served(job: SharedJob, play: VirtualLeader) -> bool:
     is_complete = play.verdict(job.job_id) is Verdict.COMPLETED
     return is_complete and _took_s(job, play) <= job.limit_s
 
 
-def _count(tally: SharedTally, job: SharedJob, play: Play) -> None:
+def _count(tally: SharedTally, job: SharedJob, play: VirtualLeader) -> None:
     tally.jobs += 1
     tally.owed += job.full_worth
     verdict = play.verdict(job.job_id)
--- a/src/cassiaturn/bench/_split_play.py
+++ b/src/cassiaturn/bench/_split_play.py
@@ -25,7 +25,7 @@
     submit_job,
 )
 from cassiaturn.bench._shared_result import SharedResult, tally
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 
 HOME_MARGIN = 0.05
 """By how much less loaded another group must look, as a share of its processors, to
@@ -55,7 +55,7 @@
 def play_split(
     site: SharedSite, load: SharedLoad, split: Split, *, seed: int
 ) -> SharedResult:
-    """Play a load on a site that is split into groups."""
+    """VirtualLeader a load on a site that is split into groups."""
     grown = _grow(site, split.workers / WORKERS)
     groups = _make_groups(grown, split)
     if load.has_failures:
@@ -63,7 +63,7 @@
             fail_workers(group)
     jobs = draw_jobs(grown, load, seed)
     chooser = _Chooser(groups=groups, view_age_s=split.view_age_s, seed=seed)
-    group_by_job: dict[str, Play] = {}
+    group_by_job: dict[str, VirtualLeader] = {}
     begin = groups[0].now
     for number, job in enumerate(jobs):
         for group in groups:
@@ -89,8 +89,8 @@
     return replace(site, kinds=kinds)
 
 
-def _make_groups(site: SharedSite, split: Split) -> list[Play]:
-    groups = [Play() for _ in range(split.groups)]
+def _make_groups(site: SharedSite, split: Split) -> list[VirtualLeader]:
+    groups = [VirtualLeader() for _ in range(split.groups)]
     for index in range(split.workers):
         # By threes, so that every group has workers of both sizes.
         add_worker(groups[index // 3 % split.groups], site, index)
@@ -102,14 +102,16 @@
 class _Chooser:
     """Sends each job to one of two groups, its own domain's and one drawn."""
 
-    def __init__(self, *, groups: Sequence[Play], view_age_s: float, seed: int) -> None:
+    def __init__(
+        self, *, groups: Sequence[VirtualLeader], view_age_s: float, seed: int
+    ) -> None:
         self._groups = groups
         self._view_age_s = view_age_s
         self._chance = random.Random(seed)
         self._loads = [0.0] * len(groups)
         self._seen_at = float("-inf")
 
-    def choose(self, *, home: int) -> Play:
+    def choose(self, *, home: int) -> VirtualLeader:
         self._look()
         other = self._chance.randrange(len(self._groups))
         if self._loads[other] + HOME_MARGIN < self._loads[home]:
@@ -123,7 +125,7 @@
             self._loads = [_load(group) for group in self._groups]
 
 
-def _load(group: Play) -> float:
+def _load(group: VirtualLeader) -> float:
     """Return what runs and waits, as a share of a group's processors."""
     targets = group.tables.targets_by_id.values()
     total = sum(target.capacity.cpu_millis for target in targets)
--- a/src/cassiaturn/bench/tests/test_shared.py
+++ b/src/cassiaturn/bench/tests/test_shared.py
@@ -24,7 +24,7 @@
 )
 from cassiaturn.bench._shared_result import SizeClass, served_by_size
 from cassiaturn.bench._shared_variants import EXACT, OURS
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 from cassiaturn.workload import Verdict
 
 SEED = 1
@@ -151,15 +151,17 @@
     return replace(site, kinds=kinds)
 
 
-def _many_workers(site: SharedSite) -> Play:
-    play = Play()
+def _many_workers(site: SharedSite) -> VirtualLeader:
+    play = VirtualLeader()
     for index in range(MANY_WORKERS):
         add_worker(play, site, index)
     play.run(0.1)
     return play
 
 
-def _submit_all(play: Play, site: SharedSite, jobs: Sequence[SharedJob]) -> None:
+def _submit_all(
+    play: VirtualLeader, site: SharedSite, jobs: Sequence[SharedJob]
+) -> None:
     begin = play.now
     for number, job in enumerate(jobs):
         play.run(max(0.0, begin + job.arrives_at - play.now))
@@ -172,11 +174,11 @@
         )
 
 
-def _completed(play: Play, jobs: Sequence[SharedJob]) -> int:
+def _completed(play: VirtualLeader, jobs: Sequence[SharedJob]) -> int:
     return sum(play.verdict(job.job_id) is Verdict.COMPLETED for job in jobs)
 
 
-def _tell_speeds(play: Play) -> None:
+def _tell_speeds(play: VirtualLeader) -> None:
     """Let the leader know every worker's speed."""
     for name, target in play.targets.items():
         row = play.tables.targets_by_id[name]
@@ -189,7 +191,7 @@
     """A new leader sends tasks of long jobs to workers that are too slow for them."""
     site = _uneven_site(inspect_check=20.0, cure_plan=15.0)
     load = SharedLoad(name="young-leader", rate=1.0, length_s=3.0)
-    prepares: Sequence[Callable[[Play], None]] = (lambda _: None, _tell_speeds)
+    prepares: Sequence[Callable[[VirtualLeader], None]] = (lambda _: None, _tell_speeds)
     completed = [0, 0]
     for seed in range(1, 6):
         jobs = draw_jobs(site, load, seed)
--- a/src/cassiaturn/platform/tests/standin_runner.py
+++ b/src/cassiaturn/platform/tests/standin_runner.py
@@ -129,7 +129,7 @@
             return
         ref = decode_ref(self.body["task"])
         number = self.body["run"]
-        running = runner.target.works.get(ref)
+        running = runner.target.runs_by_ref.get(ref)
         is_repeated = running is not None and running.number == number
         answer = runner.target.start(
             ref,
@@ -151,10 +151,12 @@
     def post(self) -> None:
         target = self.runner.target
         ref = decode_ref(self.body["task"])
-        work = target.works.get(ref)
+        work = target.runs_by_ref.get(ref)
         if work is not None and work.number == self.body["run"]:
             target.end(ref, RunEnd.STOPPED)
-        target.blocked[ref] = max(target.blocked.get(ref, 0), self.body["run"])
+        target.last_run_by_ref[ref] = max(
+            target.last_run_by_ref.get(ref, 0), self.body["run"]
+        )
         self.reply(200)
 
 
--- a/src/cassiaturn/platform/tests/test_end_to_end.py
+++ b/src/cassiaturn/platform/tests/test_end_to_end.py
@@ -239,7 +239,8 @@
     await fleet.kill(follower)
     await asyncio.gather(waiting, return_exceptions=True)
     await fleet.until(
-        lambda: not any(runner.target.works for runner in fleet.runners), timeout_s=1.0
+        lambda: not any(runner.target.runs_by_ref for runner in fleet.runners),
+        timeout_s=1.0,
     )
 
 
@@ -252,7 +253,8 @@
     waiting.cancel()
     await asyncio.gather(waiting, return_exceptions=True)
     await fleet.until(
-        lambda: not any(runner.target.works for runner in fleet.runners), timeout_s=0.5
+        lambda: not any(runner.target.runs_by_ref for runner in fleet.runners),
+        timeout_s=0.5,
     )
 
 
@@ -373,7 +375,7 @@
         runner.token += 1
     await leader.stop_leftovers()
     await asyncio.sleep(0.1)
-    assert bool(runner.target.works) is obeys_successor
+    assert bool(runner.target.runs_by_ref) is obeys_successor
     waiting.cancel()
     await asyncio.gather(waiting, return_exceptions=True)
 
--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -1,6 +1,7 @@
-"""Targets in virtual time, and the leader's tables before them.
+"""Virtual targets, and a leader whose tables schedule tasks on them.
 
-For tests and benchmarks of decisions: no network, no clock, the same play each time.
+For tests and benchmarks of decisions: without a network or a clock, a run with the same
+input gives the same result.
 """
 
 import heapq
@@ -35,9 +36,10 @@
 )
 
 WAY_S = 0.001
-"""One way of an order or an answer, in seconds."""
+"""One-way delay of an order or an answer, in seconds."""
 
 LEASE_S = 1.0
+"""Length of a lease, in seconds."""
 
 ROUTE = Route(
     name="quick",
@@ -53,15 +55,26 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Work:
+class VirtualRun:
     """A run at a virtual target."""
 
     ref: TaskRef
+    """The task."""
+
     number: int
+    """Run number of its start."""
+
     group: TaskGroup
+    """Group of the task, which tells its resources."""
+
     began_at: float
+    """When it began, in seconds."""
+
     length_s: float
+    """How long it runs, in seconds; infinite: it hangs."""
+
     fails: bool = False
+    """Whether it ends as failed."""
 
     def percent(self, now: float) -> int:
         """Return the share of its work that is done, in whole percents."""
@@ -75,23 +88,54 @@
     """Obeys orders as the platform's targets do."""
 
     target_id: str
+    """Its id."""
+
     capacity: Resources
+    """Resources of its worker."""
+
     speed: float = 1.0
+    """Speed of its worker; 2 halves the run times."""
+
     fails: bool = False
+    """Whether every run fails."""
+
     hangs: bool = False
+    """Whether runs that begin make no progress."""
+
     cut: bool = False
-    guards: bool = True
+    """Whether it is partitioned from the leader."""
+
+    checks_admission: bool = True
+    """Whether it refuses a start that does not fit."""
+
     overfull: int = 0
+    """Number of starts that exceeded its capacity."""
+
     late_s: float = 0.0
+    """How much later it carries out a start whose answer is lost, in seconds; 0: not at
+    all."""
+
     lease_until: float = 0.0
+    """When its runs end unless the lease is renewed, in seconds."""
+
     sequence: int = 0
-    works: dict[TaskRef, Work] = field(default_factory=dict)
+    """Number of runs that have ended."""
+
+    runs_by_ref: dict[TaskRef, VirtualRun] = field(default_factory=dict)
+    """Runs in progress."""
+
     ended: list[EndedRun] = field(default_factory=list)
-    blocked: dict[TaskRef, int] = field(default_factory=dict)
+    """Ended runs that the leader has not acknowledged."""
+
+    last_run_by_ref: dict[TaskRef, int] = field(default_factory=dict)
+    """Highest number of a run that has ended or was stopped, by task; a start with such
+    a number or a lower one is refused."""
 
     def room_for(self, wanted: Resources) -> bool:
         """Return whether a task finds its processors free."""
-        used = sum(work.group.resources.cpu_millis for work in self.works.values())
+        used = sum(
+            work.group.resources.cpu_millis for work in self.runs_by_ref.values()
+        )
         return used + wanted.cpu_millis <= self.capacity.cpu_millis
 
     def start(
@@ -106,17 +150,17 @@
 
         :param length_s: work of the task on a target of usual speed, in seconds.
         """
-        if number <= self.blocked.get(ref, 0):
+        if number <= self.last_run_by_ref.get(ref, 0):
             return StartAnswer.OUTDATED
-        if ref in self.works:
+        if ref in self.runs_by_ref:
             return StartAnswer.STARTED
         if not self.room_for(group.resources):
-            if self.guards:
+            if self.checks_admission:
                 return StartAnswer.NO_ROOM
             self.overfull += 1
         self.lease_until = max(self.lease_until, now + LEASE_S)
         work_s = float("inf") if self.hangs else length_s / self.speed
-        self.works[ref] = Work(
+        self.runs_by_ref[ref] = VirtualRun(
             ref=ref,
             number=number,
             group=group,
@@ -128,8 +172,8 @@
 
     def end(self, ref: TaskRef, how: RunEnd) -> None:
         """End a run, and remember it for the next list."""
-        work = self.works.pop(ref)
-        self.blocked[ref] = max(self.blocked.get(ref, 0), work.number)
+        work = self.runs_by_ref.pop(ref)
+        self.last_run_by_ref[ref] = max(self.last_run_by_ref.get(ref, 0), work.number)
         self.sequence += 1
         self.ended.append(
             EndedRun(sequence=self.sequence, ref=ref, run=work.number, end=how)
@@ -137,11 +181,11 @@
 
     def advance(self, now: float) -> None:
         """End whatever is done, or has lost its lease."""
-        for work in list(self.works.values()):
+        for work in list(self.runs_by_ref.values()):
             if work.began_at + work.length_s <= now:
                 self.end(work.ref, RunEnd.FAILED if work.fails else RunEnd.DONE)
-        if self.works and now >= self.lease_until:
-            for ref in list(self.works):
+        if self.runs_by_ref and now >= self.lease_until:
+            for ref in list(self.runs_by_ref):
                 self.end(ref, RunEnd.LEASE_EXPIRED)
 
     def report(self, seen: int, now: float) -> LeaseReport:
@@ -156,14 +200,14 @@
                     checkpoint="",
                     percent=work.percent(now),
                 )
-                for work in self.works.values()
+                for work in self.runs_by_ref.values()
             ),
             ended=tuple(self.ended),
         )
 
 
-class Play:
-    """One leader over virtual targets; time moves by events."""
+class VirtualLeader:
+    """A leader's tables in front of virtual targets, in simulated time."""
 
     def __init__(
         self, *, settings: WorkloadSettings | None = None, term: int = 0
@@ -190,7 +234,7 @@
     # Ports.
 
     def start(self, order: StartOrder) -> None:
-        """Carry an order to start out a way later."""
+        """Deliver an order to start after the delay."""
         target = self.targets[order.target_id]
         lost = self.lose_start(order) or target.cut
         sent_at = self.now
@@ -211,15 +255,17 @@
             self.later(0.25, lambda: self._answer(order, StartAnswer.UNKNOWN))
 
     def stop(self, run: Run) -> None:
-        """Carry an order to stop out a way later."""
+        """Deliver an order to stop after the delay."""
         target = self.targets[run.target_id]
 
         def arrive() -> None:
             if target.cut:
                 return
             target.advance(self.now)
-            target.blocked[run.ref] = max(target.blocked.get(run.ref, 0), run.number)
-            work = target.works.get(run.ref)
+            target.last_run_by_ref[run.ref] = max(
+                target.last_run_by_ref.get(run.ref, 0), run.number
+            )
+            work = target.runs_by_ref.get(run.ref)
             if work is not None and work.number == run.number:
                 target.end(run.ref, RunEnd.STOPPED)
             self.later(WAY_S, done)
@@ -228,19 +274,19 @@
             workload.on_stop_answer(
                 self.tables, run.target_id, run.ref, run.number, self.now
             )
-            self.look(run.target_id)
+            self.request_list(run.target_id)
 
         self.later(WAY_S, arrive)
 
     def finish(self, job: Job, outcome: Outcome) -> None:
-        """Note an outcome, as the member of the caller would."""
+        """Record an outcome, as the member of the caller would."""
         self.note(job.job_id, outcome)
 
     def record(self, event: Event, **fields: object) -> None:
-        """Keep a line of the log."""
+        """Record a line of the log."""
         self.records.append((event, fields))
 
-    # The play.
+    # Simulated events.
 
     def add_target(
         self,
@@ -251,7 +297,7 @@
         labels: frozenset[str] = frozenset(),
         **traits: object,
     ) -> None:
-        """Add a target, and let the leader hear it."""
+        """Add a target, and request its list of runs."""
         capacity = Resources(cpu_millis=cpu, memory_mib=64_000)
         target = VirtualTarget(target_id=name, capacity=capacity, **traits)  # type: ignore[arg-type]
         self.targets[name] = target
@@ -267,7 +313,7 @@
                 labels=labels,
             ),
         )
-        self.look(name)
+        self.request_list(name)
 
     def submit(
         self,
@@ -326,16 +372,19 @@
         self._dispatch()
 
     def note(self, job_id: str, outcome: Outcome) -> None:
-        """Remember an outcome and its time."""
+        """Record an outcome and its time."""
         self.outcomes[job_id] = outcome
         self.answered_at[job_id] = self.now
 
     def later(self, delay_s: float, event: Callable[[], None]) -> None:
-        """Let something happen after a while."""
+        """Schedule an event.
+
+        :param delay_s: time from now, in seconds.
+        """
         heapq.heappush(self._events, (self.now + delay_s, next(self._order), event))
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Run all events of the next seconds."""
         end_at = self.now + seconds
         while self._events and self._events[0][0] <= end_at:
             self.now, _, event = heapq.heappop(self._events)
@@ -345,8 +394,8 @@
             self._check_overlaps()
         self.now = end_at
 
-    def look(self, name: str) -> None:
-        """Ask a target what runs there, and learn it a way later."""
+    def request_list(self, name: str) -> None:
+        """Request a target's list of runs; it arrives after the delay of both ways."""
         target = self.targets[name]
         asked_at = self.now
         row = self.tables.targets_by_id.get(name)
@@ -365,7 +414,7 @@
         self.later(WAY_S, arrive)
 
     def lose(self, name: str) -> None:
-        """Let the leader notice that a target is silent, until it is heard again."""
+        """Mark a target as silent; its lease expires unless it reports again."""
         workload.on_target_silent(self.tables, self, name)
         over_at = self.now + self.tables.settings.lease_over_s
         self.lease_over_at[name] = over_at
@@ -378,7 +427,7 @@
         self.later(self.tables.settings.lease_over_s, check)
 
     def cut_off(self, failure_domain: str) -> None:
-        """Cut a failure domain's targets off, and let the leader notice it."""
+        """Partition a failure domain's targets from the leader, which notices it."""
         for name, row in self.tables.targets_by_id.items():
             if row.failure_domain == failure_domain:
                 self.targets[name].cut = True
@@ -394,7 +443,7 @@
         return sum(
             ref.job_id == job_id
             for target in self.targets.values()
-            for ref in target.works
+            for ref in target.runs_by_ref
         )
 
     def _begin(self, target: VirtualTarget, order: StartOrder) -> StartAnswer:
@@ -421,10 +470,10 @@
             clock_ms=clock_ms,
         )
         if answer is StartAnswer.STARTED:
-            work = self.targets[order.target_id].works.get(order.ref)
+            work = self.targets[order.target_id].runs_by_ref.get(order.ref)
             if work is not None and work.length_s != float("inf"):
                 left_s = work.began_at + work.length_s - self.now
-                self.later(max(0.0, left_s), lambda: self.look(order.target_id))
+                self.later(max(0.0, left_s), lambda: self.request_list(order.target_id))
         self._dispatch()
 
     def _take(self, name: str, report: LeaseReport, asked_at: float) -> None:
@@ -445,13 +494,13 @@
         if round(self.now * 20) % 3 == 0:
             for name, row in self.tables.targets_by_id.items():
                 if row.runs_by_ref or row.silent:
-                    self.look(name)
+                    self.request_list(name)
         self.later(0.05, self._tick)
 
     def _check_overlaps(self) -> None:
         seen: set[TaskRef] = set()
         for target in self.targets.values():
-            for ref in target.works:
+            for ref in target.runs_by_ref:
                 if ref in seen:
                     self.overlaps.append(ref)
                 seen.add(ref)
--- a/src/cassiaturn/workload/tests/test_capacity.py
+++ b/src/cassiaturn/workload/tests/test_capacity.py
@@ -7,7 +7,7 @@
 from cassiaturn import workload
 from cassiaturn.entities import Resources, RoutingTable, Service, TargetReport
 from cassiaturn.observability import Event
-from cassiaturn.standins.virtual_targets import WAY_S, Play
+from cassiaturn.standins.virtual_targets import WAY_S, VirtualLeader
 from cassiaturn.workload import Verdict
 
 FULL = Resources(cpu_millis=16_000, memory_mib=64_000)
@@ -26,16 +26,16 @@
     )
 
 
-def _play(*, guards: bool, targets: int = 3) -> Play:
-    play = Play()
-    play.tables.routing = _routing(admission_check=guards)
+def _play(*, checks_admission: bool, targets: int = 3) -> VirtualLeader:
+    play = VirtualLeader()
+    play.tables.routing = _routing(admission_check=checks_admission)
     for index in range(targets):
-        play.add_target(f"t{index}", guards=guards)
+        play.add_target(f"t{index}", checks_admission=checks_admission)
     play.run(0.1)
     return play
 
 
-def _resize(play: Play, name: str, capacity: Resources) -> None:
+def _resize(play: VirtualLeader, name: str, capacity: Resources) -> None:
     """Change a worker's capacity; a decrease waits for orders in transit."""
     target = play.targets[name]
     grows = capacity.cpu_millis > target.capacity.cpu_millis
@@ -53,12 +53,12 @@
     workload.on_target_report(play.tables, play, report)
 
 
-@pytest.mark.parametrize("guards", [False, True])
+@pytest.mark.parametrize("checks_admission", [False, True])
 def test_resized_workers_are_never_overcommitted(
-    guards: bool,
+    checks_admission: bool,
 ) -> None:
     """Guards against starts on a worker whose capacity has shrunk below its usage."""
-    play = _play(guards=guards)
+    play = _play(checks_admission=checks_admission)
     for step in range(40):
         name = f"t{step % 3}"
         _resize(play, name, SHRUNK if step // 3 % 2 == 0 else FULL)
@@ -71,7 +71,7 @@
 
 
 def test_shrinking_a_worker_stops_no_run() -> None:
-    play = _play(guards=False, targets=1)
+    play = _play(checks_admission=False, targets=1)
     play.submit("a", count=2, run_s=0.5)
     play.run(0.1)
     _resize(play, "t0", SHRUNK)
@@ -81,7 +81,7 @@
 
 
 def test_added_capacity_is_used_at_once() -> None:
-    play = _play(guards=False, targets=1)
+    play = _play(checks_admission=False, targets=1)
     _resize(play, "t0", SHRUNK)
     play.run(0.1)
     play.submit("a", count=2, run_s=0.2)
@@ -93,7 +93,7 @@
 
 
 def test_resize_log_has_old_and_new_capacity() -> None:
-    play = _play(guards=False, targets=1)
+    play = _play(checks_admission=False, targets=1)
     _resize(play, "t0", SHRUNK)
     _resize(play, "t0", replace(SHRUNK))
     (fields,) = (
--- a/src/cassiaturn/workload/tests/test_drains.py
+++ b/src/cassiaturn/workload/tests/test_drains.py
@@ -9,15 +9,15 @@
 from cassiaturn import workload
 from cassiaturn.entities import StartAnswer
 from cassiaturn.observability import Event
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 from cassiaturn.workload import Verdict
 
 ALL = frozenset({"a", "b"})
 
 
-def _play(per_domain: int = 2) -> Play:
+def _play(per_domain: int = 2) -> VirtualLeader:
     """Return a play with targets in the failure domains a and b."""
-    play = Play()
+    play = VirtualLeader()
     for failure_domain in sorted(ALL):
         for index in range(per_domain):
             name = f"{failure_domain}{index}"
@@ -26,13 +26,13 @@
     return play
 
 
-def _drain(play: Play, *failure_domains: str) -> None:
+def _drain(play: VirtualLeader, *failure_domains: str) -> None:
     drained = frozenset(failure_domains)
     workload.on_drained_domains(play.tables, play, drained, play.now)
     play._dispatch()
 
 
-def _started_in(play: Play, failure_domain: str) -> int:
+def _started_in(play: VirtualLeader, failure_domain: str) -> int:
     return sum(
         str(fields["tasks"]).count(f"@{failure_domain}")
         for event, fields in play.records
--- a/src/cassiaturn/workload/tests/test_job_timing.py
+++ b/src/cassiaturn/workload/tests/test_job_timing.py
@@ -3,12 +3,12 @@
 import pytest
 
 from cassiaturn.observability import Event
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 
 LIMIT_MS = 1500
 
 
-def _timing(play: Play, job_id: str) -> dict[str, object]:
+def _timing(play: VirtualLeader, job_id: str) -> dict[str, object]:
     """Return the logged timing of a job."""
     (fields,) = (
         fields
@@ -19,15 +19,15 @@
 
 
 @pytest.fixture
-def play() -> Play:
-    play = Play()
+def play() -> VirtualLeader:
+    play = VirtualLeader()
     play.add_target("t0")
     play.add_target("t1")
     play.run(0.1)
     return play
 
 
-def test_timing_of_a_served_job_shows_its_longest_task(play: Play) -> None:
+def test_timing_of_a_served_job_shows_its_longest_task(play: VirtualLeader) -> None:
     play.submit("a", count=2, run_s=0.9, lengths=[0.8, 1.2])
     play.run(1.5)
     timing = _timing(play, "a")
@@ -39,7 +39,7 @@
     assert timing["work_cpu_s"] == pytest.approx(6.8 * 2.0, abs=0.3)
 
 
-def test_timing_shows_a_task_too_long_for_any_target(play: Play) -> None:
+def test_timing_shows_a_task_too_long_for_any_target(play: VirtualLeader) -> None:
     play.submit("a", count=2, run_s=0.9, lengths=[0.8, 2.0])
     play.run(2.0)
     timing = _timing(play, "a")
@@ -48,7 +48,7 @@
     assert int(str(timing["fastest_ms"])) > LIMIT_MS
 
 
-def test_timing_separates_lost_runs_from_task_length(play: Play) -> None:
+def test_timing_separates_lost_runs_from_task_length(play: VirtualLeader) -> None:
     """Guards against logging a job as too long whose target stopped responding."""
     play.submit("a", count=1, run_s=0.9, lengths=[0.9])
     play.run(0.4)
@@ -62,7 +62,7 @@
     assert int(str(timing["fastest_ms"])) <= LIMIT_MS
 
 
-def test_timing_separates_slow_targets_from_task_length(play: Play) -> None:
+def test_timing_separates_slow_targets_from_task_length(play: VirtualLeader) -> None:
     """Guards against logging a job as too long that ran on a slow target."""
     for name in play.targets:
         play.tables.targets_by_id[name].paused_until = float("inf")
@@ -78,7 +78,7 @@
     assert int(str(timing["fastest_ms"])) <= LIMIT_MS
 
 
-def test_timing_of_an_abandoned_job_shows_its_full_work(play: Play) -> None:
+def test_timing_of_an_abandoned_job_shows_its_full_work(play: VirtualLeader) -> None:
     """Otherwise abandoned large jobs count as small, and large jobs appear served."""
     play.submit("a", count=2, run_s=0.9, lengths=[2.0, 3.6])
     play.run(0.5)
--- a/src/cassiaturn/workload/tests/test_jobs.py
+++ b/src/cassiaturn/workload/tests/test_jobs.py
@@ -5,27 +5,27 @@
 import pytest
 
 from cassiaturn import workload
-from cassiaturn.standins.virtual_targets import ROUTE, Play
+from cassiaturn.standins.virtual_targets import ROUTE, VirtualLeader
 from cassiaturn.workload import Verdict
 
 
 @pytest.fixture
-def play() -> Play:
-    play = Play()
+def play() -> VirtualLeader:
+    play = VirtualLeader()
     for index in range(4):
         play.add_target(f"t{index}")
     play.run(0.1)
     return play
 
 
-def test_job_with_more_tasks_than_room_completes(play: Play) -> None:
+def test_job_with_more_tasks_than_room_completes(play: VirtualLeader) -> None:
     play.submit("a", count=12)
     play.run(1.0)
     assert play.verdict("a") is Verdict.COMPLETED
     assert not play.overlaps
 
 
-def test_groups_wait_for_their_dependencies(play: Play) -> None:
+def test_groups_wait_for_their_dependencies(play: VirtualLeader) -> None:
     play.submit("a", count=2, run_s=0.1)
     job = play.tables.jobs_by_id["a"]
     first = job.request.groups[0]
@@ -36,7 +36,7 @@
     assert job.is_open(1)
 
 
-def test_resubmission_joins_the_running_job(play: Play) -> None:
+def test_resubmission_joins_the_running_job(play: VirtualLeader) -> None:
     """The caller loses its connection and comes back through another member.
 
     Its first member still has the job. A second job would run every task twice at the
@@ -53,7 +53,7 @@
     assert not play.overlaps
 
 
-def test_late_resubmission_gets_the_same_answer(play: Play) -> None:
+def test_late_resubmission_gets_the_same_answer(play: VirtualLeader) -> None:
     play.submit("a")
     play.run(0.3)
     play.outcomes.clear()
@@ -63,7 +63,7 @@
     assert play.tables.counters.starts == starts
 
 
-def test_cancelling_a_job_stops_its_runs(play: Play) -> None:
+def test_cancelling_a_job_stops_its_runs(play: VirtualLeader) -> None:
     play.submit("a", count=3, run_s=0.8)
     play.run(0.1)
     workload.cancel(play.tables, play, "a", "m1", play.now)
@@ -72,7 +72,7 @@
 
 
 def test_resubmitted_job_uses_higher_run_numbers(
-    play: Play,
+    play: VirtualLeader,
 ) -> None:
     """The caller cancels and submits the same id again a second later.
 
@@ -92,7 +92,7 @@
 
 @pytest.mark.parametrize("late_s", [0.0, 0.02, 0.06])
 def test_list_read_late_does_not_abandon_a_job_in_time(
-    play: Play, late_s: float
+    play: VirtualLeader, late_s: float
 ) -> None:
     """A busy leader reads a target's list long after it was made.
 
@@ -113,7 +113,7 @@
     assert play.verdict("a") is Verdict.COMPLETED
 
 
-def test_jobs_of_a_lost_member_are_stopped(play: Play) -> None:
+def test_jobs_of_a_lost_member_are_stopped(play: VirtualLeader) -> None:
     """A member's process is killed while jobs of its callers run.
 
     Its callers come back through another member after 1.3 s. Tasks that still ran then
@@ -134,7 +134,7 @@
     ("limit_s", "verdict"), [(0.2, Verdict.ABANDONED), (1.0, Verdict.COMPLETED)]
 )
 def test_a_job_ends_at_its_callers_limit(
-    play: Play, limit_s: float, verdict: Verdict
+    play: VirtualLeader, limit_s: float, verdict: Verdict
 ) -> None:
     play.submit("a", run_s=0.1, lengths=[0.5], limit_s=limit_s)
     play.run(1.2)
@@ -142,7 +142,7 @@
     assert play.running("a") == 0
 
 
-def test_job_that_cannot_finish_in_time_is_abandoned_early(play: Play) -> None:
+def test_job_that_cannot_finish_in_time_is_abandoned_early(play: VirtualLeader) -> None:
     """One of four tasks needs 2 s, but its caller waits only 1.5 s.
 
     If the job ran to its limit, it would use the resources of four tasks to no effect,
@@ -157,13 +157,13 @@
     assert play.running("a") == 0
 
 
-def test_job_that_just_fits_its_limit_is_not_abandoned(play: Play) -> None:
+def test_job_that_just_fits_its_limit_is_not_abandoned(play: VirtualLeader) -> None:
     play.submit("a", count=4, run_s=0.9, lengths=[0.8, 0.9, 1.45, 0.9])
     play.run(1.6)
     assert play.verdict("a") is Verdict.COMPLETED
 
 
-def test_refused_job_never_started_and_may_be_resubmitted(play: Play) -> None:
+def test_refused_job_never_started_and_may_be_resubmitted(play: VirtualLeader) -> None:
     for index in range(30):
         play.submit(f"a{index}", count=4, run_s=0.9)
     refused = [key for key, row in play.outcomes.items()]
@@ -184,7 +184,7 @@
     The directory arrives 20 ms later. Refused callers would come back only after most
     of their time.
     """
-    play = Play()
+    play = VirtualLeader()
     play.submit("a")
     play.run(0.02)
     assert play.verdict("a") is None
@@ -194,7 +194,7 @@
 
 
 def test_jobs_are_refused_if_the_directory_does_not_arrive() -> None:
-    play = Play()
+    play = VirtualLeader()
     play.submit("a")
     play.run(0.5)
     assert play.verdict("a") is Verdict.REFUSED
@@ -203,14 +203,14 @@
 
 
 def test_without_any_target_a_job_is_refused_at_once() -> None:
-    play = Play()
+    play = VirtualLeader()
     play.run(play.tables.settings.directory_wait_s)
     play.submit("a")
     assert play.verdict("a") is Verdict.REFUSED
 
 
 def test_urgent_jobs_start_before_earlier_ones_of_less_urgent_routes(
-    play: Play,
+    play: VirtualLeader,
 ) -> None:
     relaxed = replace(ROUTE, name="relaxed", priority=2)
     play.submit("full", count=8, run_s=0.12)
@@ -222,7 +222,7 @@
 
 
 def test_late_urgent_job_yields_and_is_still_served(
-    play: Play,
+    play: VirtualLeader,
 ) -> None:
     """No resources are free until the urgent job's answer is late in any case.
 
--- a/src/cassiaturn/workload/tests/test_leader_change.py
+++ b/src/cassiaturn/workload/tests/test_leader_change.py
@@ -4,15 +4,17 @@
 
 from cassiaturn import workload
 from cassiaturn.entities import Resources, RunEnd, StartAnswer, TaskGroup, TaskRef
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 from cassiaturn.workload import Verdict
 
 GROUP = TaskGroup(count=1, resources=Resources(cpu_millis=6_800))
 
 
-def _new_leader(*, knows_targets: bool = True, is_reachable: bool = True) -> Play:
+def _new_leader(
+    *, knows_targets: bool = True, is_reachable: bool = True
+) -> VirtualLeader:
     """Return a play in which t0 runs a task of an earlier leader."""
-    play = Play(term=1)
+    play = VirtualLeader(term=1)
     play.tables.knows_targets = knows_targets
     for name in ("t0", "t1"):
         play.add_target(name)
@@ -79,7 +81,7 @@
     that arrives is from another target; a start based on it alone would run the task
     twice at the same time.
     """
-    play = Play(term=1)
+    play = VirtualLeader(term=1)
     play.tables.knows_targets = True
     play.add_target("t1")
     play.run(0.003)
@@ -110,7 +112,7 @@
     list shows the run there. If the job started at once, its task would run twice at
     the same time.
     """
-    play = Play(term=1)
+    play = VirtualLeader(term=1)
     play.tables.knows_targets = knows_targets
     play.add_target("t1")
     play.run(wait_s + 0.01)
@@ -133,7 +135,7 @@
     starts as soon as it arrives, although its task was started on a removed target
     58 ms before, the task runs twice at the same time.
     """
-    play = Play(term=1)
+    play = VirtualLeader(term=1)
     play.tables.knows_targets = True
     play.add_target("t1")
     play.add_target("t2")
@@ -153,13 +155,13 @@
 
     This happens if the time from a run's adoption to its end counts as its length.
     """
-    play = Play(term=1)
+    play = VirtualLeader(term=1)
     play.add_target("t0")
     play.targets["t0"].cut = True
     play.targets["t0"].start(TaskRef("a", 0, 0, 0), 1, GROUP, 0.9, play.now)
     play.run(0.87)
     play.targets["t0"].cut = False
-    play.look("t0")
+    play.request_list("t0")
     play.submit("a", run_s=0.9, begun_earlier=True, limit_s=4.0)
     play.run(0.3)
     assert play.verdict("a") is Verdict.COMPLETED
@@ -169,7 +171,7 @@
 
 def test_job_does_not_wait_for_runs_of_a_restarted_target() -> None:
     """A target restarts as another process, so none of its earlier runs continues."""
-    play = Play(term=1)
+    play = VirtualLeader(term=1)
     play.tables.knows_targets = True
     play.add_target("t1")
     play.add_target("t2")
@@ -219,9 +221,9 @@
     assert settings.lease_over_s == pytest.approx(over_s)
 
 
-def _leader_with_ended_tasks(*ends: RunEnd) -> Play:
+def _leader_with_ended_tasks(*ends: RunEnd) -> VirtualLeader:
     """Return a play in which tasks of "a" ended before this leader's first list."""
-    play = Play(term=1)
+    play = VirtualLeader(term=1)
     play.tables.knows_targets = True
     play.add_target("t1")
     play.add_target("t0")
@@ -254,7 +256,7 @@
     play.run(0.3)
     assert play.verdict("a") is Verdict.COMPLETED
     assert play.tables.counters.starts == 2
-    assert not play.targets["t0"].works
+    assert not play.targets["t0"].runs_by_ref
 
 
 @pytest.mark.parametrize("end", [RunEnd.DONE, RunEnd.FAILED])
--- a/src/cassiaturn/workload/tests/test_long_queue.py
+++ b/src/cassiaturn/workload/tests/test_long_queue.py
@@ -8,7 +8,7 @@
 from cassiaturn import workload
 from cassiaturn.entities import Route
 from cassiaturn.sharing import Lateness
-from cassiaturn.standins.virtual_targets import ROUTE, Play
+from cassiaturn.standins.virtual_targets import ROUTE, VirtualLeader
 from cassiaturn.workload import Verdict
 
 
@@ -28,8 +28,8 @@
 )
 
 
-def _play(queued: int) -> Play:
-    play = Play()
+def _play(queued: int) -> VirtualLeader:
+    play = VirtualLeader()
     for index in range(8):
         play.add_target(f"t{index}")
     play.run(0.1)
@@ -68,7 +68,7 @@
 
 def test_urgent_job_starts_before_the_rest_of_a_burst() -> None:
     """Guards against starting a burst as a whole before later urgent jobs are read."""
-    play = Play()
+    play = VirtualLeader()
     for index in range(100):
         play.add_target(f"t{index}")
     play.run(0.1)
@@ -95,7 +95,7 @@
     limit_s: float, waited_s: float
 ) -> None:
     """Guards against a partitioned leader keeping jobs that others could serve."""
-    play = Play()
+    play = VirtualLeader()
     for index in range(4):
         play.add_target(f"t{index}")
     play.run(0.1)
--- a/src/cassiaturn/workload/tests/test_random_failures.py
+++ b/src/cassiaturn/workload/tests/test_random_failures.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cassiaturn import workload
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 from cassiaturn.workload import Verdict
 
 SEEDS = range(60)
@@ -22,7 +22,7 @@
     must have its answer by its limit.
     """
     rng = random.Random(seed)
-    play = Play()
+    play = VirtualLeader()
     for index in range(5):
         play.add_target(f"t{index}", cpu=rng.choice([16_000, 24_000]))
     play.lose_start = lambda _: rng.random() < 0.03
@@ -48,11 +48,13 @@
     for job_id, began_at in submitted.items():
         assert play.answered_at[job_id] - began_at <= LIMIT_S + 0.1
     refused = [key for key in submitted if play.verdict(key) is Verdict.REFUSED]
-    started = {ref.job_id for target in play.targets.values() for ref in target.blocked}
+    started = {
+        ref.job_id for target in play.targets.values() for ref in target.last_run_by_ref
+    }
     assert not started.intersection(refused)
 
 
-def _inject_failure(play: Play, rng: random.Random) -> None:
+def _inject_failure(play: VirtualLeader, rng: random.Random) -> None:
     name = rng.choice(list(play.targets))
     target = play.targets[name]
     draw = rng.random()
--- a/src/cassiaturn/workload/tests/test_target_failures.py
+++ b/src/cassiaturn/workload/tests/test_target_failures.py
@@ -13,13 +13,13 @@
 )
 from cassiaturn.observability import Event
 from cassiaturn.sharing import TargetIndex
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 from cassiaturn.workload import RunState, Verdict
 
 
-def _play(count: int = 4, **traits: object) -> Play:
+def _play(count: int = 4, **traits: object) -> VirtualLeader:
     """Return a play with several targets; the traits apply to the first."""
-    play = Play()
+    play = VirtualLeader()
     for index in range(count):
         play.add_target(f"t{index}")
     for name, value in traits.items():
@@ -37,7 +37,7 @@
     makes the leader search for a target for each queued job without success, and
     all callers wait meanwhile.
     """
-    play = Play()
+    play = VirtualLeader()
     for index in range(6):
         play.add_target(f"t{index}")
     for index in range(3):
@@ -85,7 +85,7 @@
     play.submit("a", run_s=0.3)
     play.run(0.01)
     (run,) = play.tables.runs_by_ref.values()
-    play.targets[run.target_id].works.clear()
+    play.targets[run.target_id].runs_by_ref.clear()
     play.run(0.6)
     assert play.verdict("a") is Verdict.COMPLETED
     assert play.tables.counters.starts == 2
@@ -125,7 +125,7 @@
     play.run(0.05)
     (run,) = play.tables.runs_by_ref.values()
     play.targets[run.target_id].cut = True
-    play.targets[run.target_id].works[run.ref].length_s = 5.0
+    play.targets[run.target_id].runs_by_ref[run.ref].length_s = 5.0
     play.lose(run.target_id)
     play.run(0.9)
     assert play.running("a") == 1
@@ -139,7 +139,7 @@
     play.submit("a", run_s=0.3)
     play.run(0.05)
     (run,) = play.tables.runs_by_ref.values()
-    play.targets[run.target_id].works.clear()
+    play.targets[run.target_id].runs_by_ref.clear()
     workload.on_target_gone(play.tables, play, run.target_id, "other_life", play.now)
     workload.dispatch(play.tables, play, play.now)
     play.run(0.4)
@@ -175,7 +175,7 @@
 
 
 def test_job_fails_when_its_task_fails_on_all_targets() -> None:
-    play = Play()
+    play = VirtualLeader()
     for index in range(4):
         play.add_target(f"t{index}", fails=True)
     play.run(0.1)
@@ -287,7 +287,7 @@
     A task started there in the meantime would wait for the lease to expire, which takes
     most of its caller's time.
     """
-    play = Play()
+    play = VirtualLeader()
     play.add_target("t0")
     play.add_target("t1")
     play.run(0.1)
@@ -295,5 +295,5 @@
     play.submit("a", count=8, run_s=0.06)
     assert not play.tables.targets_by_id["t0"].runs_by_ref
     play.run(1.0)
-    assert play.targets["t0"].blocked
+    assert play.targets["t0"].last_run_by_ref
     assert play.verdict("a") is Verdict.COMPLETED
--- a/src/cassiaturn/workload/tests/test_targets_without_admission.py
+++ b/src/cassiaturn/workload/tests/test_targets_without_admission.py
@@ -12,7 +12,7 @@
     TaskGroup,
     TaskRef,
 )
-from cassiaturn.standins.virtual_targets import Play
+from cassiaturn.standins.virtual_targets import VirtualLeader
 from cassiaturn.workload import Verdict
 
 GROUP = TaskGroup(count=1, resources=Resources(cpu_millis=6_800))
@@ -30,13 +30,13 @@
     )
 
 
-def _play(*, guards: bool = False, running: int = 2) -> Play:
+def _play(*, checks_admission: bool = False, running: int = 2) -> VirtualLeader:
     """Return a play of a new leader; both targets run tasks of an earlier one."""
-    play = Play(term=1)
-    play.tables.routing = _routing(admission_check=guards)
+    play = VirtualLeader(term=1)
+    play.tables.routing = _routing(admission_check=checks_admission)
     play.tables.knows_targets = True
     for name in ("t0", "t1"):
-        play.add_target(name, guards=guards)
+        play.add_target(name, checks_admission=checks_admission)
         for index in range(running):
             ref = TaskRef(f"old-{name}", 0, 0, index)
             answer = play.targets[name].start(ref, 1, GROUP, 0.4, play.now)
@@ -73,7 +73,7 @@
 
 
 def test_target_with_admission_check_may_start_beside_unknown_runs() -> None:
-    play = _play(guards=True, running=1)
+    play = _play(checks_admission=True, running=1)
     play.run(0.01)
     play.submit("new", run_s=0.06, count=2)
     play.run(0.2)
@@ -90,11 +90,11 @@
     play.submit("a", run_s=0.5, count=1)
     play.run(0.02)
     (ref,) = play.tables.runs_by_ref
-    second = next(row for row in play.targets.values() if ref not in row.works)
+    second = next(row for row in play.targets.values() if ref not in row.runs_by_ref)
     second.start(ref, 99, GROUP, 1.0, play.now)
     second.lease_until = play.now + 5.0
     play.stop = lambda run: None  # type: ignore[method-assign]
-    play.look(second.target_id)
+    play.request_list(second.target_id)
     play.run(0.01)
     play.submit("b", run_s=0.06, count=3)
     play.run(0.2)
@@ -109,11 +109,11 @@
     order of these events no start may find its worker full.
     """
     rng = random.Random(seed)
-    play = Play()
+    play = VirtualLeader()
     play.tables.routing = _routing(admission_check=False)
     for index in range(4):
         cpu = rng.choice([16_000, 24_000])
-        play.add_target(f"t{index}", cpu=cpu, guards=False)
+        play.add_target(f"t{index}", cpu=cpu, checks_admission=False)
     play.lose_start = lambda _: rng.random() < 0.1
     for step in range(100):
         target = rng.choice(list(play.targets.values()))
