Read only its farewell from a leader that asked a member to lead

Ruled out: closing the stream earlier (outcomes would be lost again). Change: from then on the member reads outcomes, finished tasks, the redirect and a raised token only.

--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -48,6 +48,10 @@
 announced itself, in seconds: two heartbeats. Until its redirect, the leader sends
 outcomes of jobs whose ends it has acknowledged, which their targets list no more."""
 
+FAREWELL_FRAMES = frozenset({"outcome", "progress", "redirect", "welcome"})
+"""Frames that a member still reads from a leader that asked it to lead; what else that
+leader tells is older than what the member learns as the leader."""
+
 LOOK_TIMEOUT_S = 0.1
 """Longest wait for a peer's view of the leader, in seconds: thirty times the usual one.
 In a network partition some peers never answer, and callers wait meanwhile."""
@@ -308,7 +312,10 @@
     async def _receive(self, stream) -> FollowResult | None:  # type: ignore[no-untyped-def]
         while (frame := await stream.recv_message()) is not None:
             self.heard_at = time.monotonic()
-            match frame.WhichOneof("frame"):
+            kind = frame.WhichOneof("frame")
+            if self._asked.is_set() and kind not in FAREWELL_FRAMES:
+                continue
+            match kind:
                 case "outcome":
                     self._caller_jobs.settle(
                         frame.outcome.job_id, to_outcome(frame.outcome)
--- a/src/cassiaturn/platform/tests/test_planned_change.py
+++ b/src/cassiaturn/platform/tests/test_planned_change.py
@@ -65,6 +65,21 @@
     assert set(_starts_by_ref(fleet).values()) == {1}
 
 
+async def test_a_new_leader_ignores_what_the_earlier_one_tells_of_its_queue(
+    fleet: Fleet, slow_change: None
+) -> None:
+    """Guards against queue lengths of an earlier leader that outlast its term."""
+    stopping = fleet.leader()
+    stopping.member.leader.waiting_by_route = lambda: {"quick": 7}  # type: ignore[union-attr, method-assign]
+    followers = fleet.followers()
+    await fleet.until(
+        lambda: all(m.member.caller_jobs.waiting_by_route for m in followers)
+    )
+    await stopping.member.stop()
+    await fleet.until(lambda: all(member.member.is_ready for member in followers))
+    assert not fleet.leader().member.caller_jobs.waiting_by_route
+
+
 @pytest.mark.parametrize("submitter", ["leader", "follower"])
 async def test_finished_tasks_of_an_unfinished_job_do_not_run_again(
     fleet: Fleet, submitter: str
