--- a/src/cassiaturn/workload/_drains.py
+++ b/src/cassiaturn/workload/_drains.py
@@ -1,6 +1,6 @@
 """Applies operators' drains of failure domains to the queue and the targets.
 
-Load pattern: a queue behind all targets of a service, a part of which gets no further
+The load is a queue behind all targets of a service, a part of which gets no further
 start. Jobs at its end can't be served in time by the rest. Kept in the queue, their
 callers would learn so only when their deadlines pass; refused at once, they can return
 while there is still time.
