--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -43,12 +43,12 @@
 """How recently the leader must have been heard for this member to report it to peers as
 alive, in seconds."""
 
-FAREWELL_WAIT_S = 0.3
+REDIRECT_WAIT_S = 0.3
 """Longest wait for the redirect of a leader that is still heard after another member
 announced itself, in seconds: two heartbeats. Until its redirect, the leader sends
 outcomes of jobs whose ends it has acknowledged, which their targets list no more."""
 
-FAREWELL_FRAMES = frozenset({"outcome", "progress", "redirect", "welcome"})
+HAND_OVER_FRAMES = frozenset({"outcome", "progress", "redirect", "welcome"})
 """Frames that a member still reads from a leader that asked it to lead; what else that
 leader tells is older than what the member learns as the leader."""
 
@@ -313,7 +313,7 @@
         while (frame := await stream.recv_message()) is not None:
             self.heard_at = time.monotonic()
             kind = frame.WhichOneof("frame")
-            if self._asked.is_set() and kind not in FAREWELL_FRAMES:
+            if self._asked.is_set() and kind not in HAND_OVER_FRAMES:
                 continue
             match kind:
                 case "outcome":
@@ -378,7 +378,7 @@
         named_leadership = await asyncio.shield(self._successor)
         if self.hears_leader:
             # Its redirect ends the stream.
-            await asyncio.sleep(FAREWELL_WAIT_S)
+            await asyncio.sleep(REDIRECT_WAIT_S)
         return FollowResult(
             end=FollowEnd.REDIRECTED, named_leadership=named_leadership, welcomed=True
         )
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -19,7 +19,7 @@
     LeaderRow,
 )
 from cassiaturn.fleet._leader_stream import (
-    FAREWELL_WAIT_S,
+    REDIRECT_WAIT_S,
     FollowEnd,
     FollowResult,
     LeaderStream,
@@ -333,7 +333,7 @@
         asked_by, self._asked_by = self._asked_by, None
         if asked_by is not None:
             is_same = asked_by.leadership.member_id == leadership.member_id
-            await asked_by.wait_for_redirect(0.0 if is_same else FAREWELL_WAIT_S)
+            await asked_by.wait_for_redirect(0.0 if is_same else REDIRECT_WAIT_S)
         stream = LeaderStream(
             leadership=leadership,
             hello=pb.Hello(
@@ -470,7 +470,7 @@
         """
         asked_by, self._asked_by = self._asked_by, None
         if asked_by is not None:
-            await asked_by.wait_for_redirect(FAREWELL_WAIT_S)
+            await asked_by.wait_for_redirect(REDIRECT_WAIT_S)
         if self.leader is leader:
             leader.attach_callers()
 
