Count a start's lease from the decision, and ask members after a pause

What callers saw: nothing reported.

Cause: a start names a time on its target's clock by which it must be carried out. It counted from the sending, so the order of a leader that was paused between its decision and the sending was as fresh as any, on a target that its successor never reached. On a suspended host the monotonic clock stands still, so such a leader did not even see its pause.

Evidence: the model plays a pause between decision and sending now, and a pause that the leader notices.

After a pause of 0.3 s a leader starts a member's job only after that member has repeated the pause's number in its heartbeat, its own callers' jobs after any member has; a leader that all have left refuses what it had queued. It asks rather than waits: packets of the time of a pause may come later than 0.3 s, and members that still follow answer in a round trip. Members of an earlier version, which don't answer, count once they are heard after 0.3 s, as before. The schema gains three fields; generated by `make proto`.

Ruled out: a target's own answer as proof of leadership (it obeys whoever reached it last, which is the fault); the row in the table service (a successor may lead without it).

Tests that failed before: with the lease counted from the sending `test_a_start_that_was_decided_before_a_pause_has_expired` fails; without the hold `test_a_paused_leader_starts_no_job_of_a_member_that_does_not_answer` does; both mutations of the model are caught. MAX_STATES of the model's tests rises from 60,000 to 80,000, so that a mutation which shows after 76,794 states is found; nothing is bounded less.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -52,6 +52,7 @@
         self.heard_at = time.monotonic()
         self.leaving = hello.leaving
         self.transit = TransitDelay()
+        self._is_heartbeat_due = False
         self._frames: deque[QueuedFrame] = deque()
         self._wake = asyncio.Event()
         self._roster = feed.join(hello, on_change=self._wake.set)
@@ -59,6 +60,11 @@
             feed=routing, follower_version=hello.routing_version
         )
 
+    @property
+    def answers_pauses(self) -> bool:
+        """Whether the member answers the question that follows a pause."""
+        return self.hello.answers_pauses
+
     @property
     def waiting(self) -> int:
         """Number of frames and list entries that wait to be sent."""
@@ -69,6 +75,11 @@
         self._frames.append(QueuedFrame(frame=frame, queued_at=time.monotonic()))
         self._wake.set()
 
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat at once, ahead of all other frames."""
+        self._is_heartbeat_due = True
+        self._wake.set()
+
     def note_routing(self, version: int | None = None) -> None:
         """Record that a configuration came into force, here or at the follower.
 
@@ -98,12 +109,13 @@
         :param beat: returns the heartbeat.
         """
         heartbeat_at = time.monotonic() + HEARTBEAT_S
-        while not self._frames:
+        while self._is_heartbeat_due or not self._frames:
             now = time.monotonic()
             due_list = self._next_due_list(now)
-            if due_list is not None:
+            if due_list is not None and not self._is_heartbeat_due:
                 return due_list
-            if heartbeat_at <= now:
+            if self._is_heartbeat_due or heartbeat_at <= now:
+                self._is_heartbeat_due = False
                 return QueuedFrame(frame=pb.LeaderFrame(beat=beat()), queued_at=now)
             self._wake.clear()
             due_at = [heartbeat_at, self._roster.due_at, self._routing.due_at]
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -20,6 +20,7 @@
 from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._leader_targets import LeaderTargets
 from cassiaturn.fleet._leadership import Leadership
+from cassiaturn.fleet._pause import PauseHold
 from cassiaturn.fleet._ports import PlatformServices
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.fleet._watch import Watch
@@ -47,14 +48,6 @@
 """Minimum pause between two such calls, in seconds. Every target writes its entry each
 1.5 s, so without a pause every call would return immediately."""
 
-STALL_S = 0.75
-"""Time without a tick after which followers have elected another leader, in seconds."""
-
-STALL_RECOVERY_S = 0.3
-"""Time for which a process starts nothing after it was paused, in seconds: its queued
-jobs may run under another leader, and followers and targets report that leader within
-this time."""
-
 LEFTOVER_STOP_DELAY_S = 0.3
 """Delay before a superseded leader stops its remaining runs, in seconds: by then its
 successor has contacted every target that it can reach, and those refuse the order."""
@@ -63,6 +56,16 @@
 class FollowerPort(Protocol):
     """Sends the leader's decisions to one follower."""
 
+    heard_at: float
+    """Monotonic time of its last frame, in seconds."""
+
+    @property
+    def answers_pauses(self) -> bool:
+        """Whether it answers the question that follows a pause."""
+
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat at once, which asks for an answer after a pause."""
+
     def send_accepted(self, job_id: str) -> None:
         """Report that a job was accepted and will start once it is confirmed."""
 
@@ -146,11 +149,8 @@
         """Monotonic time since which every pass over the queue has left jobs unstarted
         that could still be in time, in seconds; 0 if the last pass left none."""
 
-        self._ticked_at = time.monotonic()
-        self._resume_at = 0.0
-        """Monotonic time before which nothing starts, after a process pause, in
-        seconds."""
-
+        self._pauses = PauseHold(own_id=leadership.member_id, now=time.monotonic())
+        self._tables.unheard_members = self._pauses.unheard
         self._closed = False
         self.on_directory_change: Callable[[str, TargetReport | None], None] = (
             lambda target_id, report: None
@@ -182,6 +182,11 @@
         """Whether new jobs of followers wait for a confirmation before they start."""
         return self._cpu_headroom.is_available
 
+    @property
+    def pauses(self) -> int:
+        """How often this process was paused in this term."""
+        return self._pauses.number
+
     @property
     def heard_targets(self) -> int:
         """Number of targets that answer and have reported what they run."""
@@ -320,9 +325,18 @@
         workload.cancel(self._tables, self, job_id, member_id, time.monotonic())
         self._schedule_dispatch()
 
+    def note_answer(self, member_id: str, pauses: int) -> None:
+        """Record that a follower still follows.
+
+        :param pauses: number of the last pause of this process that it knows of.
+        """
+        if self._pauses.note_answer(member_id, pauses):
+            self._schedule_dispatch()
+
     def drop_member(self, member_id: str) -> None:
         """Remove a follower that is gone, and cancel its jobs."""
         self.followers_by_id.pop(member_id, None)
+        self._pauses.unheard.discard(member_id)
         workload.on_member_gone(self._tables, self, member_id, time.monotonic())
         self._schedule_dispatch()
 
@@ -425,6 +439,35 @@
         self.superseded_ids.add(target_id)
         self._on_superseded()
 
+    def on_clock_ahead(self, target_id: str, ahead_s: float, *, since: float) -> None:
+        """Hold all starts: this host was suspended, and its clock stood still.
+
+        :param ahead_s: by how much the target's clock is ahead, in seconds.
+        :param since: monotonic time of the target's answer before, in seconds.
+        """
+        if since > self._pauses.began_at:
+            self._hold_starts(time.monotonic(), ahead_s, target_id)
+
+    def _hold_starts(self, now: float, paused_s: float, target_id: str = "") -> None:
+        """Ask every follower whether it still follows, after a pause.
+
+        :param target_id: the target whose clock shows the pause; empty: it is this
+            host's own.
+        """
+        if self._closed:
+            return
+        self._pauses.begin(now, self.followers_by_id)
+        log_event(
+            Event.PAUSE_DETECTED,
+            paused_ms=round(paused_s * 1000),
+            number=self._pauses.number,
+            asked=len(self.followers_by_id),
+            target=target_id,
+            queued=len(self._tables.jobs_by_id),
+        )
+        for follower in self.followers_by_id.values():
+            follower.send_heartbeat()
+
     # Timers.
 
     async def _tick(self) -> None:
@@ -434,21 +477,38 @@
             due_at = began_at + TICK_S
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
-            self._ticked_at = now
-            if now - due_at >= STALL_S:
-                self._resume_at = now + STALL_RECOVERY_S
+            paused_s = self._pauses.turn(now)
+            if paused_s:
+                self._hold_starts(now, paused_s)
             self._load.observe_loop_delay(now - due_at)
             cpu_share = (time.process_time() - cpu_before_s) / (now - began_at)
             self._cpu_headroom.observe(now - due_at, cpu_share)
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
-            if now < self._resume_at:
+            self._release_unanswered(now)
+            if self._pauses.holds_all:
                 continue
             if workload.next_check(self._tables, now) is None:
                 continue
             self._record_deferred(workload.tick(self._tables, self, now), now)
 
+    def _release_unanswered(self, now: float) -> None:
+        """End the hold for members that cannot answer, and for a leader without any."""
+        if not self._pauses.unheard:
+            return
+        for member_id, follower in self.followers_by_id.items():
+            # An earlier version of this program does not answer.
+            if not follower.answers_pauses and self._pauses.counts_as_answer(
+                now, heard_at=follower.heard_at
+            ):
+                self.note_answer(member_id, self.pauses)
+        if self._pauses.end_alone(now, self.followers_by_id):
+            # Its callers may have submitted these jobs to the members that left.
+            workload.end_unstarted(
+                self._tables, self, before=self._pauses.began_at, now=now
+            )
+
     def _shed_load(self, late_s: float, now: float) -> None:
         was_shedding = bool(self._shedder.share)
         behind_s = now - self._behind_since if self._behind_since else 0.0
@@ -474,7 +534,7 @@
         if self._closed:
             return
         now = time.monotonic()
-        if now < self._resume_at or now - self._ticked_at >= STALL_S:
+        if self._pauses.is_paused(now):
             return
         self._record_deferred(workload.dispatch(self._tables, self, now), now)
 
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -141,6 +141,7 @@
         self._on_leadership = on_leadership
         self._frames: asyncio.Queue[pb.FollowerFrame] = asyncio.Queue()
         self._sent_routing_version = 0
+        self._known_pauses = 0
         self._asked = asyncio.Event()
         self._running: asyncio.Task[FollowResult] | None = None
         self._successor: asyncio.Future[Leadership] = (
@@ -297,6 +298,7 @@
             routing_version=self._routing.version,
             leaving=self.leaving,
             drained=from_drains(self._drains.current),
+            pauses=self._known_pauses,
         )
         return pb.FollowerFrame(beat=beat)
 
@@ -364,6 +366,9 @@
         self._caller_jobs.shed_share = beat.shed_share
         self.waits_for_confirmation = beat.asks_first
         self._read_drains(beat.drained)
+        if beat.pauses != self._known_pauses:
+            self._known_pauses = beat.pauses
+            self.send_heartbeat()
         table = self._routing.current
         if table is None or table.version <= beat.routing_version:
             return
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -345,6 +345,7 @@
                 routing_version=self.routing.version,
                 link_mbps=self.settings.link_mbps,
                 leaving=self._stopping,
+                answers_pauses=True,
                 drained=from_drains(self.drains.current),
             ),
             caller_jobs=self.caller_jobs,
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -218,6 +218,8 @@
             failure_domain=hello.failure_domain,
             token=leader.leadership.token,
         )
+        if leader.pauses:
+            follower.send_heartbeat()
         welcome = pb.LeaderFrame(welcome=from_leadership(leader.leadership))
         try:
             await stream.send_message(welcome)
@@ -310,6 +312,7 @@
             shed_share=leader.shed_share,
             asks_first=leader.asks_first,
             drained=from_drains(self._drains.current),
+            pauses=leader.pauses,
         )
 
     async def _receive(
@@ -342,6 +345,7 @@
                 case "beat":
                     follower.note_routing(frame.beat.routing_version)
                     follower.leaving = frame.beat.leaving
+                    leader.note_answer(follower.hello.member_id, frame.beat.pauses)
                     self._member.read_drains(frame.beat.drained)
                 case "routing":
                     self._member.read_routing(frame.routing)
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -21,6 +21,7 @@
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._lease_clock import LeaseClock
+from cassiaturn.fleet._pause import PAUSE_S
 from cassiaturn.fleet._ports import (
     Authority,
     CallProblem,
@@ -92,6 +93,13 @@
     def on_superseded(self, target_id: str) -> None:
         """Handle that the target obeys a later leader."""
 
+    def on_clock_ahead(self, target_id: str, ahead_s: float, *, since: float) -> None:
+        """Handle that more time passed at the target than on this host.
+
+        :param ahead_s: how much more, in seconds.
+        :param since: monotonic time of the target's answer before, in seconds.
+        """
+
 
 class TargetLink:
     """The leader's only connection to one incarnation of a target."""
@@ -400,7 +408,9 @@
 
         The order is idempotent: all attempts name the same run, which a target starts
         only once. A target that receives an attempt late refuses it, because its lease
-        or the run itself has ended by then.
+        or the run itself has ended by then. The lease of all attempts counts from the
+        decision: this process may be paused between the decision and the sending, and
+        have a successor when it resumes, which the target may not have heard from.
         """
         timeouts_s = [ORDER_TIMEOUT_S] * START_ATTEMPTS
         if self._answer_loss.is_lossy(time.monotonic()):
@@ -424,7 +434,7 @@
         reply = await self._calls.start(
             self.authority,
             order,
-            lease_until_ms=self._clock.lease_end(sent_at),
+            lease_until_ms=self._clock.lease_end(order.decided_at),
             timeout_s=timeout_s,
         )
         self._count_request("start", sent_at, reply.answer is not StartAnswer.UNKNOWN)
@@ -473,8 +483,12 @@
 
     def _record_clock(self, clock_ms: int) -> None:
         now = time.monotonic()
-        self._answered_at = now
-        self._clock.observe(clock_ms, now)
+        answered_before, self._answered_at = self._answered_at, now
+        ahead_s = self._clock.observe(clock_ms, now)
+        if ahead_s >= PAUSE_S:
+            self._events.on_clock_ahead(
+                self.authority.target_id, ahead_s, since=answered_before
+            )
 
 
 def _is_answered(result: Result[Any, CallProblem]) -> bool:
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -44,6 +44,7 @@
         self.asked = 0
         self.started: list[int] = []
         self.timeouts_s: list[float] = []
+        self.start_leases_ms: list[int | None] = []
         self.answer_s = 0.0
         self.ended: tuple[EndedRun, ...] = ()
 
@@ -66,9 +67,11 @@
         order: StartOrder,
         *,
         timeout_s: float,
+        lease_until_ms: int | None,
         **options: object,
     ) -> StartReply:
         self.started.append(order.number)
+        self.start_leases_ms.append(lease_until_ms)
         self.timeouts_s.append(timeout_s)
         answer = self._start_answers.pop(0)
         clock_ms = None if answer is StartAnswer.UNKNOWN else 5_000
@@ -97,6 +100,9 @@
     def on_superseded(self, target_id: str) -> None:
         self.superseded += 1
 
+    def on_clock_ahead(self, target_id: str, ahead_s: float, *, since: float) -> None:
+        """Ignore the event."""
+
     def on_lost(self, target_id: str, reason: str) -> None:
         """Ignore the event."""
 
@@ -220,7 +226,11 @@
     calls = FakeTargetCalls([True], answers)
     events = RecordedEvents()
     link = _link(calls, events)
-    await link._start(StartOrder(target_id="t", ref=REF, number=65, payload="x"))
+    await link._start(
+        StartOrder(
+            target_id="t", ref=REF, number=65, payload="x", decided_at=time.monotonic()
+        )
+    )
     assert events.start_answers == [expected]
     assert calls.started == [65] * len(answers)
     assert events.superseded == (answers[-1] is StartAnswer.SUPERSEDED)
@@ -247,7 +257,11 @@
     calls = FakeTargetCalls([False], (UNANSWERED, UNANSWERED, UNANSWERED))
     link = _link(calls, RecordedEvents())
     await link._renew()
-    await link._start(StartOrder(target_id="t", ref=REF, number=65, payload="x"))
+    await link._start(
+        StartOrder(
+            target_id="t", ref=REF, number=65, payload="x", decided_at=time.monotonic()
+        )
+    )
     assert not link._answer_loss.is_lossy(time.monotonic())
 
 
@@ -263,7 +277,9 @@
     link = _link(calls, RecordedEvents())
     for _ in range(50):
         link._answer_time.observe(0.004)
-    order = StartOrder(target_id="t", ref=REF, number=65, payload="x")
+    order = StartOrder(
+        target_id="t", ref=REF, number=65, payload="x", decided_at=time.monotonic()
+    )
     await link._start(order)
     assert calls.timeouts_s == [ORDER_TIMEOUT_S] * 2
     await link._start(order)
@@ -360,7 +376,11 @@
     calls = FakeTargetCalls([True], (StartAnswer.UNKNOWN, StartAnswer.STARTED))
     events = RecordedEvents()
     link = _link(calls, events, may_start=False)
-    await link._start(StartOrder(target_id="t", ref=REF, number=65, payload="x"))
+    await link._start(
+        StartOrder(
+            target_id="t", ref=REF, number=65, payload="x", decided_at=time.monotonic()
+        )
+    )
     assert calls.started == [65]
     assert events.start_answers == [StartAnswer.UNKNOWN]
 
@@ -402,3 +422,23 @@
 
 def test_few_targets_are_polled_as_often_as_one() -> None:
     assert list_period_s(LOSSY_RENEW_PERIOD_S, targets=24) == LOSSY_RENEW_PERIOD_S
+
+
+async def test_a_start_that_was_decided_before_a_pause_has_expired() -> None:
+    """Guards against a resumed leader whose queued starts are carried out.
+
+    The process is paused after the decision, and its successor starts the task on
+    another target. Each attempt to send the order must name a time that has passed.
+    """
+    calls = FakeTargetCalls([True], (StartAnswer.UNKNOWN, StartAnswer.LATE))
+    link = _link(calls, RecordedEvents())
+    await link._renew()
+    decided_at = time.monotonic() - 1.5
+    await link._start(
+        StartOrder(
+            target_id="t", ref=REF, number=65, payload="x", decided_at=decided_at
+        )
+    )
+    clock_ms = 1_000 + calls.asked
+    assert calls.started == [65, 65]
+    assert all(end is not None and end < clock_ms for end in calls.start_leases_ms)
--- a/src/cassiaturn/model/leases/_explore.py
+++ b/src/cassiaturn/model/leases/_explore.py
@@ -46,7 +46,13 @@
     "cut_target_cut_killed": Scenario(
         Budget(cuts=1, target_cuts=1, kills=1), caller_at=1
     ),
+    "leader_freezes_before_start": Scenario(
+        Budget(freezes=1, target_cuts=1, submits=1), caller_at=1, started=False
+    ),
     "frozen_target_cut": Scenario(Budget(freezes=1, target_cuts=1), caller_at=1),
+    "leader_freezes_cut": Scenario(
+        Budget(freezes=1, cuts=1, resets=1), caller_at=0, started=False
+    ),
     "leader_freezes_target_cut": Scenario(
         Budget(freezes=1, resets=1, target_cuts=1), caller_at=0
     ),
--- a/src/cassiaturn/model/leases/_members.py
+++ b/src/cassiaturn/model/leases/_members.py
@@ -143,6 +143,15 @@
     return state
 
 
+def refuse(state: State, leader: int) -> State:
+    """Return a state in which a leader refused its own caller's job, if it waits."""
+    if state.tables[leader].run is not None or not state.members[leader].has_job:
+        return state
+    if state.caller_at == leader:
+        state = state._replace(caller_at=NOBODY, caller_wait=RESUBMIT_TICKS)
+    return cancel(state, leader)
+
+
 def drop(state: State, leader: int, origin: int) -> State:
     """Return a state in which a leader serves an origin no more."""
     tables = state.tables[leader]
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -24,6 +24,9 @@
 RESUBMIT_TICKS = 5
 """How long a caller waits before it submits again: 1.3 s, rounded down."""
 
+PAUSE_TICKS = 2
+"""When a leader that wakes knows for certain that it stood still: 0.3 s, rounded up."""
+
 NOBODY = -1
 """Stands for no member and no target."""
 
@@ -78,6 +81,14 @@
     survey_first: bool = True
     """A new leader starts nothing before every target that answers was heard."""
 
+    hear_after_pause: bool = True
+    """A leader that stood still starts a member's job only once that member has
+    answered it since."""
+
+    start_by_from_decision: bool = True
+    """The time by which a start must be carried out counts from the decision, not from
+    the sending."""
+
 
 class Budget(NamedTuple):
     """How often each fault may still happen."""
@@ -197,6 +208,12 @@
     member_silence: int = 0
     """Ticks since the other member was last heard."""
 
+    unheard: frozenset[int] = frozenset()
+    """Members that have not answered since this leader stood still."""
+
+    decided: Order | None = None
+    """A start that was decided on, but not sent, when this leader froze."""
+
 
 class Member(NamedTuple):
     """One process."""
@@ -207,6 +224,9 @@
     frozen: bool = False
     """Whether it stands still."""
 
+    frozen_ticks: int = 0
+    """For how long it has, up to ``PAUSE_TICKS``."""
+
     follows: int = 0
     """The leader that it passes jobs to."""
 
@@ -251,6 +271,9 @@
     """Member whose caller waits for its job, which runs at target 0; ``NOBODY``:
     nothing was submitted yet."""
 
+    started: bool = True
+    """Whether that job runs already; otherwise it waits in the leader's queue."""
+
 
 def first_state(scenario: Scenario) -> State:
     """Return the state in which member 0 leads and has heard every target."""
@@ -260,7 +283,9 @@
     targets = [Target(token=2), Target(token=2)]
     origin = scenario.caller_at
     if origin != NOBODY:
-        run = Run(target=0, number=1, settled=True)
+        run = None
+        if scenario.started:
+            run = Run(target=0, number=1, settled=True)
         leading = leading._replace(
             origins=frozenset({origin}),
             run=run,
@@ -271,7 +296,8 @@
         members[origin] = members[origin]._replace(
             has_job=True, passed_to=0, confirmed=True
         )
-        targets[0] = targets[0]._replace(run=1, lease=LEASE_TICKS)
+        if scenario.started:
+            targets[0] = targets[0]._replace(run=1, lease=LEASE_TICKS)
         budget = budget._replace(submits=budget.submits - 1)
     return State(
         budget=budget,
--- a/src/cassiaturn/model/leases/_targets.py
+++ b/src/cassiaturn/model/leases/_targets.py
@@ -29,19 +29,26 @@
     """Order a start wherever a leader may."""
     for leader in MEMBERS:
         tables = state.tables[leader]
-        if not leads(state, leader) or not tables.origins or tables.run is not None:
-            continue
-        if rules.confirm_first and not tables.confirmed:
-            continue
-        if tables.hold and tables.heard != frozenset(TARGETS):
-            continue
-        if rules.survey_first and has_unasked(state, leader):
+        if not leads(state, leader) or not may_start(state, leader, rules):
             continue
         for target in sorted(tables.heard):
             yield from _order(state, leader, target)
 
 
-def _order(state: State, leader: int, target: int) -> Iterator[Step]:
+def may_start(state: State, leader: int, rules: Rules) -> bool:
+    """Return whether a leader may order a start of its job."""
+    tables = state.tables[leader]
+    if not tables.origins - tables.unheard or tables.run is not None:
+        return False
+    if rules.confirm_first and not tables.confirmed:
+        return False
+    if tables.hold and tables.heard != frozenset(TARGETS):
+        return False
+    return not (rules.survey_first and has_unasked(state, leader))
+
+
+def decide(state: State, leader: int, target: int) -> tuple[Order, State]:
+    """Return a leader's order to start its job, and the state with that run in it."""
     tables = state.tables[leader]
     order = Order(
         sender=leader,
@@ -58,6 +65,11 @@
         next_run=tables.next_run + 1,
         lease_left=LEASE_OVER_TICKS,
     )
+    return order, after
+
+
+def _order(state: State, leader: int, target: int) -> Iterator[Step]:
+    order, after = decide(state, leader, target)
     label = f"member {leader} orders run {order.number} at target {target}"
     if reaches(state, leader, target):
         yield Step(label, after._replace(orders=state.orders | {order}))
--- a/src/cassiaturn/model/leases/_time.py
+++ b/src/cassiaturn/model/leases/_time.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Iterator
 
-from cassiaturn.model.leases._members import can_pass_on, drop, later_leader
+from cassiaturn.model.leases._members import (
+    can_pass_on,
+    drop,
+    later_leader,
+    refuse,
+)
 from cassiaturn.model.leases._registry import (
     Step,
     action,
@@ -18,8 +23,10 @@
 )
 from cassiaturn.model.leases._state import (
     FOLLOWER_SILENT_TICKS,
+    LEASE_TICKS,
     MEMBERS,
     NOBODY,
+    PAUSE_TICKS,
     RESUBMIT_TICKS,
     TARGETS,
     Member,
@@ -27,7 +34,7 @@
     State,
     Tables,
 )
-from cassiaturn.model.leases._targets import take_list
+from cassiaturn.model.leases._targets import decide, may_start, take_list
 
 
 @action
@@ -82,6 +89,8 @@
 
 
 def _age_member(state: State, number: int, rules: Rules) -> State:
+    if state.members[number].frozen:
+        return _age_frozen(state, number)
     if not leads(state, number):
         return state
     for target in TARGETS:
@@ -104,6 +113,16 @@
     return _age_silence(state, number, rules)
 
 
+def _age_frozen(state: State, number: int) -> State:
+    ticks = min(state.members[number].frozen_ticks + 1, PAUSE_TICKS)
+    state = put_member(state, number, frozen_ticks=ticks)
+    order = state.tables[number].decided
+    if order is None:
+        return state
+    order = order._replace(ticks_left=max(0, order.ticks_left - 1))
+    return put_tables(state, number, decided=order)
+
+
 def _age_silence(state: State, leader: int, rules: Rules) -> State:
     other = 1 - leader
     follows = state.members[other].follows == leader
@@ -121,10 +140,15 @@
     """Freeze a member."""
     for number in MEMBERS:
         after = spend(state, "freezes")
-        if after is not None and acts(state, number):
-            yield Step(
-                f"member {number} freezes", put_member(after, number, frozen=True)
-            )
+        if after is None or not acts(state, number):
+            continue
+        frozen = put_member(after, number, frozen=True)
+        yield Step(f"member {number} freezes", frozen)
+        if leads(state, number) and may_start(state, number, rules):
+            for target in sorted(state.tables[number].heard):
+                order, decided = decide(frozen, number, target)
+                label = f"member {number} freezes before it sends run {order.number}"
+                yield Step(label, put_tables(decided, number, decided=order))
 
 
 @action
@@ -132,9 +156,37 @@
     """Let a frozen member go on as if no time had passed."""
     for number in MEMBERS:
         if state.members[number].alive and state.members[number].frozen:
-            yield Step(
-                f"member {number} wakes", put_member(state, number, frozen=False)
-            )
+            yield Step(f"member {number} wakes", _wake(state, number, rules))
+
+
+def _wake(state: State, number: int, rules: Rules) -> State:
+    was_paused = state.members[number].frozen_ticks >= PAUSE_TICKS
+    order = state.tables[number].decided
+    state = put_member(state, number, frozen=False, frozen_ticks=0)
+    state = put_tables(state, number, decided=None)
+    if was_paused and rules.hear_after_pause and state.tables[number].token:
+        state = put_tables(state, number, unheard=frozenset(MEMBERS))
+    if order is None or not reaches(state, number, order.target):
+        return state
+    if not rules.start_by_from_decision:
+        order = order._replace(ticks_left=LEASE_TICKS)
+    return state._replace(orders=state.orders | {order})
+
+
+@action
+def answer_after_pause(state: State, rules: Rules) -> Iterator[Step]:
+    """Answer a leader that stood still, or let it end what nobody answers for."""
+    for leader in MEMBERS:
+        if not leads(state, leader) or not state.tables[leader].unheard:
+            continue
+        other = 1 - leader
+        if not hear_each_other(state, leader, other):
+            after = put_tables(state, leader, unheard=frozenset())
+            after = refuse(drop(after, leader, other), leader)
+            yield Step(f"member {leader} hears nobody after its pause", after)
+        elif state.members[other].follows == leader:
+            after = put_tables(state, leader, unheard=frozenset())
+            yield Step(f"member {other} answers {leader} after its pause", after)
 
 
 @action
--- a/src/cassiaturn/model/tests/test_leases.py
+++ b/src/cassiaturn/model/tests/test_leases.py
@@ -9,7 +9,9 @@
     explore_leases,
 )
 
-MAX_STATES = 60_000
+MAX_STATES = 80_000
+
+LARGE_MAX_STATES = 3_000_000
 
 
 @pytest.mark.parametrize("name", SCENARIOS_BY_NAME)
@@ -26,6 +28,15 @@
     assert found.finished
 
 
+@pytest.mark.parametrize("name", ["leader_freezes_cut"])
+def test_no_task_runs_twice_at_once_in_any_state_of_a_large_scenario(name: str) -> None:
+    """Guards against two concurrent runs of a task after a pause during a cut."""
+    found = explore_leases(name, Rules(), max_states=LARGE_MAX_STATES)
+
+    assert found.broken is None, found.trace
+    assert found.finished
+
+
 # The scenario in which each safeguard's loss shows, and the promise that breaks.
 CAUGHT = {
     "fence_off": ("member_killed", "never_two_at_once"),
@@ -42,6 +53,8 @@
     "copies_name_their_run_off": ("late_order_copied", "never_two_at_once"),
     "confirm_first_off": ("new_job_cut_target_cut", "never_two_at_once"),
     "survey_first_off": ("cut_killed", "never_two_at_once"),
+    "hear_after_pause_off": ("leader_freezes_before_start", "never_two_at_once"),
+    "start_by_from_decision_off": ("leader_freezes_before_start", "never_two_at_once"),
 }
 
 
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -42,7 +42,12 @@
     Task,
     Verdict,
 )
-from cassiaturn.workload._tick import has_tight_runs, next_check, tick
+from cassiaturn.workload._tick import (
+    end_unstarted,
+    has_tight_runs,
+    next_check,
+    tick,
+)
 from cassiaturn.workload._unsupported_features import unsupported_feature
 
 __all__ = [
@@ -64,6 +69,7 @@
     "cancel",
     "confirm",
     "dispatch",
+    "end_unstarted",
     "has_tight_runs",
     "next_check",
     "on_drained_domains",
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -78,7 +78,7 @@
 
 
 def _may_start(tables: Tables, job: Job, now: float) -> bool:
-    if not job.is_confirmed:
+    if not job.is_confirmed or job.origins <= tables.unheard_members:
         return False
     if not job.begun and now > latest_start(
         limit_at=job.deadlines.limit_at,
@@ -150,6 +150,7 @@
             ref=task.ref,
             number=run.number,
             payload=job.request.payload,
+            decided_at=now,
         )
     )
     return run
--- a/src/cassiaturn/workload/_ports.py
+++ b/src/cassiaturn/workload/_ports.py
@@ -24,6 +24,10 @@
     payload: str
     """Input of the task."""
 
+    decided_at: float
+    """When the leader decided on the start, in seconds: the time within which the
+    target may carry it out counts from then."""
+
     checkpoint: str = ""
     """Checkpoint to resume from; empty: none."""
 
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -1,6 +1,7 @@
 """State of a leader: jobs, tasks, runs and targets."""
 
 from collections import OrderedDict
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -430,6 +431,10 @@
     routing: RoutingTable | None = None
     """Routing configuration in force; None: not known yet."""
 
+    unheard_members: AbstractSet[str] = frozenset()
+    """Members that may have left this leader while its process was paused. Their jobs
+    do not start before they have answered it."""
+
     drained_domains: frozenset[str] | None = frozenset()
     """Failure domains whose targets get no start; None: not known yet, so that nothing
     starts."""
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -125,6 +125,26 @@
             settle(tables, ports, job, outcome, now)
 
 
+def end_unstarted(tables: Tables, ports: Ports, *, before: float, now: float) -> None:
+    """End the jobs of this leader's own callers that may run under another leader.
+
+    A job of which a run is known here goes on: its targets still obey this leader.
+
+    :param before: jobs that arrived later are kept, in seconds.
+    """
+    for job in list(tables.jobs_by_id.values()):
+        if job.arrived_at > before or any(
+            ref in tables.runs_by_ref for ref in job.tasks_by_ref
+        ):
+            continue
+        outcome = Outcome(verdict=Verdict.ABANDONED, reason="leader_paused")
+        if not job.begun:
+            outcome = make_refusal(
+                "leader_paused", job, tables.settings.min_retry_after_s
+            )
+        settle(tables, ports, job, outcome, now)
+
+
 def _refuse(tables: Tables, ports: Ports, job: Job, reason: str, now: float) -> None:
     if not job.begun:
         outcome = make_refusal(reason, job, tables.settings.min_retry_after_s)
