Send a due heartbeat before a page of the list is taken

What callers saw: nothing, not landed. Members that joined a leader whose process had been paused in its term never learned of some members or targets.

Test that failed before: `test_a_heartbeat_that_is_due_costs_no_page_of_the_list`.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -111,12 +111,12 @@
         heartbeat_at = time.monotonic() + HEARTBEAT_S
         while self._is_heartbeat_due or not self._frames:
             now = time.monotonic()
-            due_list = self._next_due_list(now)
-            if due_list is not None and not self._is_heartbeat_due:
-                return due_list
             if self._is_heartbeat_due or heartbeat_at <= now:
                 self._is_heartbeat_due = False
                 return QueuedFrame(frame=pb.LeaderFrame(beat=beat()), queued_at=now)
+            due_list = self._next_due_list(now)
+            if due_list is not None:
+                return due_list
             self._wake.clear()
             due_at = [heartbeat_at, self._roster.due_at, self._routing.due_at]
             wait_s = min(at for at in due_at if at is not None) - now
