Acknowledge an end once another member knows of it

Cause: the leader's next request acknowledges an end, and the target forgets it. If the process is killed before the outcome is on its way, or while other tasks of the job still run, nobody else knows that the task is done, and the successor starts it again.

Change: ToldEnds names the last end that may be acknowledged: the one up to which all frames that tell of it were written to a connection. That frame is the outcome to the job's member, or, for an unfinished job, the finished tasks to one follower, the keeper: the one that claims first after a loss. What ended meanwhile shares one frame. The keeper uses or hands on what it kept. A leader waits for the receipt before its next long poll, which a target would answer at once, for 0.75 s at most.

Left: the keeper lost with the leader; ends of jobs that no member has passed on yet; not in the model of the leases, which knows no ends that are done.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -8,8 +8,10 @@
 
 from cassiaturn.entities import TaskRef
 from cassiaturn.fleet._codec import from_completed, from_outcome
+from cassiaturn.fleet._done_tasks import to_message
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing_feed import RoutingCursor, RoutingFeed
+from cassiaturn.fleet._told_ends import Receipt
 from cassiaturn.sharing import TransitDelay
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import Outcome
@@ -29,6 +31,9 @@
     queued_at: float
     """Since when it waits, on the monotonic clock, in seconds."""
 
+    receipt: Receipt | None = None
+    """Set once the frame was written; None if nobody waits for that."""
+
 
 class Follower:
     """A member that follows this leader, over one stream.
@@ -51,8 +56,13 @@
         self.hello = hello
         self.heard_at = time.monotonic()
         self.leaving = hello.leaving
+        self.is_gone = False
         self.transit = TransitDelay()
         self._is_heartbeat_due = False
+        self._receipts: set[Receipt] = set()
+        self._done_by_job: dict[str, set[TaskRef]] = {}
+        self._ended_jobs: list[str] = []
+        self._done_receipt: Receipt | None = None
         self._frames: deque[QueuedFrame] = deque()
         self._wake = asyncio.Event()
         self._roster = feed.join(hello, on_change=self._wake.set)
@@ -60,6 +70,14 @@
             feed=routing, follower_version=hello.routing_version
         )
 
+    @property
+    def keeper_rank(self) -> tuple[bool, float, str]:
+        """Rank as the keeper of finished tasks; the lowest is the likeliest successor.
+
+        Members claim the leadership in this order.
+        """
+        return (self.leaving, -self.hello.link_mbps, self.hello.address)
+
     @property
     def answers_pauses(self) -> bool:
         """Whether the member answers the question that follows a pause."""
@@ -70,11 +88,33 @@
         """Number of frames and list entries that wait to be sent."""
         return len(self._frames) + self._roster.waiting
 
-    def enqueue(self, frame: pb.LeaderFrame) -> None:
-        """Queue a frame behind the frames that wait already, and ahead of any list."""
-        self._frames.append(QueuedFrame(frame=frame, queued_at=time.monotonic()))
+    def enqueue(self, frame: pb.LeaderFrame, *, receipt: Receipt | None = None) -> None:
+        """Queue a frame behind the frames that wait already, and ahead of any list.
+
+        :param receipt: set once the frame was written.
+        """
+        queued = QueuedFrame(frame=frame, queued_at=time.monotonic(), receipt=receipt)
+        self._frames.append(queued)
         self._wake.set()
 
+    def close(self) -> None:
+        """Settle the receipts of all frames: the member is gone."""
+        self.is_gone = True
+        for receipt in list(self._receipts):
+            if not receipt.done():
+                receipt.set_result(None)
+
+    def _enqueue_with_receipt(self, frame: pb.LeaderFrame) -> Receipt:
+        receipt = self._new_receipt()
+        self.enqueue(frame, receipt=receipt)
+        return receipt
+
+    def _new_receipt(self) -> Receipt:
+        receipt: Receipt = asyncio.get_running_loop().create_future()
+        self._receipts.add(receipt)
+        receipt.add_done_callback(self._receipts.discard)
+        return receipt
+
     def send_heartbeat(self) -> None:
         """Send a heartbeat at once, ahead of all other frames."""
         self._is_heartbeat_due = True
@@ -94,14 +134,44 @@
         message = pb.JobConfirmation(job_id=job_id)
         self.enqueue(pb.LeaderFrame(taken_in=message))
 
-    def send_outcome(self, job_id: str, outcome: Outcome) -> None:
+    def send_outcome(self, job_id: str, outcome: Outcome) -> Receipt:
         """Tell the follower the outcome of a job."""
-        self.enqueue(pb.LeaderFrame(outcome=from_outcome(job_id, outcome)))
+        return self._enqueue_with_receipt(
+            pb.LeaderFrame(outcome=from_outcome(job_id, outcome))
+        )
 
-    def send_progress(self, job_id: str, completed: Iterable[TaskRef]) -> None:
+    def send_progress(self, job_id: str, completed: Iterable[TaskRef]) -> Receipt:
         """Tell the follower which tasks of a job are done."""
         message = pb.JobProgress(job_id=job_id, completed=from_completed(completed))
-        self.enqueue(pb.LeaderFrame(progress=message))
+        return self._enqueue_with_receipt(pb.LeaderFrame(progress=message))
+
+    def keep_done(self, job_id: str, done: Iterable[TaskRef]) -> Receipt:
+        """Have the member keep finished tasks of a job for the next leader.
+
+        :returns: the receipt of the frame, which tells of all that is done by then.
+        """
+        self._done_by_job.setdefault(job_id, set()).update(done)
+        self._wake.set()
+        if self._done_receipt is None:
+            self._done_receipt = self._new_receipt()
+        return self._done_receipt
+
+    def drop_done(self, job_ids: Iterable[str]) -> None:
+        """Tell the member that jobs have ended of which it keeps tasks."""
+        self._ended_jobs.extend(job_ids)
+        self._wake.set()
+
+    @property
+    def _keeps_news(self) -> bool:
+        return bool(self._done_by_job or self._ended_jobs)
+
+    def _next_done(self, now: float) -> QueuedFrame:
+        message = to_message(self._done_by_job, self._ended_jobs)
+        receipt, self._done_receipt = self._done_receipt, None
+        self._done_by_job = {}
+        self._ended_jobs = []
+        frame = pb.LeaderFrame(done=message)
+        return QueuedFrame(frame=frame, queued_at=now, receipt=receipt)
 
     async def next_frame(self, beat: Callable[[], pb.LeaderBeat]) -> QueuedFrame:
         """Wait for a frame to send; returns a heartbeat if none comes in its period.
@@ -114,6 +184,8 @@
             if self._is_heartbeat_due or heartbeat_at <= now:
                 self._is_heartbeat_due = False
                 return QueuedFrame(frame=pb.LeaderFrame(beat=beat()), queued_at=now)
+            if self._keeps_news:
+                return self._next_done(now)
             due_list = self._next_due_list(now)
             if due_list is not None:
                 return due_list
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from cassiaturn import workload
 from cassiaturn.entities import (
     DrainedDomains,
+    EndedRun,
     LeaseReport,
     RoutingTable,
+    RunEnd,
     StartAnswer,
     TargetReport,
     TaskRef,
@@ -23,6 +26,7 @@
 from cassiaturn.fleet._pause import PauseHold
 from cassiaturn.fleet._ports import PlatformServices
 from cassiaturn.fleet._routing import CurrentRouting
+from cassiaturn.fleet._told_ends import TELL_TIMEOUT_S, Receipt
 from cassiaturn.fleet._watch import Watch
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.sharing import CpuHeadroom, Lateness, LoadShedder
@@ -44,6 +48,9 @@
 """Longest wait for a change of the directory in one call, in seconds: a dead connection
 is noticed in time for a target that leaves after 2 s."""
 
+MAX_RECEIPTS = 1_000
+"""Number of receipts of frames to keep: a target lists at most 500 ends at once."""
+
 DIRECTORY_PAUSE_S = 0.3
 """Minimum pause between two such calls, in seconds. Every target writes its entry each
 1.5 s, so without a pause every call would return immediately."""
@@ -59,6 +66,16 @@
     heard_at: float
     """Monotonic time of its last frame, in seconds."""
 
+    leaving: bool
+    """Whether it is stopping."""
+
+    is_gone: bool
+    """Whether its stream has ended."""
+
+    @property
+    def keeper_rank(self) -> tuple[bool, float, str]:
+        """Rank as the keeper of finished tasks; the lowest comes first."""
+
     @property
     def answers_pauses(self) -> bool:
         """Whether it answers the question that follows a pause."""
@@ -69,12 +86,18 @@
     def send_accepted(self, job_id: str) -> None:
         """Report that a job was accepted and will start once it is confirmed."""
 
-    def send_outcome(self, job_id: str, outcome: Outcome) -> None:
+    def send_outcome(self, job_id: str, outcome: Outcome) -> Receipt:
         """Report the outcome of a job."""
 
-    def send_progress(self, job_id: str, completed: Iterable[TaskRef]) -> None:
+    def send_progress(self, job_id: str, completed: Iterable[TaskRef]) -> Receipt:
         """Report which tasks of a job are done."""
 
+    def keep_done(self, job_id: str, done: Iterable[TaskRef]) -> Receipt:
+        """Have the member keep finished tasks of a job for the next leader."""
+
+    def drop_done(self, job_ids: Iterable[str]) -> None:
+        """Tell the member that jobs have ended of which it keeps tasks."""
+
 
 class Leader:
     """One term of this member's leadership."""
@@ -151,6 +174,11 @@
 
         self._pauses = PauseHold(own_id=leadership.member_id, now=time.monotonic())
         self._tables.unheard_members = self._pauses.unheard
+        self._keeper: FollowerPort | None = None
+        self._kept_jobs: set[str] = set()
+        self._receipts: deque[Receipt] = deque(maxlen=MAX_RECEIPTS)
+        """Receipts of what was sent to members since the last report of a target."""
+
         self._closed = False
         self.on_directory_change: Callable[[str, TargetReport | None], None] = (
             lambda target_id, report: None
@@ -381,9 +409,69 @@
         """
         now = time.monotonic()
         self.superseded_ids.discard(target_id)
+        target = self._tables.targets_by_id.get(target_id)
+        seen = target.ended_seen if target is not None else 0
+        self._receipts.clear()
         workload.on_lease_report(
             self._tables, self, target_id, report, asked_at=asked_at, now=now
         )
+        new_ends = [ended for ended in report.ended if ended.sequence > seen]
+        if new_ends:
+            self._tell_progress(new_ends)
+            self._targets.note_ends(
+                target_id, new_ends[-1].sequence, tuple(self._receipts)
+            )
+        self._schedule_dispatch()
+
+    def _tell_progress(self, ended_runs: Iterable[EndedRun]) -> None:
+        """Have a member keep the finished tasks of unfinished jobs."""
+        keeper = self._choose_keeper()
+        if keeper is None:
+            return
+        for ended in ended_runs:
+            job_id = ended.ref.job_id
+            if ended.end is RunEnd.DONE and job_id in self._tables.jobs_by_id:
+                self._kept_jobs.add(job_id)
+                self._receipts.append(keeper.keep_done(job_id, [ended.ref]))
+
+    def _choose_keeper(self) -> FollowerPort | None:
+        """Return the member that keeps finished tasks; None: nobody follows."""
+        keeper = self._keeper
+        if keeper is not None and not keeper.is_gone and not keeper.leaving:
+            return keeper
+        keeper = min(
+            self.followers_by_id.values(),
+            key=lambda follower: follower.keeper_rank,
+            default=None,
+        )
+        if keeper is not self._keeper and keeper is not None:
+            for job in self._tables.jobs_by_id.values():
+                done = [task.ref for task in job.tasks_by_ref.values() if task.done]
+                if done:
+                    self._kept_jobs.add(job.job_id)
+                    keeper.keep_done(job.job_id, done)
+        self._keeper = keeper
+        return keeper
+
+    def _drop_kept(self, now: float) -> None:
+        """Tell the keeper which of the jobs have ended that it keeps tasks of.
+
+        Not before their outcomes were sent: a new leader needs these tasks until then.
+        """
+        ended = {
+            job_id
+            for job_id in self._kept_jobs - self._tables.jobs_by_id.keys()
+            if (record := self._tables.ended_jobs_by_id.get(job_id)) is None
+            or now - record.at >= TELL_TIMEOUT_S
+        }
+        if ended:
+            self._kept_jobs -= ended
+            if self._keeper is not None and not self._keeper.is_gone:
+                self._keeper.drop_done(ended)
+
+    def note_done(self, refs: Iterable[TaskRef]) -> None:
+        """Record finished tasks that a member kept for an earlier leader."""
+        workload.note_done(self._tables, self, refs, time.monotonic())
         self._schedule_dispatch()
 
     def on_start_answer(
@@ -486,6 +574,7 @@
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
+            self._drop_kept(now)
             self._release_unanswered(now)
             if self._pauses.holds_all:
                 continue
@@ -556,7 +645,7 @@
             return
         follower = self.followers_by_id.get(member_id)
         if follower is not None:
-            follower.send_outcome(job_id, outcome)
+            self._receipts.append(follower.send_outcome(job_id, outcome))
 
     def apply_routing(self, table: RoutingTable) -> None:
         """Use a new configuration for all further decisions."""
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -19,6 +19,7 @@
     to_leadership,
     to_outcome,
 )
+from cassiaturn.fleet._done_tasks import DoneTasks, to_message
 from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._follower import HEARTBEAT_S
 from cassiaturn.fleet._leadership import Leadership, Look, LookFailure
@@ -48,7 +49,7 @@
 announced itself, in seconds: two heartbeats. Until its redirect, the leader sends
 outcomes of jobs whose ends it has acknowledged, which their targets list no more."""
 
-HAND_OVER_FRAMES = frozenset({"outcome", "progress", "redirect", "welcome"})
+HAND_OVER_FRAMES = frozenset({"outcome", "progress", "redirect", "welcome", "done"})
 """Frames that a member still reads from a leader that asked it to lead; what else that
 leader tells is older than what the member learns as the leader."""
 
@@ -110,6 +111,7 @@
         caller_jobs: CallerJobs,
         routing: CurrentRouting,
         drains: CurrentDrains,
+        done_tasks: DoneTasks,
         roster: Roster,
         read_routing: Callable[[pb.RoutingDocument], None],
         read_drains: Callable[[pb.DrainedDomains], None],
@@ -118,6 +120,7 @@
         """Prepare to follow; :meth:`run` opens the stream.
 
         :param hello: this member's first frame.
+        :param done_tasks: finished tasks that an earlier leader had this member keep.
         :param roster: updated with the lists that the leader sends.
         :param read_routing: called with a configuration that the leader sends.
         :param read_drains: called with the drained failure domains that the leader
@@ -135,6 +138,7 @@
         self._caller_jobs = caller_jobs
         self._routing = routing
         self._drains = drains
+        self._done_tasks = done_tasks
         self._roster = roster
         self._read_routing = read_routing
         self._read_drains = read_drains
@@ -265,6 +269,9 @@
             leader=self.leadership.member_id,
             token=self.leadership.token,
         )
+        kept = self._done_tasks.take()
+        if kept:
+            self._frames.put_nowait(pb.FollowerFrame(done=to_message(kept)))
         self._caller_jobs.attach(self)
 
     async def _serve(self, stream) -> FollowResult:  # type: ignore[no-untyped-def]
@@ -343,6 +350,8 @@
                     job_id = frame.progress.job_id
                     completed = to_completed(job_id, frame.progress.completed)
                     self._caller_jobs.note_completed(job_id, completed)
+                case "done":
+                    self._done_tasks.read(frame.done)
                 case "hand_over":
                     self._asked.set()
                 case _:
--- a/src/cassiaturn/fleet/_leader_targets.py
+++ b/src/cassiaturn/fleet/_leader_targets.py
@@ -1,7 +1,7 @@
 """Maintains the leader's links to the targets in the directory."""
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 from cassiaturn import workload
@@ -12,6 +12,7 @@
 from cassiaturn.fleet._ports import Authority, TargetCalls
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.fleet._target_link import TargetEvents, TargetLink
+from cassiaturn.fleet._told_ends import Receipt, ToldEnds
 from cassiaturn.observability import Event, SeldomLog, log_event
 from cassiaturn.workload import Ports, Run, StartOrder, Tables, WorkloadSettings
 
@@ -61,6 +62,7 @@
         self._on_capacity_change = on_capacity_change
         self._directory = Directory(reports_by_id=reports_by_id)
         self._links_by_id: dict[str, TargetLink] = {}
+        self._told_ends_by_id: dict[str, ToldEnds] = {}
         self._answer_loss = AnswerLossMonitor()
         self._ignored_log = SeldomLog()
 
@@ -99,6 +101,18 @@
         if link is not None:
             link.stop(run)
 
+    def note_ends(
+        self, target_id: str, sequence: int, receipts: Sequence[Receipt]
+    ) -> None:
+        """Acknowledge ended runs once the members that wait for them were told.
+
+        :param sequence: sequence number of the last of them.
+        :param receipts: receipts of the frames that tell of them.
+        """
+        told_ends = self._told_ends_by_id.get(target_id)
+        if told_ends is not None:
+            told_ends.add(sequence, receipts)
+
     def tick(self, now: float) -> None:
         """Renew leases that are due, and remove targets that are missing for too long.
 
@@ -177,6 +191,8 @@
 
     def _open_link(self, report: TargetReport) -> None:
         target = self._tables.targets_by_id[report.target_id]
+        told_ends = ToldEnds()
+        self._told_ends_by_id[report.target_id] = told_ends
         link = TargetLink(
             authority=Authority(
                 target_id=report.target_id,
@@ -187,7 +203,7 @@
             events=self._leader_ports,
             has_runs=lambda: bool(target.runs_by_ref),
             has_tight_runs=lambda: workload.has_tight_runs(self._tables, target),
-            ended_seen=lambda: target.ended_seen,
+            told_ends=told_ends,
             may_start=lambda: self._tables.may_start_on(target),
             targets=lambda: len(self._links_by_id),
             answer_loss=self._answer_loss,
@@ -224,6 +240,7 @@
             self._close_link(target_id, "service_gone")
 
     def _close_link(self, target_id: str, reason: str) -> None:
+        self._told_ends_by_id.pop(target_id, None)
         link = self._links_by_id.pop(target_id, None)
         if link is not None:
             link.close()
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -9,6 +9,7 @@
 from cassiaturn.fleet._caller_jobs import CallerJobs
 from cassiaturn.fleet._codec import from_drains
 from cassiaturn.fleet._configuration import ConfigurationSource
+from cassiaturn.fleet._done_tasks import DoneTasks
 from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._leader import Leader
@@ -104,6 +105,7 @@
         )
         self._row = LeaderRow(table=services.table)
         self._roster = Roster()
+        self._done_tasks = DoneTasks()
         self._peers = Peers(settings=settings, roster=self._roster)
         self._following: LeaderStream | None = None
         self._asked_by: LeaderStream | None = None
@@ -351,6 +353,7 @@
             caller_jobs=self.caller_jobs,
             routing=self.routing,
             drains=self.drains,
+            done_tasks=self._done_tasks,
             roster=self._roster,
             read_routing=self.read_routing,
             read_drains=self.read_drains,
@@ -452,6 +455,8 @@
             targets=len(leader.reports_by_id),
         )
         leader.open()
+        for refs in self._done_tasks.take().values():
+            leader.note_done(refs)
         attaching = asyncio.ensure_future(self._attach_callers(leader))
         attaching.add_done_callback(report_failure)
         self._term = LeaderTerm(
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -15,6 +15,7 @@
     to_leadership,
     to_submission,
 )
+from cassiaturn.fleet._done_tasks import to_refs
 from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._follower import HEARTBEAT_S, Follower
@@ -285,6 +286,8 @@
             queued = await follower.next_frame(lambda: self._heartbeat(leader))
             frame = queued.frame
             await stream.send_message(frame)
+            if queued.receipt is not None and not queued.receipt.done():
+                queued.receipt.set_result(None)
             kind = frame.WhichOneof("frame") or "unknown"
             waited_s = time.monotonic() - queued.queued_at
             self._load.count_frame(
@@ -347,6 +350,8 @@
                     follower.leaving = frame.beat.leaving
                     leader.note_answer(follower.hello.member_id, frame.beat.pauses)
                     self._member.read_drains(frame.beat.drained)
+                case "done":
+                    leader.note_done(to_refs(frame.done))
                 case "routing":
                     self._member.read_routing(frame.routing)
                 case _:
@@ -359,6 +364,7 @@
         task.add_done_callback(report_failure)
 
     async def _end_follower(self, follower: Follower, leader: Leader) -> None:
+        follower.close()
         member_id = follower.hello.member_id
         silent = time.monotonic() - follower.heard_at >= FOLLOWER_SILENCE_S
         if not silent:
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -47,6 +47,7 @@
     TIGHT_RENEW_PERIOD_S,
     list_period_s,
 )
+from cassiaturn.fleet._told_ends import RETRY_PERIOD_S, ToldEnds
 from cassiaturn.observability import Event, log_event
 from cassiaturn.transport import answer_timeout
 from cassiaturn.workload import Run, StartOrder, WorkloadSettings
@@ -112,7 +113,7 @@
         events: TargetEvents,
         has_runs: Callable[[], bool],
         has_tight_runs: Callable[[], bool],
-        ended_seen: Callable[[], int],
+        told_ends: ToldEnds,
         may_start: Callable[[], bool],
         targets: Callable[[], int],
         answer_loss: AnswerLossMonitor,
@@ -126,8 +127,7 @@
         :param has_runs: returns whether the target has runs that are to continue.
         :param has_tight_runs: returns whether some of them may end too late for their
             callers.
-        :param ended_seen: returns the sequence number of the last ended run that was
-            processed.
+        :param told_ends: the ended runs that may be acknowledged.
         :param may_start: returns whether operators allow starts on the target.
         :param targets: returns the number of targets that the leader has links to.
         :param answer_loss: lost answers of all links of the leader.
@@ -138,7 +138,7 @@
         self._events = events
         self._has_runs = has_runs
         self._has_tight_runs = has_tight_runs
-        self._ended_seen = ended_seen
+        self._told_ends = told_ends
         self._may_start = may_start
         self._targets = targets
         self._answer_loss = answer_loss
@@ -218,6 +218,10 @@
             self._long_poll = self._spawn(request)
             await asyncio.wait([self._long_poll])
             self._long_poll = None
+            # A target answers a long poll at once while an end is not acknowledged.
+            await self._told_ends.wait(
+                list_period_s(RETRY_PERIOD_S, targets=self._targets())
+            )
 
     async def _fetch_first_list(self) -> None:
         """Request the first list repeatedly until one request is answered.
@@ -340,7 +344,7 @@
             self._renewed_at = asked_at
         result = await self._calls.renew(
             self.authority,
-            ended_seen=self._ended_seen(),
+            ended_seen=self._told_ends.acknowledged,
             lease_until_ms=lease_until_ms,
             wait_s=wait_s,
             timeout_s=timeout_s,
--- a/src/cassiaturn/fleet/tests/test_follower.py
+++ b/src/cassiaturn/fleet/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cassiaturn.entities import TaskRef
 from cassiaturn.fleet._follower import Follower
 from cassiaturn.fleet._list_pace import ListPace
 from cassiaturn.fleet._roster_feed import RosterFeed
@@ -40,3 +41,24 @@
     assert "roster" in kinds
     assert kinds[0] == ("beat" if heartbeats else "roster")
 
+
+async def test_tasks_to_keep_share_one_frame_and_its_receipt() -> None:
+    """Guards against a frame for each of hundreds of ends a second."""
+    follower = _follower()
+    receipts = [
+        follower.keep_done("job", [TaskRef("job", 0, 0, index)]) for index in range(3)
+    ]
+    queued = await follower.next_frame(pb.LeaderBeat)
+    assert len(queued.frame.done.jobs[0].completed) == 3
+    assert queued.receipt is receipts[0] is receipts[1] is receipts[2]
+
+
+async def test_receipts_are_settled_when_the_member_is_gone() -> None:
+    """Guards against ends that are never acknowledged."""
+    follower = _follower()
+    receipts = [
+        follower.keep_done("job", [TaskRef("job", 0, 0, 0)]),
+        follower.send_progress("job", []),
+    ]
+    follower.close()
+    assert all(receipt.done() for receipt in receipts)
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -23,6 +23,7 @@
     TIGHT_RENEW_PERIOD_S,
     list_period_s,
 )
+from cassiaturn.fleet._told_ends import ToldEnds
 from cassiaturn.observability import FleetMetrics
 from cassiaturn.workload import StartOrder, WorkloadSettings
 
@@ -394,7 +395,7 @@
         events=events,  # type: ignore[arg-type]
         has_runs=lambda: True,
         has_tight_runs=lambda: False,
-        ended_seen=lambda: 0,
+        told_ends=ToldEnds(),
         may_start=lambda: may_start,
         targets=lambda: 1,
         answer_loss=AnswerLossMonitor(),
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -1,5 +1,7 @@
 """Applies the ends of runs to their tasks, jobs and targets."""
 
+from collections.abc import Iterable
+
 from cassiaturn.entities import (
     EndedRun,
     RunEnd,
@@ -91,6 +93,28 @@
             return
 
 
+def note_done(
+    tables: Tables, ports: Ports, refs: Iterable[TaskRef], now: float
+) -> None:
+    """Record tasks that are done under an earlier leader, as another member kept them.
+
+    Their jobs may not have been passed on to this leader yet.
+    """
+    refs_by_job: dict[str, set[TaskRef]] = {}
+    for ref in refs:
+        refs_by_job.setdefault(ref.job_id, set()).add(ref)
+    for job_id, done in refs_by_job.items():
+        job = tables.jobs_by_id.get(job_id)
+        if job is not None:
+            apply_completed(tables, ports, job, frozenset(done), now)
+            continue
+        for ref in done:
+            ended = EndedRun(sequence=0, ref=ref, run=0, end=RunEnd.DONE)
+            tables.unclaimed_ends_by_ref[ref] = UnclaimedEnd(
+                ended=ended, target_id="", at=now
+            )
+
+
 def apply_unclaimed_ends(tables: Tables, ports: Ports, job: Job, now: float) -> None:
     """Apply the ends of a job's tasks that targets listed before the job.
 
