Ask members to lead until one does while a leader stops

What callers saw: the process of a leader that is stopped as planned may end while it leads, so that callers at all other members wait for an election.

Cause: Member.stop asked one member once and waited 0.6 s, whatever the grace of the process.

Log lines of failed runs showed three more causes: a successor that answers no request within 0.1 s counts as unreachable although the row names it; its claim loses against the renewal of the leader that asked; a member is asked that was not sent the targets yet (elected with targets=0, jobs held_too_long).

Change: members are asked one after the other until the time of the process is nearly over, the next one after 0.45 s of silence or 2 s; an asked member is waited for until it was sent all lists (0.5 s at most), followed as soon as the row names it, and repeats a claim that met the leader's renewal.

Ruled out: the load of the test's one process alone: the successor that dies or never claims shows the fault without load. A longer constant only: it asks nobody else.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 
 from cassiaturn.entities import TaskRef
-from cassiaturn.fleet._codec import from_completed, from_outcome
+from cassiaturn.fleet._codec import from_completed, from_leadership, from_outcome
 from cassiaturn.fleet._done_tasks import to_message
+from cassiaturn.fleet._leadership import Leadership
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing_feed import RoutingCursor, RoutingFeed
 from cassiaturn.fleet._told_ends import Receipt
@@ -129,6 +130,13 @@
             self._routing.note_follower_version(version)
         self._wake.set()
 
+    def ask_to_lead(self, leadership: Leadership) -> None:
+        """Ask the follower to lead.
+
+        :param leadership: the leadership that it is to succeed.
+        """
+        self.enqueue(pb.LeaderFrame(hand_over=from_leadership(leadership)))
+
     def send_accepted(self, job_id: str) -> None:
         """Tell the follower that a job is queued, and starts once it is confirmed."""
         message = pb.JobConfirmation(job_id=job_id)
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -12,6 +12,7 @@
 from cassiaturn.fleet._done_tasks import DoneTasks
 from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
+from cassiaturn.fleet._follower import Follower
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._leader_row import (
@@ -57,9 +58,25 @@
 takes up to the connection timeout: most other members have noticed the silence by
 then."""
 
-HAND_OVER_WAIT_S = 0.6
-"""How long a leader that stops waits for its successor, in seconds: a claim takes two
-calls to the table service."""
+STOP_MARGIN_S = 0.4
+"""Time reserved between the end of a graceful shutdown and the kill, in seconds."""
+
+SUCCESSOR_SILENCE_S = 0.45
+"""Silence after which a leader that stops asks another member than the one that it has
+asked to lead, in seconds: three heartbeats."""
+
+SUCCESSOR_WAIT_S = 2.0
+"""The same for a member that is heard, in seconds: a claim takes two calls to the table
+service, of 0.7 s at most. Two members that claim at the same time cost every caller a
+second change of leader."""
+
+INFORM_WAIT_S = 0.5
+"""Longest wait before a member is asked to lead that just joined, in seconds: the lists
+of a large fleet take several tenths of a second on a narrow link."""
+
+HAND_OVER_POLL_S = 0.02
+"""Period in which a leader that stops checks on the member that it has asked, in
+seconds."""
 
 HAND_OVER_PAUSE_S = 5.0
 """Minimum pause before another member is asked to lead, in seconds: the member that is
@@ -120,6 +137,9 @@
         self._stopping_leftovers: asyncio.Future[None] | None = None
         self._last_followed_token = NO_TOKEN
         self._asked_to_lead_at = float("-inf")
+        self.asked_to_lead: set[str] = set()
+        """Members that this one has asked to lead since it began to stop."""
+
         self.routing.on_change(self._apply_routing)
         self.drains.on_change(self._apply_drains)
         register_metrics(self)
@@ -211,21 +231,83 @@
                 self._step_down(None)
 
     async def stop(self) -> None:
-        """Hand the leadership over, and stop being ready for new callers."""
+        """Hand the leadership over, and stop being ready for new callers.
+
+        Returns when another member leads, when nobody is left who could, or when the
+        time that the process has to stop is nearly over.
+        """
         self._stopping = True
         if self._following is not None:
             self._following.leaving = True
             self._following.send_heartbeat()
-        if self.leader is None:
-            return
-        if not self.service.hand_over(self.leader.leadership):
-            return
-        log_event(Event.LEADER_RESIGNED, reason="stopping")
-        try:
-            async with asyncio.timeout(HAND_OVER_WAIT_S):
-                await self._resigned.wait()
-        except TimeoutError:
-            log_event(Event.DRAIN_TIMED_OUT, waited_s=HAND_OVER_WAIT_S)
+        grace_s = self.settings.grace_s - STOP_MARGIN_S
+        await self._hand_over(until=time.monotonic() + grace_s)
+
+    async def _hand_over(self, *, until: float) -> None:
+        """Ask members to lead, one after the other, until one does.
+
+        A leader whose process ends while it leads is noticed by a broken connection or
+        by its silence: all callers wait for an election that could have been avoided.
+
+        :param until: monotonic time at which to give up, in seconds.
+        """
+        passed_over: set[str] = set()
+        while self.leader is not None and time.monotonic() < until:
+            successor = self.service.choose_successor(without=passed_over)
+            if successor is None:
+                if not self.asked_to_lead:
+                    return
+                # All were asked. If they have left, one of them leads, and the row
+                # tells which.
+                passed_over.clear()
+                self._superseded_signal.signal()
+                await asyncio.sleep(LOOK_PAUSE_S)
+                continue
+            await self._wait_until_informed(successor)
+            if self.leader is None:
+                return
+            successor.ask_to_lead(self.leader.leadership)
+            passed_over.add(successor.hello.member_id)
+            self.asked_to_lead.add(successor.hello.member_id)
+            log_event(
+                Event.HAND_OVER_ASKED,
+                reason="stopping",
+                member=successor.hello.member_id,
+                heard_ms=round((time.monotonic() - successor.heard_at) * MILLISECONDS),
+                left_ms=round((until - time.monotonic()) * MILLISECONDS),
+            )
+            await self._wait_for_successor(successor, until)
+        if self.leader is not None:
+            log_event(Event.HAND_OVER_FAILED, asked=len(self.asked_to_lead))
+
+    async def _wait_until_informed(self, successor: Follower) -> None:
+        """Wait up to ``INFORM_WAIT_S`` until a member was sent all lists.
+
+        A leader that does not know the targets cannot tell what runs there, and gives
+        up the jobs that it inherits.
+        """
+        end_at = time.monotonic() + INFORM_WAIT_S
+        while (  # noqa: ASYNC110 - the lists are sent by another task
+            successor.waiting and time.monotonic() < end_at
+        ):
+            await asyncio.sleep(HAND_OVER_POLL_S)
+
+    async def _wait_for_successor(self, successor: Follower, until: float) -> None:
+        """Wait until a member leads, or another one must be asked."""
+        began_at = time.monotonic()
+        was_gone = False
+        while not self._resigned.is_set():
+            now = time.monotonic()
+            silent_s = now - max(successor.heard_at, began_at)
+            if successor.is_gone and not was_gone:
+                # It leads, or its process has ended: the leader's row tells.
+                was_gone = True
+                self._superseded_signal.signal()
+            if silent_s >= SUCCESSOR_SILENCE_S or now - began_at >= SUCCESSOR_WAIT_S:
+                return
+            if now >= until:
+                return
+            await asyncio.sleep(HAND_OVER_POLL_S)
 
     async def _lead_or_follow(self) -> None:
         loss = Loss.NEVER_KNOWN
@@ -240,7 +322,8 @@
                 continue
             step = await self._decide_step(loss, tries=waits)
             if step in (Step.CLAIM, Step.CLAIM_ALONE):
-                if await self._claim(with_row=step is Step.CLAIM):
+                is_asked = loss is Loss.ASKED
+                if await self._claim(with_row=step is Step.CLAIM, is_asked=is_asked):
                     await self._lead()
                     loss = Loss.NEVER_KNOWN
                     waits = 0
@@ -396,10 +479,18 @@
             case _:
                 return Loss.GONE
 
-    async def _claim(self, *, with_row: bool) -> bool:
+    async def _claim(self, *, with_row: bool, is_asked: bool) -> bool:
+        """Claim the leadership; returns whether this member leads now.
+
+        :param with_row: whether the row in the table service must be written first.
+        :param is_asked: whether the leader asked this member to lead.
+        """
         claim = self.next_leadership(reach=self._peers.reachable_members)
         if with_row:
             holder = await self._row.claim(claim)
+            if is_asked and holder is not None and holder.token < claim.token:
+                # The leader that asked has renewed the row since it was read.
+                holder = await self._row.claim(claim)
             if holder is None:
                 await asyncio.sleep(LOOK_PAUSE_S)
                 return False
@@ -510,7 +601,9 @@
             link_mbps=own_mbps,
             widest_mbps=widest_mbps,
         )
-        self.service.hand_over(self.leader.leadership)
+        successor = self.service.choose_successor()
+        if successor is not None:
+            successor.ask_to_lead(self.leader.leadership)
 
     def _step_down(self, successor: Leadership | None) -> None:
         leader = self.leader
--- a/src/cassiaturn/fleet/_process.py
+++ b/src/cassiaturn/fleet/_process.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Success
 
 from cassiaturn.fleet._callers import CallerJobService, MemberJobService
-from cassiaturn.fleet._member import Member
+from cassiaturn.fleet._member import STOP_MARGIN_S, Member
 from cassiaturn.fleet._metrics_server import MetricsServer
 from cassiaturn.fleet._ports import PlatformServices
 from cassiaturn.observability import Event, log_event
@@ -26,9 +26,6 @@
 """How long a member that stops keeps accepting callers, in seconds: the load balancer
 checks readiness once a second and sends callers until the second negative answer."""
 
-STOP_MARGIN_S = 0.4
-"""Time reserved between the end of a graceful shutdown and the kill, in seconds."""
-
 FLUSH_WAIT_S = 0.1
 """Time to write the last answers before connections are closed, in seconds."""
 
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine, Mapping, Sequence
+from collections.abc import Collection, Coroutine, Mapping, Sequence
 from typing import Any, Protocol
 
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
@@ -156,22 +156,24 @@
             default=0.0,
         )
 
-    def hand_over(self, leadership: Leadership) -> bool:
-        """Ask a follower that is not leaving to lead.
+    def choose_successor(self, *, without: Collection[str] = ()) -> Follower | None:
+        """Return the follower that is to lead next; None if there is none.
 
         It is the one with the most link bandwidth; among equals, the one heard last.
 
-        :returns: whether there is one.
+        :param without: members that are not to lead.
         """
-        staying = [follower for follower in self.followers if not follower.leaving]
+        staying = [
+            follower
+            for follower in self.followers
+            if not (follower.leaving or follower.is_gone)
+            and follower.hello.member_id not in without
+        ]
         if not staying:
-            return False
-        successor = max(
+            return None
+        return max(
             staying, key=lambda follower: (follower.hello.link_mbps, follower.heard_at)
         )
-        frame = pb.LeaderFrame(hand_over=from_leadership(leadership))
-        successor.enqueue(frame)
-        return True
 
     def begin_term(self, reports_by_id: Mapping[str, TargetReport]) -> None:
         """Start a leadership term without followers.
--- a/src/cassiaturn/fleet/_term.py
+++ b/src/cassiaturn/fleet/_term.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Set as AbstractSet
 from typing import Protocol
 
 from cassiaturn.fleet._leader import Leader
@@ -34,6 +35,10 @@
     service: FleetService
     """Serves the members that follow it."""
 
+    @property
+    def asked_to_lead(self) -> AbstractSet[str]:
+        """Members that it has asked to lead in its place."""
+
     def next_leadership(self, *, reach: int, terms: int = 1) -> Leadership:
         """Return the leadership that the member would claim now.
 
@@ -102,8 +107,11 @@
             # A later leader that cannot be reached is on the other side of a network
             # partition. It serves that side, and this member goes on to serve this one.
             is_later = holder is not None and holder.token > leadership.token
-            if holder is not None and is_later and await self._is_reachable(holder):
-                return holder
+            # One that was asked to lead is on this side, however late it answers.
+            if holder is not None and is_later:
+                was_asked = holder.member_id in self._member.asked_to_lead
+                if was_asked or await self._is_reachable(holder):
+                    return holder
             # Targets refuse this leader, but no later one was read from the row.
             blocked = holder in (leadership, None) and bool(self._leader.superseded_ids)
             checks = checks + 1 if blocked else 0
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -111,7 +111,10 @@
     LEADER_ELECTED = _info("leader_elected", "This member leads from now on.")
     LEADER_RESIGNED = _info("leader_resigned", "This member no longer leads.")
     HAND_OVER_ASKED = _info(
-        "hand_over_asked", "This leader asks a member with a wider link to lead."
+        "hand_over_asked", "This leader asks another member to lead, for `reason`."
+    )
+    HAND_OVER_FAILED = _warning(
+        "hand_over_failed", "No member that was asked leads; this process ends soon."
     )
     LEADER_FOLLOWED = _info("leader_followed", "This member follows `leader`.")
     LEADER_LOST = _warning("leader_lost", "The leader is gone or silent.")
