Follow an announced leader in the middle of a member's questions

What callers saw: 504 although the tasks had run to their end (the listed finding of test_tasks_continue_when_the_leaders_host_freezes_during_a_store_outage, not traced so far).

Cause: a member without a leader asks its peers, among them the frozen leader, until the timeout, and looked at announcements only before and after. Its callers waited 0.1 to 0.2 s of the 0.3 s that they have left for an answer that the new leader already knew.

Change: an announcement ends the questions.

Test that failed before: test_a_member_that_asks_its_peers_follows_an_announced_leader_at_once.

--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -320,7 +320,7 @@
                     await self._wait_for_announcement()
                     waits = 1
                 continue
-            step = await self._decide_step(loss, tries=waits)
+            step = await self._decide_unless_announced(loss, tries=waits)
             if step in (Step.CLAIM, Step.CLAIM_ALONE):
                 is_asked = loss is Loss.ASKED
                 if await self._claim(with_row=step is Step.CLAIM, is_asked=is_asked):
@@ -378,6 +378,28 @@
             result = await self._follow(known)
         return self._loss_after(result)
 
+    async def _decide_unless_announced(self, loss: Loss, *, tries: int) -> Step | None:
+        """Decide on the next step, or return None once another member leads.
+
+        Asking a member that is frozen takes until the timeout. A caller whose job ends
+        meanwhile would wait for that, although its answer is known to the new leader.
+        """
+        deciding = asyncio.ensure_future(self._decide_step(loss, tries=tries))
+        try:
+            while not deciding.done():
+                announced = asyncio.ensure_future(self._leadership_announced.wait())
+                await asyncio.wait(
+                    [deciding, announced], return_when=asyncio.FIRST_COMPLETED
+                )
+                announced.cancel()
+                if not deciding.done():
+                    self._leadership_announced.clear()
+                    if self._is_new_leader(self.known_leadership):
+                        return None
+            return deciding.result()
+        finally:
+            deciding.cancel()
+
     async def _decide_step(self, loss: Loss, *, tries: int) -> Step:
         knows_targets = bool(self._roster.targets_by_id)
         # In sequence, the full timeout during an outage of the table service would be
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -181,6 +181,36 @@
         await member._wait_for_announcement()
 
 
+async def test_a_member_that_asks_its_peers_follows_an_announced_leader_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against finishing questions to silent members when the answer is known.
+
+    Callers of that member wait meanwhile, also those whose jobs are done.
+    """
+    member = RunningMember("front-0", store=f"{LOOPBACK}:1", seeds=()).member
+    is_deciding, followed = asyncio.Event(), asyncio.Event()
+
+    async def decide(*args: object, **options: object) -> None:
+        is_deciding.set()
+        await asyncio.sleep(30.0)
+
+    async def follow() -> None:
+        followed.set()
+        await asyncio.sleep(30.0)
+
+    monkeypatch.setattr(member, "_decide_step", decide)
+    monkeypatch.setattr(member, "_follow_known", follow)
+    running = asyncio.ensure_future(member._lead_or_follow())
+    async with asyncio.timeout(5.0):
+        await is_deciding.wait()
+        member.note_reachable_leader(
+            next_leadership(None, member_id="front-1/x", address="127.0.0.1:2", reach=1)
+        )
+        await followed.wait()
+    running.cancel()
+
+
 async def test_the_smaller_side_of_a_partition_keeps_its_term(fleet: Fleet) -> None:
     """Guards against a new term on the side of a partition with fewer members."""
     leader = fleet.leader()
