--- a/src/cassiaturn/workload/tests/test_leader_change.py
+++ b/src/cassiaturn/workload/tests/test_leader_change.py
@@ -194,6 +194,26 @@
     assert play.running("a") == 0
 
 
+@pytest.mark.parametrize("joined_after_s", [0.05, 0.45, 0.65])
+def test_a_run_whose_member_joins_late_is_not_stopped(joined_after_s: float) -> None:
+    """Guards against stopping tasks of a caller whose member is slow to follow.
+
+    The hosts are busy, so that a member needs longer to find the new leader than the
+    30 ms that it usually takes. Stopped and started anew, a task takes its time twice,
+    and its caller may not wait that long.
+    """
+    play = _new_leader()
+    target = play.targets["t0"]
+    target.end(TaskRef("a", 0, 0, 0), RunEnd.STOPPED)
+    target.ended.clear()
+    target.start(TaskRef("a", 0, 0, 0), 2, GROUP, 1.2, play.now)
+    play.run(joined_after_s)
+    play.submit("a", run_s=1.2, begun_earlier=True)
+    play.run(1.4 - joined_after_s)
+    assert play.verdict("a") is Verdict.COMPLETED
+    assert play.tables.counters.starts == 0
+
+
 def test_new_leader_uses_higher_run_numbers() -> None:
     play = _new_leader()
     play.run(0.6)
