--- a/src/cassiaturn/platform/tests/standin_runner.py
+++ b/src/cassiaturn/platform/tests/standin_runner.py
@@ -48,6 +48,8 @@
         self.starts: list[TaskRef] = []
         """The task of each start; a repeated order for a run that is there starts
         nothing."""
+        self.orders: list[tuple[TaskRef, int]] = []
+        """Task and run number of each start order, answered or not."""
         self.overlaps = 0
         self.lease_requests = 0
         self.address = ""
@@ -120,6 +122,11 @@
 
 
 class _Start(_Handler):
+    async def prepare(self) -> None:
+        order = json.loads(self.request.body)
+        self.runner.orders.append((decode_ref(order["task"]), order["run"]))
+        await super().prepare()
+
     def post(self) -> None:
         runner = self.runner
         blocked_s, runner.block_loop_s = runner.block_loop_s, 0.0
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -92,6 +92,28 @@
     assert len(_starts(fleet, JOB)) == 4
 
 
+async def test_copies_of_an_order_name_the_same_run(fleet: Fleet) -> None:
+    """Guards against a copy of a start that a target takes for a second run.
+
+    The target is silent for longer than the first attempt waits.
+    """
+    for runner in fleet.runners:
+        runner.silent = True
+    waiting = asyncio.ensure_future(fleet.submit(fleet.followers()[0], JOB, count=4))
+    await fleet.until(lambda: sum(len(runner.orders) for runner in fleet.runners) > 4)
+    for runner in fleet.runners:
+        runner.silent = False
+    await waiting
+    orders = [order for runner in fleet.runners for order in runner.orders]
+    assert len(orders) > len(set(orders))
+    assert len({ref for ref, _ in orders}) == 4
+    for runner in fleet.runners:
+        numbers_by_ref: dict[TaskRef, set[int]] = {}
+        for ref, number in runner.orders:
+            numbers_by_ref.setdefault(ref, set()).add(number)
+        assert all(len(numbers) == 1 for numbers in numbers_by_ref.values())
+
+
 async def test_connections_that_fall_silent_are_replaced(fleet: Fleet) -> None:
     """All open connections to the leader fall silent for good, while new ones work.
 
