Start no task while a target lists another run of it

What callers saw: nothing reported; a task may run on two targets at once, which breaks a rule.

Cause: a leader that knows a run of a task and is told of another one elsewhere orders that one to stop and forgets it. If the known run ends first and the order is lost or late, the task starts again beside it.

Change: the tables count such runs by task, as the last list of each target shows them, and a task with one does not start. They are gone with a later list, the end of the target's lease, or the target.

Ruled out: adopting the newer run instead: it may be that of an earlier leader's late order, and two targets may list one each.

--- a/src/cassiaturn/workload/_directory.py
+++ b/src/cassiaturn/workload/_directory.py
@@ -108,6 +108,7 @@
     target.silent = True
     # Across a partition another leader may start tasks there from now on.
     target.has_reported = False
+    tables.set_stray_runs(target, set())
     for run in list(target.runs_by_ref.values()):
         tables.counters.lost_runs += 1
         ports.record(
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -63,8 +63,7 @@
         for task in list(job.waiting):
             if task.group.resources.cpu_millis > free_cpu:
                 break
-            if not job.is_open(task.ref.group) or task.ref in tables.runs_by_ref:
-                # An earlier run of this task may still be in progress.
+            if not job.is_open(task.ref.group) or tables.may_still_run(task.ref):
                 continue
             run = _start(tables, ports, job, task, index, is_usable, now)
             if run is not None:
--- a/src/cassiaturn/workload/_reports.py
+++ b/src/cassiaturn/workload/_reports.py
@@ -110,15 +110,17 @@
             target.ended_seen = ended.sequence
             apply_run_end(tables, ports, target, ended, now)
     listed: set[TaskRef] = set()
-    unexpected = 0
+    strays: set[TaskRef] = set()
     for listing in report.running:
         listed.add(listing.ref)
         if not _apply_listing(tables, ports, target, listing, report.clock_ms, now):
-            unexpected += 1
+            strays.add(listing.ref)
     if asked_at >= target.list_requested_at:
         # Lists can arrive out of order; an older one does not tell what runs now.
         target.list_requested_at = asked_at
-        target.unexpected_runs = unexpected
+        tables.set_stray_runs(target, strays)
+    else:
+        tables.set_stray_runs(target, target.stray_refs | strays)
     for run in list(target.runs_by_ref.values()):
         if (
             run.ref not in listed
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -1,6 +1,6 @@
 """State of a leader: jobs, tasks, runs and targets."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from enum import Enum, auto
@@ -297,8 +297,9 @@
     ended_seen: int = 0
     """Sequence number of the last end that was processed."""
 
-    unexpected_runs: int = 0
-    """Number of duplicate runs of tasks in the last list, all ordered to stop."""
+    stray_refs: set[TaskRef] = field(default_factory=set)
+    """Tasks of which the last list has a run that is not theirs; all are ordered to
+    stop."""
 
     list_requested_at: float = 0.0
     """When the last list that was processed was requested, in seconds."""
@@ -306,7 +307,7 @@
     @property
     def usage_is_known(self) -> bool:
         """Whether the resources of all runs there, certain or possible, are known."""
-        return not self.unexpected_runs and all(
+        return not self.stray_refs and all(
             run.group is not None for run in self.runs_by_ref.values()
         )
 
@@ -420,6 +421,10 @@
     runs_by_ref: dict[TaskRef, Run] = field(default_factory=dict)
     """All runs that have not certainly ended, so that no task runs twice at once."""
 
+    stray_runs_by_ref: "Counter[TaskRef]" = field(default_factory=Counter)
+    """Number of targets on which a task has a run that is not its own. The task starts
+    only after these have certainly ended."""
+
     unclaimed_ends_by_ref: "OrderedDict[TaskRef, UnclaimedEnd]" = field(
         default_factory=OrderedDict
     )
@@ -477,6 +482,19 @@
         target.speed = speed_model.new_estimate(target.labels)
         self.index_by_service.setdefault(target.service, TargetIndex()).add(target)
 
+    def may_still_run(self, ref: TaskRef) -> bool:
+        """Return whether an earlier run of a task may still be in progress."""
+        return ref in self.runs_by_ref or ref in self.stray_runs_by_ref
+
+    def set_stray_runs(self, target: Target, refs: set[TaskRef]) -> None:
+        """Record the tasks of which a target has a run that is not theirs."""
+        for ref in target.stray_refs - refs:
+            self.stray_runs_by_ref[ref] -= 1
+            if not self.stray_runs_by_ref[ref]:
+                del self.stray_runs_by_ref[ref]
+        self.stray_runs_by_ref.update(refs - target.stray_refs)
+        target.stray_refs = refs
+
     def remove_target(self, target_id: str) -> None:
         """Remove a target."""
         target = self.targets_by_id.pop(target_id)
--- a/src/cassiaturn/workload/tests/test_leader_change.py
+++ b/src/cassiaturn/workload/tests/test_leader_change.py
@@ -7,6 +7,8 @@
 from cassiaturn.standins.virtual_targets import VirtualLeader
 from cassiaturn.workload import Verdict
 
+REF = TaskRef("a", 0, 0, 0)
+
 GROUP = TaskGroup(count=1, resources=Resources(cpu_millis=6_800))
 
 
@@ -214,6 +216,34 @@
     assert play.tables.counters.starts == 0
 
 
+def test_a_task_does_not_start_while_a_newer_run_of_it_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two concurrent runs of a task after a change of leader.
+
+    The new leader knows an old run of the task, which has ended, and reaches a target
+    with a newer one first. The order to stop that one is lost.
+    """
+    play = _new_leader()
+    newer = play.targets["t1"]
+    newer.cut = True
+    play.run(0.1)
+    play.targets["t0"].end(REF, RunEnd.LEASE_EXPIRED)
+    newer.cut = False
+    newer.start(REF, 2, GROUP, 0.9, play.now)
+    stop = play.stop
+    monkeypatch.setattr(
+        play, "stop", lambda run: None if run.target_id == "t1" else stop(run)
+    )
+    play.submit("a", run_s=0.3, begun_earlier=True, limit_s=4.0)
+    play.request_list("t1")
+    play.run(1.2)
+    play.request_list("t1")
+    play.run(0.5)
+    assert not play.overlaps
+    assert play.verdict("a") is Verdict.COMPLETED
+
+
 def test_new_leader_uses_higher_run_numbers() -> None:
     play = _new_leader()
     play.run(0.6)
