Stay with a leader that announces a higher token

What callers saw: in an outage of the store, no leader for 0.3 s and more at all members while theirs raises its token; 504 or 503 for callers of that time.

Cause: a leader that cannot reach the store tells its peers of the token that it is about to take. Its followers took the announcement for that of another leader, left it, and joined it again after 0.3 s; beside load they claimed the leadership meanwhile.

The log lines: `leader_followed leader=front-0`, `leader_elected raised=true`, `leader_lost leader=front-0 end=redirected` at both followers, `step=claim_alone` at both.

Change: a member that follows the announced leader takes the token over and keeps its stream.

Test that failed before: test_members_stay_with_a_leader_that_announces_a_higher_token.

--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -157,6 +157,15 @@
         """Whether the leader was heard within ``LEADER_HEARD_S``."""
         return self.welcomed and time.monotonic() - self.heard_at < LEADER_HEARD_S
 
+    def is_of(self, member_id: str) -> bool:
+        """Return whether this is a stream to a member that has accepted this one."""
+        return self.welcomed and self.leadership.member_id == member_id
+
+    def continue_as(self, leadership: Leadership) -> None:
+        """Go on with the same leader under a higher token."""
+        self.leadership = leadership
+        self._on_leadership(leadership)
+
     def end_for(self, successor: Leadership) -> None:
         """End the stream because another member announced that it leads."""
         if not self._successor.done():
@@ -365,8 +374,7 @@
     def _update_leadership(self, message: pb.Leadership) -> None:
         leadership = to_leadership(message)
         if leadership is not None:
-            self.leadership = leadership
-            self._on_leadership(leadership)
+            self.continue_as(leadership)
 
     def _on_heartbeat(self, beat: pb.LeaderBeat) -> None:
         self._caller_jobs.waiting_by_route = {
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -198,6 +198,12 @@
         """
         if leadership.token <= self._known_token():
             return
+        followed = self._following
+        if followed is not None and followed.is_of(leadership.member_id):
+            # The leader that is followed continues with a higher token. Leaving it and
+            # joining it again would cost this member's callers 0.3 s.
+            followed.continue_as(leadership)
+            return
         self.known_leadership = leadership
         self._leadership_announced.set()
         if self.leader is not None:
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -208,6 +208,9 @@
     member_silence: int = 0
     """Ticks since the other member was last heard."""
 
+    strays: frozenset[int] = frozenset()
+    """Targets that run the task beside the run that this leader knows."""
+
     unheard: frozenset[int] = frozenset()
     """Members that have not answered since this leader stood still."""
 
--- a/src/cassiaturn/model/leases/_targets.py
+++ b/src/cassiaturn/model/leases/_targets.py
@@ -40,6 +40,8 @@
     tables = state.tables[leader]
     if not tables.origins - tables.unheard or tables.run is not None:
         return False
+    if tables.strays:
+        return False
     if rules.confirm_first and not tables.confirmed:
         return False
     if tables.hold and tables.heard != frozenset(TARGETS):
@@ -165,6 +167,25 @@
             yield from _stop(state, leader, run)
 
 
+@action
+def stop_strays(state: State, rules: Rules) -> Iterator[Step]:
+    """Stop a run that a target lists beside the one that the leader knows."""
+    for leader in MEMBERS:
+        for target in state.tables[leader].strays if leads(state, leader) else ():
+            row = state.targets[target]
+            token = state.tables[leader].token
+            if not reaches(state, leader, target) or token < row.token:
+                continue
+            stopped = put_target(
+                state, target, run=0, lease=0, blocked=max(row.blocked, row.run)
+            )
+            strays = state.tables[leader].strays - {target}
+            yield Step(
+                f"member {leader} stops another run at target {target}",
+                put_tables(stopped, leader, strays=strays),
+            )
+
+
 def _stop(state: State, leader: int, run: Run) -> Iterator[Step]:
     target = state.targets[run.target]
     tables = state.tables[leader]
@@ -219,6 +240,9 @@
     elif row.run and run is None:
         changes["lease_left"] = LEASE_OVER_TICKS
     state = put_target(state, target, token=max(row.token, tables.token))
+    is_stray = row.run and run is not None and run.target != target
+    strays = tables.strays - {target}
+    changes["strays"] = strays | {target} if is_stray else strays
     changes["run"] = _after_list(run, target, row.run, rules, bool(tables.origins))
     if row.run:
         changes["next_run"] = max(tables.next_run, row.run + 1)
--- a/src/cassiaturn/platform/tests/test_silent_leader.py
+++ b/src/cassiaturn/platform/tests/test_silent_leader.py
@@ -233,6 +233,25 @@
     running.cancel()
 
 
+async def test_members_stay_with_a_leader_that_announces_a_higher_token(
+    fleet: Fleet,
+) -> None:
+    """Guards against callers without a leader while theirs raises its token.
+
+    A leader that cannot reach the store asks its peers before it raises its token, and
+    tells them of the new one.
+    """
+    leader, follower = fleet.leader(), fleet.followers()[0]
+    stream = follower.member._following
+    higher = leader.member.next_leadership(reach=2)
+    follower.member.note_reachable_leader(higher)
+    for _ in range(20):
+        assert follower.member.is_ready
+        await asyncio.sleep(0.03)
+    assert follower.member._following is stream
+    assert follower.member.known_leadership == higher
+
+
 async def test_the_smaller_side_of_a_partition_keeps_its_term(fleet: Fleet) -> None:
     """Guards against a new term on the side of a partition with fewer members."""
     leader = fleet.leader()
