--- a/src/cassiaturn/settings/_fleet.py
+++ b/src/cassiaturn/settings/_fleet.py
@@ -69,6 +69,27 @@
     grace_s: Annotated[float, Field(gt=0)] = 6.0
     """Time from the order to stop to the kill, in seconds."""
 
+    cpu_share: Annotated[float | None, Field(gt=0)] = None
+    """Share of a core that the host gives the process; None: not known."""
+
+    cpu_speed: Annotated[float, Field(gt=0)] = 1.0
+    """How many times as fast as one core that share is."""
+
+    admission: Annotated[str, Field(pattern="^(backlog|forecast)$")] = "backlog"
+    """How a leader decides which jobs to refuse: by the work queued before them, or by
+    a forecast of their start."""
+
+    share_estimates: bool = False
+    """Whether a leader shares with its followers what it has learned of targets."""
+
+    remote_rack_factor: Annotated[float, Field(ge=1)] = 1.0
+    """How many times as long a task takes on another rack than the one it names."""
+
+    @property
+    def cpu_cores(self) -> float:
+        """Processor capacity of the host, in cores; 0 if it is not known."""
+        return (self.cpu_share or 0.0) * self.cpu_speed
+
 
 _ADAPTER: TypeAdapter[FleetSettings] = TypeAdapter(FleetSettings)
 
