Settle receipts without a turn of the event loop

What callers saw: on the large site near the leader's processor limit, a fifth of them late since ends are acknowledged only once another member knows of them.

Cause: each end of a run made a future for its frame; settling it took a turn of the loop for the future's callback, another for the wait over all of them, and a third for the poll that waited. Near the limit a turn is long, and a target is not polled meanwhile.

Ruled out: acknowledging without the wait while there is no processor time, which gives up what the wait protects.

Change: a receipt that calls back at once when its frame was written; one counter per target instead of a wait over all receipts. The order of events stays: written first, acknowledged after.

Tests of killed leaders and planned changes pass.

Conclusion: the cost was the turns of the loop, not the frames.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -101,9 +101,15 @@
     def close(self) -> None:
         """Settle the receipts of all frames: the member is gone."""
         self.is_gone = True
-        for receipt in list(self._receipts):
-            if not receipt.done():
-                receipt.set_result(None)
+        receipts, self._receipts = self._receipts, set()
+        for receipt in receipts:
+            receipt.settle()
+
+    def note_written(self, queued: QueuedFrame) -> None:
+        """Settle the receipt of a frame that was written to the connection."""
+        if queued.receipt is not None:
+            self._receipts.discard(queued.receipt)
+            queued.receipt.settle()
 
     def _enqueue_with_receipt(self, frame: pb.LeaderFrame) -> Receipt:
         receipt = self._new_receipt()
@@ -111,9 +117,8 @@
         return receipt
 
     def _new_receipt(self) -> Receipt:
-        receipt: Receipt = asyncio.get_running_loop().create_future()
+        receipt = Receipt()
         self._receipts.add(receipt)
-        receipt.add_done_callback(self._receipts.discard)
         return receipt
 
     def send_heartbeat(self) -> None:
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -288,8 +288,7 @@
             queued = await follower.next_frame(lambda: self._heartbeat(leader))
             frame = queued.frame
             await stream.send_message(frame)
-            if queued.receipt is not None and not queued.receipt.done():
-                queued.receipt.set_result(None)
+            follower.note_written(queued)
             kind = frame.WhichOneof("frame") or "unknown"
             waited_s = time.monotonic() - queued.queued_at
             self._load.count_frame(
--- a/src/cassiaturn/fleet/_told_ends.py
+++ b/src/cassiaturn/fleet/_told_ends.py
@@ -10,7 +10,7 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 TELL_TIMEOUT_S = 0.75
@@ -21,13 +21,36 @@
 """Pause between requests to a target while an end is not acknowledged, in seconds: it
 answers them at once."""
 
-Receipt = asyncio.Future[None]
-"""Done once a frame was written to a member's connection, or that member is gone."""
+
+class Receipt:
+    """Settled once a frame was written to a member's connection, or it is gone.
+
+    There is one for nearly every end of a run. Unlike a future, it calls back without
+    a turn of the event loop, which a leader near its processor limit takes long for.
+    """
+
+    __slots__ = ("_callbacks", "is_settled")
+
+    def __init__(self) -> None:
+        """Start with a frame that waits."""
+        self.is_settled = False
+        self._callbacks: list[Callable[[], None]] = []
+
+    def settle(self) -> None:
+        """Record that the frame was written; has no effect the second time."""
+        self.is_settled = True
+        callbacks, self._callbacks = self._callbacks, []
+        for callback in callbacks:
+            callback()
+
+    def on_settled(self, callback: Callable[[], None]) -> None:
+        """Call back once the frame was written, which has not happened yet."""
+        self._callbacks.append(callback)
 
 
 class _Ends(NamedTuple):
     sequence: int
-    receipts: Sequence[Receipt]
+    receipts: frozenset[Receipt]
     expires_at: float
 
 
@@ -38,6 +61,8 @@
         """Start with a target that has not listed any end."""
         self._acknowledged = 0
         self._waiting: deque[_Ends] = deque()
+        self._unsettled = 0
+        self._all_settled: asyncio.Future[None] | None = None
 
     @property
     def acknowledged(self) -> int:
@@ -47,29 +72,46 @@
             self._acknowledged = self._waiting.popleft().sequence
         return self._acknowledged
 
-    def add(self, sequence: int, receipts: Sequence[Receipt]) -> None:
+    def add(self, sequence: int, receipts: Iterable[Receipt]) -> None:
         """Record that ends were processed.
 
         :param sequence: sequence number of the last of them.
         :param receipts: receipts of the frames that tell of them.
         """
         expires_at = time.monotonic() + TELL_TIMEOUT_S
-        self._waiting.append(_Ends(sequence, receipts, expires_at))
+        unsettled = frozenset(receipt for receipt in receipts if not receipt.is_settled)
+        for receipt in unsettled:
+            receipt.on_settled(self._count_settled)
+        self._unsettled += len(unsettled)
+        self._waiting.append(_Ends(sequence, unsettled, expires_at))
 
     async def wait(self, timeout_s: float) -> None:
         """Wait until every end may be acknowledged.
 
         :param timeout_s: longest wait, in seconds.
         """
-        pending = [
-            receipt
-            for ends in self._waiting
-            for receipt in ends.receipts
-            if not receipt.done()
-        ]
-        if pending:
-            await asyncio.wait(pending, timeout=timeout_s)
+        if not self._unsettled:
+            return
+        loop = asyncio.get_running_loop()
+        self._all_settled = loop.create_future()
+        timer = loop.call_later(timeout_s, self._end_wait)
+        try:
+            await self._all_settled
+        finally:
+            timer.cancel()
+            self._all_settled = None
+
+    def _count_settled(self) -> None:
+        self._unsettled -= 1
+        if not self._unsettled:
+            self._end_wait()
+
+    def _end_wait(self) -> None:
+        if self._all_settled is not None and not self._all_settled.done():
+            self._all_settled.set_result(None)
 
 
 def _is_told(ends: _Ends, now: float) -> bool:
-    return now >= ends.expires_at or all(receipt.done() for receipt in ends.receipts)
+    return now >= ends.expires_at or all(
+        receipt.is_settled for receipt in ends.receipts
+    )
--- a/src/cassiaturn/fleet/tests/test_follower.py
+++ b/src/cassiaturn/fleet/tests/test_follower.py
@@ -61,4 +61,4 @@
         follower.send_progress("job", []),
     ]
     follower.close()
-    assert all(receipt.done() for receipt in receipts)
+    assert all(receipt.is_settled for receipt in receipts)
--- a/src/cassiaturn/fleet/tests/test_told_ends.py
+++ b/src/cassiaturn/fleet/tests/test_told_ends.py
@@ -15,7 +15,7 @@
 
 
 def _receipts(count: int) -> list[Receipt]:
-    return [asyncio.get_running_loop().create_future() for _ in range(count)]
+    return [Receipt() for _ in range(count)]
 
 
 async def test_ends_are_acknowledged_in_order_once_they_were_told() -> None:
@@ -25,9 +25,9 @@
     ends.add(3, [first, second])
     ends.add(4, [])
     assert ends.acknowledged == 0
-    second.set_result(None)
+    second.settle()
     assert ends.acknowledged == 0
-    first.set_result(None)
+    first.settle()
     assert ends.acknowledged == 4
 
 
@@ -35,7 +35,7 @@
     ends = ToldEnds()
     (receipt,) = _receipts(1)
     ends.add(1, [receipt])
-    asyncio.get_running_loop().call_later(0.01, receipt.set_result, None)
+    asyncio.get_running_loop().call_later(0.01, receipt.settle)
     async with asyncio.timeout(5.0):
         await ends.wait(60.0)
     assert ends.acknowledged == 1
