Wait for runs of leaders whose targets are not known

Cause: a leader starts the waiting tasks of an inherited job at once, within 2.5 s of the start of its term, if all of its targets have reported. That holds for runs of its predecessor only. Here the term was young because of a planned change during the partition, its directory lacked the targets of the other side, and the job came from the leader of that side, whose runs went on.

Ruled out: a shorter window (the heal may come at any time after a planned change); trusting the directory at the heal (the entries come back later than the jobs).

Change: a member tells with an inherited job the tokens of the leaders that it has left within the last 1.85 s and that had the job. Only if these are tokens of the new leader's own term or of its predecessor, whose list it took over, do the lists of all targets tell what runs; else the job waits as it does later in a term. A member that joins a job which has begun here holds its waiting tasks, too. A job whose member does not tell waits.

--- a/src/cassiaturn/fleet/_caller_jobs.py
+++ b/src/cassiaturn/fleet/_caller_jobs.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from cassiaturn.entities import JobRequest, Route, TaskRef
+from cassiaturn.fleet._leader_history import LeaderHistory
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.sharing import (
     is_shed,
@@ -44,6 +45,10 @@
 class LeaderPort(Protocol):
     """Forwards jobs to the current leader."""
 
+    @property
+    def token(self) -> int:
+        """The leader's token, as last told."""
+
     @property
     def waits_for_confirmation(self) -> bool:
         """Whether the leader starts no new job before this member confirms it."""
@@ -83,8 +88,12 @@
     waiters: int = 0
     """Callers that wait: a resubmission may arrive before the first request ends."""
 
-    forwarded: bool = False
-    """Whether the job was sent to a leader, which may still hold it."""
+    forwarded_at: float | None = None
+    """When the job was first sent to a leader, which may still hold it, in seconds;
+    None: it was not."""
+
+    earlier_tokens: frozenset[int] = frozenset()
+    """Tokens of earlier leaders that may have runs of it, when it was last sent."""
 
     may_have_begun: bool = False
     """Whether a leader may have started it, so that "not run" may be a wrong answer."""
@@ -119,6 +128,7 @@
         self._priorities: list[int] = []
         self._jobs_by_id: dict[str, OpenJob] = {}
         self._leader: LeaderPort | None = None
+        self._left_leaders = LeaderHistory()
         self._leaderless_since = time.monotonic()
         self._cancelled_at_by_id: OrderedDict[str, float] = OrderedDict()
         """When each job was cancelled that a leader may still hold, oldest first."""
@@ -156,8 +166,10 @@
             clock; None: just now.
         """
         if self._leader is leader:
+            now = time.monotonic()
             self._leader = None
-            self._leaderless_since = time.monotonic() if heard_at is None else heard_at
+            self._left_leaders.note_left(leader.token, now)
+            self._leaderless_since = now if heard_at is None else heard_at
             self.waiting_by_route = {}
             self.shed_share = 0.0
             for job in self._jobs_by_id.values():
@@ -335,7 +347,7 @@
 
     def _cancel_at_leader(self, job: OpenJob) -> None:
         """Cancel a job at the leader, if one may hold it."""
-        if not job.forwarded:
+        if job.forwarded_at is None:
             return
         job_id = job.request.job_id
         now = time.monotonic()
@@ -376,7 +388,10 @@
 
     def _forward(self, job: OpenJob, leader: LeaderPort) -> None:
         begun_earlier = job.may_have_begun
-        job.forwarded = True
+        now = time.monotonic()
+        if job.forwarded_at is None:
+            job.forwarded_at = now
+        job.earlier_tokens = self._left_leaders.tokens_since(job.forwarded_at, now)
         job.may_have_begun |= not leader.waits_for_confirmation
         leader.submit(job, begun_earlier=begun_earlier)
         if begun_earlier:
--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -126,6 +126,7 @@
     unconfirmed: bool,
     sent_s: float = 0.0,
     completed: Iterable[TaskRef] = (),
+    earlier_tokens: Iterable[int] = (),
 ) -> pb.JobSubmission:
     """Return the message that forwards a job to the leader.
 
@@ -137,6 +138,7 @@
     :param sent_s: time of sending on this member's monotonic clock, in seconds; 0 if
         not told.
     :param completed: its tasks that are done under an earlier leader.
+    :param earlier_tokens: tokens of the leaders that may have runs of it.
     """
     return pb.JobSubmission(
         job_id=request.job_id,
@@ -156,6 +158,7 @@
         unconfirmed=unconfirmed,
         sent_ms=round(sent_s * MILLISECONDS),
         completed=from_completed(completed),
+        earlier_tokens=sorted(earlier_tokens),
     )
 
 
@@ -197,6 +200,7 @@
         failure_domain=failure_domain,
         is_confirmed=not message.unconfirmed,
         completed=to_completed(message.job_id, message.completed),
+        earlier_tokens=frozenset(message.earlier_tokens),
     )
 
 
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -114,6 +114,7 @@
         settings: WorkloadSettings,
         known_targets: Mapping[str, TargetReport],
         knows_all_targets: bool,
+        predecessor_tokens: frozenset[int],
         on_superseded: Callable[[], None],
         load: LeaderLoad,
         failure_domain: str,
@@ -125,11 +126,15 @@
         :param known_targets: the directory by target id, as far as the last leader
             handed it over.
         :param knows_all_targets: whether that leader handed over all of it.
+        :param predecessor_tokens: the tokens that it has had.
         :param on_superseded: called when a target obeys a later leader.
         :param load: measures the load of leading.
         :param failure_domain: failure domain of this member.
         """
         self.leadership = leadership
+        self.own_tokens = frozenset({leadership.token})
+        """The tokens that it has had in this term."""
+
         self.waits_for_confirmation = False
         """Jobs of this member's own callers start without a confirmation."""
 
@@ -147,6 +152,7 @@
             term=leadership.term,
             began_at=time.monotonic(),
             knows_targets=knows_all_targets and bool(known_targets),
+            covered_tokens=predecessor_tokens | self.own_tokens,
             routing=routing.current,
             drained_domains=drains.failure_domains,
         )
@@ -185,6 +191,11 @@
         )
         self.on_tick: Callable[[], None] = lambda: None
 
+    @property
+    def token(self) -> int:
+        """Its token."""
+        return self.leadership.token
+
     @property
     def reports_by_id(self) -> Mapping[str, TargetReport]:
         """The directory of targets."""
@@ -247,6 +258,8 @@
         :param leadership: this member's leadership with the higher token.
         """
         self.leadership = leadership
+        self.own_tokens |= {leadership.token}
+        self._tables.covered_tokens |= self.own_tokens
         self._targets.use_token(leadership.token)
 
     def close(self) -> None:
@@ -308,6 +321,7 @@
             begun_earlier=begun_earlier,
             failure_domain=self._failure_domain,
             completed=job.completed,
+            earlier_tokens=job.earlier_tokens if begun_earlier else frozenset(),
         )
         self.accept_submission(submission)
 
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -152,6 +152,11 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def token(self) -> int:
+        """The leader's token, as last told."""
+        return self.leadership.token
+
     @property
     def hears_leader(self) -> bool:
         """Whether the leader was heard within ``LEADER_HEARD_S``."""
@@ -164,6 +169,7 @@
     def continue_as(self, leadership: Leadership) -> None:
         """Go on with the same leader under a higher token."""
         self.leadership = leadership
+        self._roster.note_leader_token(leadership.token)
         self._on_leadership(leadership)
 
     def end_for(self, successor: Leadership) -> None:
@@ -183,6 +189,7 @@
             unconfirmed=not job.may_have_begun,
             sent_s=now,
             completed=job.completed,
+            earlier_tokens=job.earlier_tokens if begun_earlier else (),
         )
         self._frames.put_nowait(pb.FollowerFrame(submit=message))
 
@@ -263,6 +270,7 @@
                     end=FollowEnd.REDIRECTED, named_leadership=named_leadership
                 )
             self._begin()
+            self._update_leadership(first.welcome)
             try:
                 return await self._serve(stream)
             finally:
@@ -272,7 +280,7 @@
     def _begin(self) -> None:
         self.welcomed = True
         self.heard_at = time.monotonic()
-        self._roster.begin()
+        self._roster.begin(self.leadership.token)
         log_event(
             Event.LEADER_FOLLOWED,
             leader=self.leadership.member_id,
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -557,6 +557,7 @@
             settings=settings_for_lease(self.settings.lease_ms / MILLISECONDS),
             known_targets=self._roster.targets_by_id,
             knows_all_targets=self._roster.is_whole,
+            predecessor_tokens=self._roster.leader_tokens,
             on_superseded=self._superseded_signal.signal,
             load=self.load,
             failure_domain=self.settings.failure_domain,
@@ -640,7 +641,7 @@
         self.leader = None
         self._term = None
         self._resigned.set()
-        self._roster.replace_targets(leader.reports_by_id)
+        self._roster.replace_targets(leader.reports_by_id, leader.own_tokens)
         leader.close()
         leader.send_progress()
         if successor is not None:
--- a/src/cassiaturn/fleet/_roster.py
+++ b/src/cassiaturn/fleet/_roster.py
@@ -20,6 +20,9 @@
         still runs there, and must not start it elsewhere at once.
         """
 
+        self.leader_tokens: frozenset[int] = frozenset()
+        """Tokens that its leader has had in its term, as far as this member knows."""
+
         self._members_by_id: dict[str, pb.Member] = {}
         self._targets_by_id: dict[str, TargetReport] = {}
         self._digests = Digests()
@@ -41,18 +44,31 @@
         """Digests of the targets, by bucket; empty if no target is known."""
         return self._digests.by_bucket if self._targets_by_id else ()
 
-    def begin(self) -> None:
+    def begin(self, leader_token: int) -> None:
         """Start to follow a leader.
 
         Known entries are kept until the leader has sent its whole list: it may fall
         silent before that.
+
+        :param leader_token: the leader's token.
         """
         self.is_whole = False
+        self.leader_tokens = frozenset({leader_token})
         self._unconfirmed_members = set(self._members_by_id)
         self._unconfirmed_targets = set()
 
-    def replace_targets(self, reports_by_id: Mapping[str, TargetReport]) -> None:
-        """Replace the targets by those that this member knew as the leader."""
+    def note_leader_token(self, token: int) -> None:
+        """Record that the leader continues with a higher token."""
+        self.leader_tokens |= {token}
+
+    def replace_targets(
+        self, reports_by_id: Mapping[str, TargetReport], leader_tokens: frozenset[int]
+    ) -> None:
+        """Replace the targets by those that this member knew as the leader.
+
+        :param leader_tokens: the tokens that it has had in its term.
+        """
+        self.leader_tokens = leader_tokens
         self._targets_by_id = {}
         self._digests = Digests()
         for report in reports_by_id.values():
--- a/src/cassiaturn/fleet/tests/test_caller_jobs.py
+++ b/src/cassiaturn/fleet/tests/test_caller_jobs.py
@@ -28,6 +28,7 @@
     """Records the calls that it receives."""
 
     waits_for_confirmation: bool = True
+    token: int = 1
     begun_earlier: list[bool] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     jobs: list[OpenJob] = field(default_factory=list)
--- a/src/cassiaturn/fleet/tests/test_codec.py
+++ b/src/cassiaturn/fleet/tests/test_codec.py
@@ -41,6 +41,22 @@
     assert (taken.waited_s, taken.limit_s) == (0.5, 3_599.5)
 
 
+@pytest.mark.parametrize("tokens", [frozenset(), frozenset({2**60, 3})])
+def test_a_submission_names_the_earlier_leaders(tokens: frozenset[int]) -> None:
+    """Guards against a leader that takes unknown runs for those of its predecessor."""
+    message = from_submission(
+        REQUEST,
+        ROUTE,
+        waited_s=0.0,
+        limit_s=1.0,
+        begun_earlier=True,
+        unconfirmed=False,
+        earlier_tokens=tokens,
+    )
+    taken = to_submission(message, origin="m", failure_domain="a")
+    assert taken.earlier_tokens == tokens
+
+
 def test_retry_after_is_clamped_to_its_field() -> None:
     """A long queue's retry-after overflowed its field; the follower's stream ended."""
     outcome = Outcome(verdict=Verdict.REFUSED, reason="backlog", retry_after_s=1e12)
--- a/src/cassiaturn/fleet/tests/test_roster.py
+++ b/src/cassiaturn/fleet/tests/test_roster.py
@@ -40,7 +40,7 @@
     name: str = "front-1",
     on_change: Callable[[], None] = lambda: None,
 ) -> RosterCursor:
-    roster.begin()
+    roster.begin(1)
     hello = pb.Hello(member_id=name, target_digests=roster.target_digests)
     return feed.join(hello, on_change=on_change)
 
--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -206,6 +206,10 @@
         )
 
 
+PREDECESSOR_TOKEN = 1
+"""Token of the leader before a virtual one."""
+
+
 class VirtualLeader:
     """A leader's tables in front of virtual targets, in simulated time."""
 
@@ -214,7 +218,10 @@
     ) -> None:
         self.now = 100.0
         self.tables = Tables(
-            settings=settings or WorkloadSettings(), term=term, began_at=self.now
+            settings=settings or WorkloadSettings(),
+            term=term,
+            began_at=self.now,
+            covered_tokens=frozenset({PREDECESSOR_TOKEN}),
         )
         self.targets: dict[str, VirtualTarget] = {}
         self.outcomes: dict[str, Outcome] = {}
@@ -328,6 +335,7 @@
         origin: str = "m1",
         failure_domain: str = "",
         begun_earlier: bool = False,
+        earlier_tokens: frozenset[int] = frozenset({PREDECESSOR_TOKEN}),
         waited_s: float = 0.0,
         told_wait_s: float | None = None,
         completed: frozenset[TaskRef] = frozenset(),
@@ -335,6 +343,7 @@
         """Submit a job of one group.
 
         :param lengths: of each task, in seconds; None: all as declared.
+        :param earlier_tokens: tokens of the leaders that may have begun it.
         :param waited_s: how long its caller has waited already, in seconds.
         :param told_wait_s: what the leader is told of that; None: the truth.
         :param completed: its tasks that are done under an earlier leader.
@@ -362,6 +371,7 @@
                 waited_s=known_wait_s,
                 limit_s=limit_s - known_wait_s,
                 begun_earlier=begun_earlier,
+                earlier_tokens=earlier_tokens,
                 failure_domain=failure_domain,
                 completed=completed,
             ),
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -31,7 +31,11 @@
     on_start_answer,
     on_stop_answer,
 )
-from cassiaturn.workload._settings import WorkloadSettings, settings_for_lease
+from cassiaturn.workload._settings import (
+    INHERITED_HOLD_S,
+    WorkloadSettings,
+    settings_for_lease,
+)
 from cassiaturn.workload._tables import (
     Counters,
     Job,
@@ -52,6 +56,7 @@
 from cassiaturn.workload._unsupported_features import unsupported_feature
 
 __all__ = [
+    "INHERITED_HOLD_S",
     "Counters",
     "Job",
     "MAX_STARTS_PER_TURN",
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -98,11 +98,17 @@
     if now >= job.hold_until:
         return False
     # Once every target has reported to this leader, their lists contain all runs that
-    # an earlier leader started. Later in the term they may not: a target that the
-    # earlier leader reached may have left this leader's directory during a partition
-    # that has healed since.
+    # its predecessor started. Later in the term they may not: a target that the
+    # predecessor reached may have left this leader's directory during a partition that
+    # has healed since. The leader of another side of a partition may have reached
+    # targets that are not in this leader's directory at all.
     in_handover = now < tables.began_at + tables.settings.handover_window_s
-    return not (tables.knows_targets and in_handover and tables.all_targets_reported)
+    return not (
+        tables.knows_targets
+        and in_handover
+        and tables.all_targets_reported
+        and tables.covers(job.earlier_tokens)
+    )
 
 
 def _start(
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -46,6 +46,9 @@
     begun_earlier: bool = False
     """Whether tasks of it may be running that an earlier leader started."""
 
+    earlier_tokens: frozenset[int] = frozenset()
+    """Tokens of the leaders that may have started them; empty: not told."""
+
     failure_domain: str = ""
     """Failure domain of that member; empty: not known."""
 
@@ -113,9 +116,14 @@
     """Add another waiting caller to a job."""
     job.origins.add(submission.origin)
     job.is_confirmed |= submission.is_confirmed or submission.begun_earlier
-    if submission.begun_earlier and not job.begun:
-        job.begun = True
-        job.hold_until = now + tables.settings.inherited_hold_s
+    if submission.begun_earlier:
+        # Tasks of it that wait here may run under a leader that this one knows nothing
+        # of, also if this leader has started others of them.
+        is_unknown = not tables.covers(submission.earlier_tokens)
+        job.earlier_tokens |= submission.earlier_tokens
+        if not job.begun or is_unknown:
+            job.begun = True
+            job.hold_until = now + tables.settings.inherited_hold_s
     limit_at = now + submission.limit_s
     if limit_at > job.deadlines.limit_at:
         job.deadlines = job_deadlines(
@@ -226,6 +234,7 @@
         remaining_by_group=[group.count for group in request.groups],
         least_cpu_millis=min(group.resources.cpu_millis for group in request.groups),
         hold_until=hold_until,
+        earlier_tokens=submission.earlier_tokens,
         begun=submission.begun_earlier,
         failure_domain=submission.failure_domain,
         is_confirmed=submission.is_confirmed or submission.begun_earlier,
--- a/src/cassiaturn/workload/_settings.py
+++ b/src/cassiaturn/workload/_settings.py
@@ -6,6 +6,12 @@
 """Longest lease that is requested, in seconds. Runs of a leader that is gone must end
 before its callers come back after 1.3 s."""
 
+INHERITED_HOLD_S = 1.85
+"""How long a job of an earlier leader waits while one of its tasks may still run under
+that leader, in seconds. A partitioned leader continues for 0.75 s before it drops the
+job, and a lease that it renews just then lasts 1.1 s longer. Waiting for the lease
+alone would allow two concurrent runs of a task if the partition heals in between."""
+
 CLOCK_DRIFT_RATIO = 0.02
 """Share by which a target's clock may run slow."""
 
@@ -29,11 +35,8 @@
     """How long the outcome of an ended job is kept: late resubmissions arrive within
     seconds of the answer."""
 
-    inherited_hold_s: float = 1.85
-    """How long a job of an earlier leader waits while a target has not reported. A
-    partitioned leader continues for 0.75 s before it drops the job, and a lease that it
-    renews just then lasts 1.1 s longer. Waiting for the lease alone would allow two
-    concurrent runs of a task if the partition heals in between."""
+    inherited_hold_s: float = INHERITED_HOLD_S
+    """How long a job of an earlier leader waits while a target has not reported."""
 
     first_lists_wait_s: float = 0.06
     """How long a new leader waits for the lists of all targets before its first start,
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -213,6 +213,9 @@
     """Until then one of its tasks may still run under an earlier leader, unless every
     target has reported; in seconds."""
 
+    earlier_tokens: frozenset[int] = frozenset()
+    """Tokens of the earlier leaders that may have runs of it."""
+
     failure_domain: str = ""
     """Failure domain of the member that first passed it on; empty: not known."""
 
@@ -394,6 +397,10 @@
     """Whether it began with all targets to which its predecessor gave orders, and has
     since removed none on which another leader may start tasks."""
 
+    covered_tokens: frozenset[int] = frozenset()
+    """Tokens of this leader in its term and of its predecessor: all targets to which
+    they gave orders are known."""
+
     jobs_by_id: dict[str, Job] = field(default_factory=dict)
     """Jobs without an outcome; add, requeue and remove them by the methods below."""
 
@@ -447,6 +454,13 @@
     counters: Counters = field(default_factory=Counters)
     """Counters for the metrics."""
 
+    def covers(self, earlier_tokens: frozenset[int]) -> bool:
+        """Return whether this leader knows the targets of all leaders of a job.
+
+        :param earlier_tokens: tokens of those leaders; empty: not told.
+        """
+        return bool(earlier_tokens) and earlier_tokens <= self.covered_tokens
+
     def may_start_on(self, target: Target) -> bool:
         """Return whether operators are known to allow starts on a target."""
         return self.drained_domains is not None and not self.is_drained(target)
--- a/src/cassiaturn/workload/tests/test_leader_change.py
+++ b/src/cassiaturn/workload/tests/test_leader_change.py
@@ -125,6 +125,55 @@
     assert play.verdict("a") is Verdict.COMPLETED
 
 
+@pytest.mark.parametrize("tokens", [frozenset({7}), frozenset({1, 7}), frozenset()])
+def test_a_job_of_another_sides_leader_waits_in_a_young_term(
+    tokens: frozenset[int],
+) -> None:
+    """Guards against two concurrent runs after a planned change during a partition.
+
+    The leader's own predecessor had only the targets of its side, and all of them have
+    reported. The job comes from the leader of the other side (token 7), whose targets
+    are not in the directory.
+    """
+    play = VirtualLeader(term=1)
+    play.tables.knows_targets = True
+    play.add_target("t1")
+    play.run(0.1)
+    play.submit("a", run_s=0.1, begun_earlier=True, earlier_tokens=tokens, limit_s=4.0)
+    play.run(1.8)
+    assert play.tables.counters.starts == 0
+    play.run(0.5)
+    assert play.verdict("a") is Verdict.COMPLETED
+
+
+def test_waiting_tasks_of_a_joined_job_wait_for_another_sides_leader() -> None:
+    """Guards against two concurrent runs of a job that callers sent to both sides.
+
+    One of its two tasks has started here when a member joins the job that followed the
+    leader of the other side, which may run the second task.
+    """
+    play = VirtualLeader(term=1)
+    play.add_target("t1")
+    play.run(0.1)
+    play.submit("a", count=2, run_s=0.3, cpu=10_000, limit_s=6.0)
+    play.run(0.1)
+    assert play.tables.counters.starts == 1
+    play.submit(
+        "a",
+        count=2,
+        run_s=0.3,
+        cpu=10_000,
+        origin="m2",
+        begun_earlier=True,
+        earlier_tokens=frozenset({7}),
+        limit_s=6.0,
+    )
+    play.run(1.8)
+    assert play.tables.counters.starts == 1
+    play.run(0.6)
+    assert play.verdict("a") is Verdict.COMPLETED
+
+
 @pytest.mark.parametrize("reason", ["left_directory", "lease_over"])
 def test_job_from_other_side_waits_if_a_new_leader_removed_targets(
     reason: str,
