Explore a planned change of leader during a partition

Cause: the model of the leases knew no directory and no planned change, so it could not show the two concurrent runs that a job of another side's leader led to.

Change: a leader has a directory that loses targets which it does not reach; a leader may be replaced as planned, with its directory; a zone with its target may be cut off; a superseded leader may stop its leftovers too late. The safeguard: lists stand for the runs of the predecessor only.

--- a/src/cassiaturn/model/leases/_members.py
+++ b/src/cassiaturn/model/leases/_members.py
@@ -20,6 +20,7 @@
     MEMBERS,
     NOBODY,
     RESUBMIT_TICKS,
+    TARGETS,
     Rules,
     State,
     Tables,
@@ -37,7 +38,12 @@
     for member in MEMBERS:
         if acts(state, member):
             taken = put_member(
-                after, member, has_job=True, passed_to=NOBODY, confirmed=False
+                after,
+                member,
+                has_job=True,
+                passed_to=NOBODY,
+                passed=frozenset(),
+                confirmed=False,
             )
             yield Step(
                 f"the caller submits to member {member}",
@@ -53,7 +59,8 @@
             leader = state.members[number].follows
             inherited = state.members[number].confirmed
             after = _take(state, leader, number, rules, inherited=inherited)
-            after = put_member(after, number, passed_to=leader)
+            passed = state.members[number].passed | {state.tables[leader].token}
+            after = put_member(after, number, passed_to=leader, passed=passed)
             if number == leader:
                 after = _confirm(after, number, leader)
             yield Step(f"member {number} passes the job on to {leader}", after)
@@ -98,21 +105,29 @@
     state: State, leader: int, origin: int, rules: Rules, *, inherited: bool
 ) -> State:
     tables = state.tables[leader]
+    earlier = state.members[origin].passed if inherited else frozenset()
+    hold = HOLD_TICKS if rules.hold_outlasts_silence else LEASE_OVER_TICKS
+    if not (inherited and rules.hold_inherited):
+        hold = 0
     if tables.origins and rules.join_by_id:
-        return put_tables(state, leader, origins=tables.origins | {origin})
+        return put_tables(
+            state,
+            leader,
+            origins=tables.origins | {origin},
+            earlier=tables.earlier | earlier,
+            hold=tables.hold if earlier <= tables.covered else hold,
+        )
     run = tables.run
     if not rules.join_by_id:
         run = None
     elif run is not None and inherited:
         # Listed by a target before its job came: the job takes it over.
         run = run._replace(stopping=False)
-    hold = HOLD_TICKS if rules.hold_outlasts_silence else LEASE_OVER_TICKS
-    if not (inherited and rules.hold_inherited):
-        hold = 0
     return put_tables(
         state,
         leader,
         origins=frozenset({origin}),
+        earlier=earlier,
         hold=hold,
         run=run,
         confirmed=inherited or run is not None,
@@ -135,6 +150,7 @@
         number,
         has_job=False,
         passed_to=NOBODY,
+        passed=frozenset(),
         confirmed=False,
         connection_broken=False,
     )
@@ -176,7 +192,13 @@
             continue
         term = state.members[number].known_term + 1
         # Unique: the salt of a token tells claimants of one term apart.
-        tables = Tables(token=2 * term + number, next_run=term * 8)
+        token = 2 * term + number
+        tables = Tables(
+            token=token,
+            next_run=term * 8,
+            directory=state.members[number].roster,
+            covered=frozenset({token, state.members[number].roster_token}),
+        )
         after = after._replace(
             tables=tuple(
                 tables if row == number else old for row, old in enumerate(after.tables)
@@ -184,10 +206,102 @@
         )
         yield Step(
             f"member {number} claims term {term}",
-            put_member(after, number, follows=number, known_term=term),
+            put_member(
+                after, number, follows=number, known_term=term, roster_token=token
+            ),
         )
 
 
+@action
+def change_leader(state: State, rules: Rules) -> Iterator[Step]:
+    """Let another process take over from a leader that hands over as planned."""
+    for number in MEMBERS:
+        after = spend(state, "changes")
+        if after is None or not leads(state, number):
+            continue
+        before = state.tables[number]
+        term = max(member.known_term for member in state.members) + 1
+        token = 2 * term + number
+        successor = Tables(
+            token=token,
+            next_run=term * 8,
+            directory=before.directory,
+            covered=frozenset({token, before.token}),
+        )
+        after = put_tables(after, number, **successor._asdict())
+        for member in MEMBERS:
+            if hear_each_other(state, member, number):
+                after = _redirect(after, member, number, term=term, token=token)
+        yield Step(f"the leader {number} is replaced as planned", after)
+
+
+def _redirect(
+    state: State, member: int, leader: int, *, term: int, token: int
+) -> State:
+    """Return a state in which a member of a leader follows its successor."""
+    if state.members[member].follows != leader:
+        return state
+    return put_member(
+        state,
+        member,
+        known_term=term,
+        passed_to=NOBODY,
+        roster=state.tables[leader].directory,
+        roster_token=token,
+    )
+
+
+@action
+def lapse(state: State, rules: Rules) -> Iterator[Step]:
+    """Let the directory entry of a target lapse that its leader does not reach."""
+    for leader in MEMBERS:
+        after = spend(state, "lapses")
+        if after is None or not leads(state, leader):
+            continue
+        tables = state.tables[leader]
+        for target in sorted(tables.directory - tables.heard):
+            has_run = tables.run is not None and tables.run.target == target
+            if has_run or reaches(state, leader, target):
+                continue
+            after = put_tables(
+                after,
+                leader,
+                directory=tables.directory - {target},
+                strays=tables.strays - {target},
+                knows_targets=False,
+            )
+            yield Step(
+                f"target {target} leaves the directory of {leader}",
+                _update_rosters(after, leader),
+            )
+
+
+@action
+def list_again(state: State, rules: Rules) -> Iterator[Step]:
+    """Let a target that a leader reaches return to its directory."""
+    for leader in MEMBERS:
+        tables = state.tables[leader]
+        if not leads(state, leader) or state.members_cut:
+            continue
+        for target in TARGETS:
+            if target in tables.directory or not reaches(state, leader, target):
+                continue
+            after = put_tables(state, leader, directory=tables.directory | {target})
+            yield Step(
+                f"target {target} returns to the directory of {leader}",
+                _update_rosters(after, leader),
+            )
+
+
+def _update_rosters(state: State, leader: int) -> State:
+    for member in MEMBERS:
+        follows = state.members[member].follows == leader
+        if follows and hear_each_other(state, member, leader):
+            roster = state.tables[leader].directory
+            state = put_member(state, member, roster=roster)
+    return state
+
+
 @action
 def hear_of_leader(state: State, rules: Rules) -> Iterator[Step]:
     """Let a member hear of a later leader, and follow it."""
@@ -195,10 +309,21 @@
         leader = later_leader(state, number)
         if leader != NOBODY:
             term = state.members[leader].known_term
-            after = put_member(state, number, follows=leader, known_term=term)
+            after = put_member(
+                state,
+                number,
+                follows=leader,
+                known_term=term,
+                roster=state.tables[leader].directory,
+                roster_token=state.tables[leader].token,
+            )
+            label = f"member {number} follows {leader}"
+            late = spend(after, "late_stops")
+            if late is not None and rules.stop_leftovers:
+                resigned = put_tables(late, number, **_RESIGNED)
+                yield Step(f"{label}, and stops nothing yet", resigned)
             if rules.stop_leftovers:
                 after = _stop_leftover(after, number)
-            label = f"member {number} follows {leader}"
             yield Step(label, put_tables(after, number, **_RESIGNED))
 
 
--- a/src/cassiaturn/model/leases/_registry.py
+++ b/src/cassiaturn/model/leases/_registry.py
@@ -4,7 +4,6 @@
 from typing import Any, NamedTuple
 
 from cassiaturn.model.leases._state import (
-    TARGETS,
     Member,
     Rules,
     State,
@@ -93,7 +92,7 @@
     tables = state.tables[number]
     return any(
         tables.token >= state.targets[target].token
-        for target in TARGETS
+        for target in tables.directory
         if tables.token
         and target not in tables.heard
         and reaches(state, number, target)
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -89,6 +89,10 @@
     """The time by which a start must be carried out counts from the decision, not from
     the sending."""
 
+    cover_earlier_leaders: bool = True
+    """The lists of all targets in a leader's directory stand for the runs of its
+    predecessor only; a job that another leader had waits for the leases."""
+
 
 class Budget(NamedTuple):
     """How often each fault may still happen."""
@@ -117,6 +121,18 @@
     claims: int = 1
     """Leaderships that members claim, for whatever reason."""
 
+    zone_cuts: int = 0
+    """Times that each member and one target are cut off from the others."""
+
+    changes: int = 0
+    """Planned changes of a leader to another process that reaches the same."""
+
+    lapses: int = 0
+    """Directory entries of unreachable targets that lapse."""
+
+    late_stops: int = 0
+    """Superseded leaders that do not stop what they left before its lease ends."""
+
     submits: int = 2
     """Submissions of the job by its caller."""
 
@@ -199,6 +215,18 @@
     next_run: int = 1
     """Number of the next start."""
 
+    directory: frozenset[int] = frozenset(TARGETS)
+    """Targets that this leader knows."""
+
+    knows_targets: bool = True
+    """Whether the directory has all targets that its predecessor knew."""
+
+    covered: frozenset[int] = frozenset()
+    """Tokens of this leader and of its predecessor."""
+
+    earlier: frozenset[int] = frozenset()
+    """Tokens of the leaders that had the job before."""
+
     heard: frozenset[int] = frozenset()
     """Targets that have told this leader what runs there."""
 
@@ -242,6 +270,15 @@
     passed_to: int = NOBODY
     """The leader that it passed the job to."""
 
+    passed: frozenset[int] = frozenset()
+    """Tokens of all leaders that it passed the job to."""
+
+    roster: frozenset[int] = frozenset(TARGETS)
+    """Targets that its last leader knew."""
+
+    roster_token: int = 2
+    """Token of that leader."""
+
     confirmed: bool = False
     """Whether a leader may have started the job since it was submitted here."""
 
@@ -277,11 +314,17 @@
     started: bool = True
     """Whether that job runs already; otherwise it waits in the leader's queue."""
 
+    two_sides: bool = False
+    """Whether the zones are cut off already: member 1 leads its side, and the job of
+    its caller runs at target 1."""
+
 
 def first_state(scenario: Scenario) -> State:
     """Return the state in which member 0 leads and has heard every target."""
+    if scenario.two_sides:
+        return _two_sides(scenario)
     budget = scenario.budget
-    leading = Tables(token=2, heard=frozenset(TARGETS))
+    leading = Tables(token=2, covered=frozenset({2}), heard=frozenset(TARGETS))
     members = [Member(known_term=1), Member(known_term=1)]
     targets = [Target(token=2), Target(token=2)]
     origin = scenario.caller_at
@@ -297,7 +340,7 @@
             lease_left=LEASE_OVER_TICKS,
         )
         members[origin] = members[origin]._replace(
-            has_job=True, passed_to=0, confirmed=True
+            has_job=True, passed_to=0, passed=frozenset({2}), confirmed=True
         )
         if scenario.started:
             targets[0] = targets[0]._replace(run=1, lease=LEASE_TICKS)
@@ -309,3 +352,41 @@
         targets=tuple(targets),
         caller_at=origin,
     )
+
+
+def _two_sides(scenario: Scenario) -> State:
+    """Return the state in which each member leads the side of a cut with its target."""
+    token, number = 5, 16
+    own, other = frozenset({0}), frozenset({1})
+    return State(
+        budget=scenario.budget._replace(submits=scenario.budget.submits - 1),
+        members=(
+            Member(known_term=1),
+            Member(
+                follows=1,
+                known_term=2,
+                has_job=True,
+                passed_to=1,
+                passed=frozenset({token}),
+                roster_token=token,
+                confirmed=True,
+            ),
+        ),
+        tables=(
+            Tables(token=2, covered=frozenset({2}), heard=own),
+            Tables(
+                token=token,
+                covered=frozenset({2, token}),
+                heard=other,
+                origins=other,
+                run=Run(target=1, number=number, settled=True),
+                confirmed=True,
+                next_run=number + 1,
+                lease_left=LEASE_OVER_TICKS,
+            ),
+        ),
+        targets=(Target(token=2), Target(token=token, run=number, lease=LEASE_TICKS)),
+        caller_at=1,
+        members_cut=True,
+        links_cut=frozenset({(0, 1), (1, 0)}),
+    )
--- a/src/cassiaturn/model/leases/_targets.py
+++ b/src/cassiaturn/model/leases/_targets.py
@@ -16,11 +16,11 @@
     LEASE_OVER_TICKS,
     LEASE_TICKS,
     MEMBERS,
-    TARGETS,
     Order,
     Rules,
     Run,
     State,
+    Tables,
 )
 
 
@@ -44,11 +44,18 @@
         return False
     if rules.confirm_first and not tables.confirmed:
         return False
-    if tables.hold and tables.heard != frozenset(TARGETS):
+    if tables.hold and not _knows_earlier_runs(tables, rules):
         return False
     return not (rules.survey_first and has_unasked(state, leader))
 
 
+def _knows_earlier_runs(tables: Tables, rules: Rules) -> bool:
+    """Return whether the lists that a leader has read contain all runs of its job."""
+    if not tables.knows_targets or not tables.heard >= tables.directory:
+        return False
+    return tables.earlier <= tables.covered or not rules.cover_earlier_leaders
+
+
 def decide(state: State, leader: int, target: int) -> tuple[Order, State]:
     """Return a leader's order to start its job, and the state with that run in it."""
     tables = state.tables[leader]
@@ -214,7 +221,7 @@
     for leader in MEMBERS:
         if not leads(state, leader):
             continue
-        for target in TARGETS:
+        for target in sorted(state.tables[leader].directory):
             heard = target in state.tables[leader].heard
             expects = any(order.target == target for order in state.orders)
             if reaches(state, leader, target) and (expects or not heard):
--- a/src/cassiaturn/model/leases/_time.py
+++ b/src/cassiaturn/model/leases/_time.py
@@ -214,6 +214,28 @@
         yield Step("the members are cut off", after._replace(members_cut=True))
 
 
+@action
+def cut_zone(state: State, rules: Rules) -> Iterator[Step]:
+    """Cut each member and its target off from the other's, and end the cut."""
+    links = frozenset((member, 1 - member) for member in MEMBERS)
+    if state.members_cut and state.links_cut >= links:
+        healed = state.links_cut - links
+        yield Step(
+            "the zones' cut heals", state._replace(members_cut=False, links_cut=healed)
+        )
+        return
+    after = spend(state, "zone_cuts")
+    if after is None or state.members_cut:
+        return
+    for member, target in links:
+        heard = after.tables[member].heard - {target}
+        after = put_tables(after, member, heard=heard)
+    yield Step(
+        "the zones are cut off",
+        after._replace(members_cut=True, links_cut=state.links_cut | links),
+    )
+
+
 @action
 def cut_target(state: State, rules: Rules) -> Iterator[Step]:
     """Cut a member off from a target, and end the cut."""
