Divide the runs of tasks on remote racks by their factor, and index racks

Cause: that a run on another rack than its data's takes two or three times as long was known nowhere. Three such runs made a healthy target count as slow, raised the expected run times of the route, and each task that names a rack was placed by a scan of all targets.

Change: the factor from the settings; runs are divided by it before anything is learned from them; a task looks at the targets of its rack by label, then takes the class index; a degraded target on the rack is taken if the task still ends sooner there. job_started names the tasks that run elsewhere.

Conclusion: on with the platform's factor; the default of 1 changes nothing.

--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -20,6 +20,7 @@
 from cassiaturn.sharing._job_queue import JobQueue, queue_key
 from cassiaturn.sharing._link_capacity import should_hand_over
 from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared_target
+from cassiaturn.sharing._remote_racks import remote_rack_factor
 from cassiaturn.sharing._shedding import LoadShedder, is_shed
 from cassiaturn.sharing._speed_estimate import SpeedEstimate, needs_fast_target
 from cassiaturn.sharing._speed_model import SpeedModel
@@ -54,6 +55,7 @@
     "needs_fast_target",
     "order_key",
     "queue_key",
+    "remote_rack_factor",
     "should_hand_over",
     "spread_retry_after",
     "stuck_job_deadline",
--- a/src/cassiaturn/sharing/_target_index.py
+++ b/src/cassiaturn/sharing/_target_index.py
@@ -6,7 +6,8 @@
 
 Grounds: the order of preference depends on a target's size, its speed and its free
 resources. Targets that differ only in free resources are kept sorted by them, so the
-best one of each such class is found by bisection.
+best one of each such class is found by bisection. A task that names a rack looks at the
+targets of that rack first, which are few.
 """
 
 from bisect import bisect_left, insort
@@ -61,6 +62,9 @@
         self._rows_by_class: dict[_TargetClass, list[_Row[TargetT]]] = {}
         self._class_by_id: dict[str, _TargetClass] = {}
         self._row_by_id: dict[str, _Row[TargetT]] = {}
+        self._ids_by_label: dict[str, dict[str, None]] = {}
+        """Targets with each label, in the order in which they were added."""
+
         self._changed: set[SharedTarget] = set()
         self._added = 0
 
@@ -68,11 +72,18 @@
         """Add a target; from now on it reports its changes to the index."""
         self._added += 1
         self._insert(target, self._added)
+        for label in target.labels:
+            self._ids_by_label.setdefault(label, {})[target.target_id] = None
         target.changed_targets = self._changed
 
     def remove(self, target: TargetT) -> None:
         """Remove a target."""
         self._delete(target.target_id)
+        for label in target.labels:
+            ids = self._ids_by_label[label]
+            del ids[target.target_id]
+            if not ids:
+                del self._ids_by_label[label]
         self._changed.discard(target)
         target.changed_targets = None
 
@@ -102,23 +113,66 @@
         avoided: frozenset[str] = frozenset(),
         is_tight: bool = False,
         preferred_domain: str = "",
+        remote_factor: float = 1.0,
     ) -> TargetT | None:
         """Return the target that :func:`choose_shared_target` would choose.
 
+        A degraded target on the rack that the group names is also chosen if a task
+        still ends there sooner than on another rack.
+
         :param is_usable: whether a target may take work now.
         :param avoided: ids of targets that failed this task before.
         :param is_tight: whether the task needs a large part of its caller's time.
         :param preferred_domain: failure domain of its caller's member; empty: unknown.
+        :param remote_factor: how many times as long a task runs on another rack than
+            the one that its group names.
         """
         self._update()
-        if avoided or group.required_label or group.preferred_rack:
+        if avoided or group.required_label or group.max_per_target:
             return self._choose_among_all(
                 group, group_key, is_usable, avoided, is_tight, preferred_domain
             )
-        if group.max_per_target:
-            return self._choose_among_all(
-                group, group_key, is_usable, avoided, is_tight, preferred_domain
+        on_rack: TargetT | None = None
+        if group.preferred_rack:
+            on_rack = self._choose_on_rack(
+                group, group_key, is_usable, is_tight, preferred_domain
             )
+        if on_rack is not None and (
+            not on_rack.is_slow or on_rack.slowness <= remote_factor
+        ):
+            return on_rack
+        elsewhere = self._choose_by_class(group, is_usable, is_tight, preferred_domain)
+        if on_rack is not None and (elsewhere is None or elsewhere.is_slow):
+            return on_rack
+        return elsewhere
+
+    def _choose_on_rack(
+        self,
+        group: TaskGroup,
+        group_key: GroupKey,
+        is_usable: Callable[[TargetT], bool],
+        is_tight: bool,
+        preferred_domain: str,
+    ) -> TargetT | None:
+        """Return the best target of the rack that a group names; None: none is free."""
+        ids = self._ids_by_label.get(group.preferred_rack, {})
+        targets = (self._row_by_id[target_id].target for target_id in ids)
+        return choose_shared_target(
+            group,
+            group_key,
+            (target for target in targets if is_usable(target)),
+            is_tight=is_tight,
+            preferred_domain=preferred_domain,
+        )
+
+    def _choose_by_class(
+        self,
+        group: TaskGroup,
+        is_usable: Callable[[TargetT], bool],
+        is_tight: bool,
+        preferred_domain: str,
+    ) -> TargetT | None:
+        """Return the best target for a group without regard to racks."""
         best: _Row[TargetT] | None = None
         best_rank: tuple[bool, float, float, float, int] | None = None
         wanted = group.resources
--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -24,6 +24,7 @@
     TaskRef,
 )
 from cassiaturn.observability import Event
+from cassiaturn.sharing import remote_rack_factor
 from cassiaturn.workload import (
     Job,
     Outcome,
@@ -96,6 +97,12 @@
     speed: float = 1.0
     """Speed of its worker; 2 halves the run times."""
 
+    labels: frozenset[str] = frozenset()
+    """The worker's kind and its rack."""
+
+    remote_factor: float = 1.0
+    """How many times as long tasks that name another rack run here."""
+
     fails: bool = False
     """Whether every run fails."""
 
@@ -160,6 +167,7 @@
             self.overfull += 1
         self.lease_until = max(self.lease_until, now + LEASE_S)
         work_s = float("inf") if self.hangs else length_s / self.speed
+        work_s *= remote_rack_factor(group, self.labels, self.remote_factor)
         self.runs_by_ref[ref] = VirtualRun(
             ref=ref,
             number=number,
@@ -306,7 +314,12 @@
     ) -> None:
         """Add a target, and request its list of runs."""
         capacity = Resources(cpu_millis=cpu, memory_mib=64_000)
-        target = VirtualTarget(target_id=name, capacity=capacity, **traits)  # type: ignore[arg-type]
+        target = VirtualTarget(
+            target_id=name,
+            capacity=capacity,
+            labels=labels,
+            **traits,  # type: ignore[arg-type]
+        )
         self.targets[name] = target
         workload.on_target_report(
             self.tables,
@@ -330,6 +343,7 @@
         run_s: float = 0.06,
         lengths: list[float] | None = None,
         cpu: int = 6_800,
+        rack: str = "",
         route: Route = ROUTE,
         limit_s: float = 1.5,
         origin: str = "m1",
@@ -343,6 +357,7 @@
         """Submit a job of one group.
 
         :param lengths: of each task, in seconds; None: all as declared.
+        :param rack: where the data of its tasks lies; empty: anywhere.
         :param earlier_tokens: tokens of the leaders that may have begun it.
         :param waited_s: how long its caller has waited already, in seconds.
         :param told_wait_s: what the leader is told of that; None: the truth.
@@ -353,6 +368,7 @@
             count=count,
             resources=Resources(cpu_millis=cpu, memory_mib=64),
             expected_run_s=run_s,
+            preferred_rack=rack,
         )
         for index in range(count):
             ref = TaskRef(job_id, 0, 0, index)
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -10,6 +10,7 @@
     TargetIndex,
     latest_start,
     queue_key,
+    remote_rack_factor,
 )
 from cassiaturn.workload._backlog import usable_check
 from cassiaturn.workload._ports import Ports, StartOrder
@@ -137,10 +138,15 @@
         avoided=task.avoided,
         is_tight=job.is_tight,
         preferred_domain=job.failure_domain,
+        remote_factor=tables.settings.remote_rack_factor,
     )
     if target is None:
         return None
     run.target_id = target.target_id
+    run.remote_factor = remote_rack_factor(
+        task.group, target.labels, tables.settings.remote_rack_factor
+    )
+    tables.counters.remote_starts += run.remote_factor > 1.0
     task.next_run += 1
     task.assign_run(run)
     job.waiting.remove(task)
@@ -168,9 +174,16 @@
         tasks=",".join(f"{run.ref.task_index}@{run.target_id}" for run in started),
         left=len(job.waiting),
         wait_ms=round((now - job.arrived_at) * 1000),
+        **_remote_field(started),
     )
 
 
+def _remote_field(started: list[Run]) -> dict[str, str]:
+    """Return the log field that names the tasks away from their racks, if any."""
+    remote = [str(run.ref.task_index) for run in started if run.remote_factor > 1.0]
+    return {"remote": ",".join(remote)} if remote else {}
+
+
 def requeue_task(tables: Tables, ref: TaskRef) -> None:
     """Queue a task whose run has ended for another run, if its job is active."""
     job = tables.jobs_by_id.get(ref.job_id)
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -170,7 +170,7 @@
         target.failures_in_row = 0
         if run.is_adopted:
             return
-        run_s = now - run.started_at
+        run_s = (now - run.started_at) / run.remote_factor
         update_slowness(target, job, run_s)
         target.note_change()
         if target.slowness < MAX_HEALTHY_SLOWNESS:
@@ -186,7 +186,12 @@
     expected = tables.expected
     name = job.route.name
     runs = [
-        (target, task.length_s / expected.expected_s(name, task.group.expected_run_s))
+        (
+            target,
+            task.length_s
+            / task.remote_factor
+            / expected.expected_s(name, task.group.expected_run_s),
+        )
         for task in job.tasks_by_ref.values()
         if task.length_s and task.first_started_at == task.last_started_at
         if (target := tables.targets_by_id.get(task.last_target_id)) is not None
@@ -209,7 +214,8 @@
 def update_slowness(target: Target, job: Job, run_s: float) -> None:
     """Update a target's slowness from the actual or predicted time of a run.
 
-    :param run_s: length of the run, or a lower bound of it, in seconds.
+    :param run_s: length that the run would have near its data, or a lower bound of
+        it, in seconds.
     """
     ratio = run_s / max(job.expected_run_s, 1e-3)
     target.slowness += SLOWNESS_WEIGHT * (min(ratio, 10.0) - target.slowness)
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -8,6 +8,7 @@
     job_deadlines,
     latest_start,
     longest_chain_s,
+    remote_rack_factor,
     spread_retry_after,
 )
 from cassiaturn.workload._backlog import backlog_s
@@ -320,4 +321,7 @@
     if run.group is None:
         run.group = task.group
         target = tables.targets_by_id[run.target_id]
+        run.remote_factor = remote_rack_factor(
+            task.group, target.labels, tables.settings.remote_rack_factor
+        )
         target.allocate(task.group.resources, run.group_key)
--- a/src/cassiaturn/workload/_reports.py
+++ b/src/cassiaturn/workload/_reports.py
@@ -204,7 +204,7 @@
     run.least_run_s = max(run.least_run_s, progress.least_run_s())
     job = tables.jobs_by_id.get(run.ref.job_id)
     if job is not None and run.least_run_s and not run.is_adopted:
-        update_slowness(target, job, run.least_run_s)
+        update_slowness(target, job, run.least_run_s / run.remote_factor)
 
 
 def _acknowledge_run(run: Run, clock_ms: int | None, now: float) -> int:
--- a/src/cassiaturn/workload/_settings.py
+++ b/src/cassiaturn/workload/_settings.py
@@ -104,18 +104,26 @@
     """Shortest retry delay for a refused caller: the Retry-After header holds whole
     seconds."""
 
+    remote_rack_factor: float = 1.0
+    """How many times as long a task runs on another rack than the one it names."""
+
     run_numbers_per_term: int = 64
     """Run numbers reserved for each term: more than the starts that one term usually
     makes for a task. A number that is too low is answered as outdated, and raised."""
 
 
-def settings_for_lease(granted_s: float) -> WorkloadSettings:
+def settings_for_lease(
+    granted_s: float, *, remote_rack_factor: float = 1.0
+) -> WorkloadSettings:
     """Return the time limits for targets that grant leases up to a given length.
 
     :param granted_s: longest lease that they grant, in seconds.
+    :param remote_rack_factor: how many times as long a task runs on another rack than
+        the one it names.
     """
     lease_s = min(MAX_LEASE_S, granted_s)
     return WorkloadSettings(
         lease_s=lease_s,
         lease_over_s=lease_s * (1 + CLOCK_DRIFT_RATIO) + MAX_ORDER_DELAY_S,
+        remote_rack_factor=remote_rack_factor,
     )
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -111,6 +111,10 @@
     """Its target's clock when the target confirmed or first listed the run, in
     milliseconds; None: neither has happened."""
 
+    remote_factor: float = 1.0
+    """How many times as long it takes because its target is not on the rack that its
+    task names."""
+
     percent: int = 0
     """Share of its work that is done, in percent, as last listed."""
 
@@ -164,6 +168,9 @@
     length_s: float = 0.0
     """Length of its completed run, in seconds; 0: not known."""
 
+    remote_factor: float = 1.0
+    """That of its last run, see :class:`Run`."""
+
     avoided: frozenset[str] = frozenset()
     """Ids of targets on which it failed or stalled."""
 
@@ -173,6 +180,7 @@
         self.first_started_at = self.first_started_at or run.started_at
         self.last_started_at = run.started_at
         self.last_target_id = run.target_id
+        self.remote_factor = run.remote_factor
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -361,6 +369,9 @@
     starts: int = 0
     """Orders to start that were sent."""
 
+    remote_starts: int = 0
+    """Orders to start a task on another rack than the one it names."""
+
     refused_starts: int = 0
     """Orders to start that a target refused."""
 
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -200,6 +200,7 @@
     """
     job = tables.jobs_by_id.get(run.ref.job_id)
     expected_run_s = job.expected_run_s if job is not None else 0.0
+    expected_run_s *= run.remote_factor
     stall_timeout_s = max(
         tables.settings.stall_timeout_s, MIN_STALL_RATIO * expected_run_s
     )
