Step down while a renewal of the leader's row is unanswered

Cause: a leader that hears of its successor checks for it between two renewals of its row; while the store is silent, a renewal takes until its timeout of 0.7 s.

Change: the term ends as soon as a later leader is known, whatever it waits for; a claim of a higher token is not cut short.

--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -208,6 +208,8 @@
         self._leadership_announced.set()
         if self.leader is not None:
             self._superseded_signal.signal()
+            if self._term is not None:
+                self._term.note_later_leader()
         elif self._following is not None:
             self._following.end_for(leadership)
 
--- a/src/cassiaturn/fleet/_term.py
+++ b/src/cassiaturn/fleet/_term.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 from collections.abc import Set as AbstractSet
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_row import ROW_RENEW_PERIOD_S, LeaderRow
@@ -17,6 +18,8 @@
 from cassiaturn.fleet._superseded_signal import SupersededSignal
 from cassiaturn.observability import Event, log_event
 
+ResultT = TypeVar("ResultT")
+
 PARTITION_SETTLE_S = 0.3
 """Time in which a leader collects silent followers before it decides on which side of
 a network partition most of them are, in seconds: two heartbeats."""
@@ -71,6 +74,7 @@
         self._row = row
         self._peers = peers
         self._superseded_signal = superseded_signal
+        self._later_leader_known = asyncio.Event()
         self._silent_members = 0
 
     def note_silent_member(self) -> None:
@@ -78,6 +82,10 @@
         self._silent_members += 1
         self._superseded_signal.signal()
 
+    def note_later_leader(self) -> None:
+        """Record that this member has heard of a later leader that it reaches."""
+        self._later_leader_known.set()
+
     async def run(self) -> Leadership:
         """Maintain the term until another member leads.
 
@@ -97,13 +105,10 @@
         checks = 0
         while True:
             leadership = self._leader.leadership
-            known_leadership = self._member.known_leadership
-            if (
-                known_leadership is not None
-                and known_leadership.token > leadership.token
-            ):
-                return known_leadership
-            holder = await self._row.renew(leadership)
+            holder = await self._unless_superseded(self._row.renew(leadership))
+            later_leadership = self._later_leadership
+            if later_leadership is not None:
+                return later_leadership
             # A later leader that cannot be reached is on the other side of a network
             # partition. It serves that side, and this member goes on to serve this one.
             is_later = holder is not None and holder.token > leadership.token
@@ -123,7 +128,39 @@
                 continue
             if self._silent_members:
                 await self._outrank_partition()
-            await self._superseded_signal.wait(ROW_RENEW_PERIOD_S)
+            await self._unless_superseded(
+                self._superseded_signal.wait(ROW_RENEW_PERIOD_S)
+            )
+
+    @property
+    def _later_leadership(self) -> Leadership | None:
+        """The leadership of a later leader that this member reaches; None: no other."""
+        known = self._member.known_leadership
+        if known is None or known.token <= self._leader.leadership.token:
+            return None
+        return known
+
+    async def _unless_superseded(
+        self, work: Coroutine[None, None, ResultT]
+    ) -> ResultT | None:
+        """Wait for something, or until a later leader is known.
+
+        While the table service is silent a renewal takes until its timeout. The jobs of
+        all followers would wait for that, since a leader that does not step down still
+        has what they need to go on.
+
+        :returns: its result; None if a later leader is known.
+        """
+        working = asyncio.ensure_future(work)
+        try:
+            while not working.done() and self._later_leadership is None:
+                self._later_leader_known.clear()
+                told = asyncio.ensure_future(self._later_leader_known.wait())
+                await asyncio.wait([working, told], return_when=asyncio.FIRST_COMPLETED)
+                told.cancel()
+            return working.result() if working.done() else None
+        finally:
+            working.cancel()
 
     async def _raise_token(self, terms: int) -> None:
         """Claim a higher token than the one that targets obey and no leader holds.
