Tell a successor on which targets its predecessor has no runs

Cause: a successor lets the waiting tasks of inherited jobs start once every target in its directory has reported. Those behind the partition never do, although its predecessor, elected during the partition, had never heard them and thus has no runs there.

Change: a leader that steps down tells its successor, before the redirect, which targets have not reported to it; the successor does not wait for these with jobs that only its predecessor had.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -142,6 +142,11 @@
         """
         self.enqueue(pb.LeaderFrame(hand_over=from_leadership(leadership)))
 
+    def send_unheard(self, target_ids: Iterable[str]) -> None:
+        """Tell the successor which targets have not reported to this leader."""
+        message = pb.UnheardTargets(target_ids=target_ids)
+        self.enqueue(pb.LeaderFrame(unheard=message))
+
     def send_accepted(self, job_id: str) -> None:
         """Tell the follower that a job is queued, and starts once it is confirmed."""
         message = pb.JobConfirmation(job_id=job_id)
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -270,6 +270,19 @@
             task.cancel()
         self._targets.close()
 
+    @property
+    def unreported_targets(self) -> frozenset[str]:
+        """Targets on which this leader has no runs: they have not reported to it."""
+        return self._tables.unreported_targets
+
+    def note_unheard_by_predecessor(self, target_ids: frozenset[str]) -> None:
+        """Record which targets had not reported to the leader before this one.
+
+        :param target_ids: as that leader told when it stepped down.
+        """
+        self._tables.unheard_by_predecessor = target_ids
+        self._schedule_dispatch()
+
     def send_progress(self) -> None:
         """Tell the members of each open job which of its tasks are done.
 
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -49,7 +49,9 @@
 announced itself, in seconds: two heartbeats. Until its redirect, the leader sends
 outcomes of jobs whose ends it has acknowledged, which their targets list no more."""
 
-HAND_OVER_FRAMES = frozenset({"outcome", "progress", "redirect", "welcome", "done"})
+HAND_OVER_FRAMES = frozenset(
+    {"outcome", "progress", "redirect", "welcome", "done", "unheard"}
+)
 """Frames that a member still reads from a leader that asked it to lead; what else that
 leader tells is older than what the member learns as the leader."""
 
@@ -134,6 +136,9 @@
         self.welcomed = False
         self.leaving = hello.leaving
         self.waits_for_confirmation = False
+        self.unheard_targets: frozenset[str] = frozenset()
+        """Targets that had not reported to the leader when it stepped down."""
+
         self._hello = hello
         self._caller_jobs = caller_jobs
         self._routing = routing
@@ -369,6 +374,8 @@
                     self._caller_jobs.note_completed(job_id, completed)
                 case "done":
                     self._done_tasks.read(frame.done)
+                case "unheard":
+                    self.unheard_targets = frozenset(frame.unheard.target_ids)
                 case "hand_over":
                     self._asked.set()
                 case _:
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -602,8 +602,11 @@
         asked_by, self._asked_by = self._asked_by, None
         if asked_by is not None:
             await asked_by.wait_for_redirect(REDIRECT_WAIT_S)
-        if self.leader is leader:
-            leader.attach_callers()
+        if self.leader is not leader:
+            return
+        if asked_by is not None:
+            leader.note_unheard_by_predecessor(asked_by.unheard_targets)
+        leader.attach_callers()
 
     def _report_load(self) -> None:
         sent_mbps = self.load.log_if_due(
@@ -656,7 +659,7 @@
                     leader.stop_leftovers()
                 )
                 self._stopping_leftovers.add_done_callback(report_failure)
-        self.service.redirect_all(successor)
+        self.service.redirect_all(successor, unheard_targets=leader.unreported_targets)
         log_event(
             Event.LEADER_RESIGNED,
             reason="superseded",
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Collection, Coroutine, Mapping, Sequence
+from collections.abc import Collection, Coroutine, Iterable, Mapping, Sequence
 from typing import Any, Protocol
 
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
@@ -131,9 +131,19 @@
         """Number of frames and list entries that wait for the most delayed follower."""
         return max((follower.waiting for follower in self.followers), default=0)
 
-    def redirect_all(self, leadership: Leadership | None) -> None:
-        """Redirect every follower to another leader."""
+    def redirect_all(
+        self, leadership: Leadership | None, *, unheard_targets: Iterable[str] = ()
+    ) -> None:
+        """Redirect every follower to another leader.
+
+        :param unheard_targets: targets on which this leader has no runs, because they
+            have not reported to it.
+        """
         for follower in self.followers:
+            if leadership is not None and (
+                follower.hello.member_id == leadership.member_id
+            ):
+                follower.send_unheard(unheard_targets)
             frame = pb.LeaderFrame(redirect=from_leadership(leadership))
             follower.enqueue(frame)
         self._followers_by_id.clear()
--- a/src/cassiaturn/model/leases/_explore.py
+++ b/src/cassiaturn/model/leases/_explore.py
@@ -35,6 +35,9 @@
     "cut_killed": Scenario(Budget(cuts=1, kills=1, resets=1), caller_at=1),
     "cut_target_cut": Scenario(Budget(cuts=1, target_cuts=1), caller_at=1),
     "cut_at_leader": Scenario(Budget(cuts=1, resets=1), caller_at=0),
+    "planned_change_target_cut": Scenario(
+        Budget(claims=0, changes=1, target_cuts=1, late=1), caller_at=1
+    ),
     "zone_cut": Scenario(Budget(zone_cuts=1), caller_at=1),
     "zone_cut_planned_change": Scenario(
         Budget(claims=0, changes=1, lapses=1, late_stops=1), two_sides=True
--- a/src/cassiaturn/model/leases/_members.py
+++ b/src/cassiaturn/model/leases/_members.py
@@ -226,6 +226,7 @@
             token=token,
             next_run=term * 8,
             directory=before.directory,
+            predecessor_left=_without_runs(before, rules),
             covered=frozenset({token, before.token}),
         )
         after = put_tables(after, number, **successor._asdict())
@@ -235,6 +236,14 @@
         yield Step(f"the leader {number} is replaced as planned", after)
 
 
+def _without_runs(tables: Tables, rules: Rules) -> frozenset[int]:
+    """Return the targets that a leader does not hear, and that have no run of its."""
+    unheard = tables.directory - tables.heard
+    if tables.run is None or not rules.wait_for_silent_targets:
+        return unheard
+    return unheard - {tables.run.target}
+
+
 def _redirect(
     state: State, member: int, leader: int, *, term: int, token: int
 ) -> State:
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -89,6 +89,10 @@
     """The time by which a start must be carried out counts from the decision, not from
     the sending."""
 
+    wait_for_silent_targets: bool = True
+    """A successor waits for a target that its predecessor does not hear any more, but
+    has a run on."""
+
     cover_earlier_leaders: bool = True
     """The lists of all targets in a leader's directory stand for the runs of its
     predecessor only; a job that another leader had waits for the leases."""
@@ -221,6 +225,9 @@
     knows_targets: bool = True
     """Whether the directory has all targets that its predecessor knew."""
 
+    predecessor_left: frozenset[int] = frozenset()
+    """Targets on which the predecessor told that it has no runs."""
+
     covered: frozenset[int] = frozenset()
     """Tokens of this leader and of its predecessor."""
 
--- a/src/cassiaturn/model/leases/_targets.py
+++ b/src/cassiaturn/model/leases/_targets.py
@@ -51,7 +51,9 @@
 
 def _knows_earlier_runs(tables: Tables, rules: Rules) -> bool:
     """Return whether the lists that a leader has read contain all runs of its job."""
-    if not tables.knows_targets or not tables.heard >= tables.directory:
+    if not tables.knows_targets:
+        return False
+    if not tables.heard >= tables.directory - tables.predecessor_left:
         return False
     return tables.earlier <= tables.covered or not rules.cover_earlier_leaders
 
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -98,16 +98,16 @@
     """Return whether a task of a job may still run under an earlier leader."""
     if now >= job.hold_until:
         return False
-    # Once every target has reported to this leader, their lists contain all runs that
-    # its predecessor started. Later in the term they may not: a target that the
-    # predecessor reached may have left this leader's directory during a partition that
-    # has healed since. The leader of another side of a partition may have reached
-    # targets that are not in this leader's directory at all.
+    # Once every target to which its predecessor gave orders has reported to this
+    # leader, their lists contain all runs that the predecessor started. Later in the
+    # term they may not: a target that the predecessor reached may have left this
+    # leader's directory during a partition that has healed since. The leader of another
+    # side of a partition may have reached targets that are not in this leader's
+    # directory at all.
     in_handover = now < tables.began_at + tables.settings.handover_window_s
     return not (
-        tables.knows_targets
-        and in_handover
-        and tables.all_targets_reported
+        in_handover
+        and tables.knows_predecessors_runs
         and tables.covers(job.earlier_tokens)
     )
 
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -412,6 +412,10 @@
     """Tokens of this leader in its term and of its predecessor: all targets to which
     they gave orders are known."""
 
+    unheard_by_predecessor: frozenset[str] = frozenset()
+    """Targets that had not reported to the predecessor, so that it has no runs there;
+    as it told when it stepped down."""
+
     jobs_by_id: dict[str, Job] = field(default_factory=dict)
     """Jobs without an outcome; add, requeue and remove them by the methods below."""
 
@@ -543,4 +547,19 @@
     @property
     def all_targets_reported(self) -> bool:
         """Whether every target has listed its runs to this leader."""
-        return all(target.has_reported for target in self.targets_by_id.values())
+        return not self.unreported_targets
+
+    @property
+    def unreported_targets(self) -> frozenset[str]:
+        """Targets without a list of runs for this leader since they were last lost."""
+        return frozenset(
+            target.target_id
+            for target in self.targets_by_id.values()
+            if not target.has_reported
+        )
+
+    @property
+    def knows_predecessors_runs(self) -> bool:
+        """Whether the lists of targets contain all runs of the predecessor."""
+        unknown = self.unreported_targets - self.unheard_by_predecessor
+        return self.knows_targets and not unknown
