Take the processor time of a process from its resource usage

Cause: time.process_time advances with elapsed time on the platform's hosts. A leader seemed to use a whole core at any time. Trial at the start of 12 members: 0.5001 s in a sleep of 0.5 s, where getrusage counts 0.0001 s; for a loop, getrusage counts 0.035 to 0.042 s, elapsed are 0.0164 to 0.0211 s on hosts of 2.15 cores and 0.075 to 0.080 s on hosts of 0.516 cores.

Ruled out: /proc/self/stat, in steps of 10 ms.

Change: resource.getrusage, in a function of its own; elsewhere it counts the same as process_time.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -18,6 +18,7 @@
     TaskRef,
 )
 from cassiaturn.fleet._caller_jobs import CallerJobs, OpenJob
+from cassiaturn.fleet._cpu_clock import cpu_time_s
 from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._leader_load import LeaderLoad
@@ -588,7 +589,7 @@
     async def _tick(self) -> None:
         while True:
             began_at = time.monotonic()
-            cpu_before_s = time.process_time()
+            cpu_before_s = cpu_time_s()
             due_at = began_at + TICK_S
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
@@ -596,7 +597,7 @@
             if paused_s:
                 self._hold_starts(now, paused_s)
             self._load.observe_loop_delay(now - due_at)
-            cpu_share = (time.process_time() - cpu_before_s) / (now - began_at)
+            cpu_share = (cpu_time_s() - cpu_before_s) / (now - began_at)
             self._cpu_headroom.observe(now - due_at, cpu_share)
             self._shed_load(now - due_at, now)
             self.on_tick()
