Summarize a leader's estimates, and start from those of another leader

Cause: speeds of targets and run times of routes die with the leader.

Ruled out: telling every update (each run changes several estimates), and sending all estimates each second (32,200 bytes a second and follower at 1,400 targets, by ByteSize()). A mean without a higher variance would be followed for 30 runs although the targets may have changed with the leader.

Conclusion: without restored estimates the models give the same results as before; their tests are unchanged.

--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -14,6 +14,13 @@
     order_key,
     spread_retry_after,
 )
+from cassiaturn.sharing._estimate_summary import (
+    Estimate,
+    EstimateKey,
+    EstimateKind,
+    EstimateSummary,
+    Learned,
+)
 from cassiaturn.sharing._expected_runs import ExpectedRuns
 from cassiaturn.sharing._failed_target import failed_target_pause_s
 from cassiaturn.sharing._feasibility import Progress, latest_start
@@ -22,7 +29,12 @@
 from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared_target
 from cassiaturn.sharing._remote_racks import remote_rack_factor
 from cassiaturn.sharing._shedding import LoadShedder, is_shed
-from cassiaturn.sharing._speed_estimate import SpeedEstimate, needs_fast_target
+from cassiaturn.sharing._speed_estimate import (
+    SpeedEffect,
+    SpeedEstimate,
+    needs_fast_target,
+    own_effect,
+)
 from cassiaturn.sharing._speed_model import SpeedModel
 from cassiaturn.sharing._stuck_job import stuck_job_deadline
 from cassiaturn.sharing._target_index import TargetIndex
@@ -32,14 +44,20 @@
 __all__ = [
     "CpuHeadroom",
     "Deadlines",
+    "Estimate",
+    "EstimateKey",
+    "EstimateKind",
+    "EstimateSummary",
     "ExpectedRuns",
     "GroupKey",
     "JobQueue",
     "Lateness",
+    "Learned",
     "LoadShedder",
     "OrderKey",
     "Progress",
     "SharedTarget",
+    "SpeedEffect",
     "SpeedEstimate",
     "SpeedModel",
     "TargetIndex",
@@ -54,6 +72,7 @@
     "longest_chain_s",
     "needs_fast_target",
     "order_key",
+    "own_effect",
     "queue_key",
     "remote_rack_factor",
     "should_hand_over",
--- a/src/cassiaturn/sharing/_expected_runs.py
+++ b/src/cassiaturn/sharing/_expected_runs.py
@@ -9,6 +9,7 @@
 """
 
 import math
+from collections.abc import Mapping
 
 SMOOTHING_WEIGHT = 0.05
 """Weight of one run in a route's moving average: it spans about the last 20 runs."""
@@ -19,6 +20,27 @@
 
     def __init__(self) -> None:
         self._mean_log_by_route: dict[str, float] = {}
+        self._restored_runs_by_route: dict[str, int] = {}
+        """Number of runs that the mean of an earlier leader's route counts for, with
+        those since; absent: the mean is this leader's own, or settled."""
+
+    @property
+    def mean_log_by_route(self) -> Mapping[str, float]:
+        """Logarithm of each route's mean run time in seconds."""
+        return self._mean_log_by_route
+
+    def restore(self, route: str, mean_log: float, runs: int) -> bool:
+        """Use the mean run time of a route that was learned earlier.
+
+        :param mean_log: logarithm of the mean run time in seconds.
+        :param runs: number of runs that it counts for; at least 1.
+        :returns: False if runs of the route were observed already.
+        """
+        if route in self._mean_log_by_route:
+            return False
+        self._mean_log_by_route[route] = mean_log
+        self._restored_runs_by_route[route] = runs
+        return True
 
     def observe(self, route: str, run_s: float) -> None:
         """Add the run time of a run that ended successfully.
@@ -31,7 +53,16 @@
         if mean is None:
             self._mean_log_by_route[route] = value
         else:
-            self._mean_log_by_route[route] = mean + SMOOTHING_WEIGHT * (value - mean)
+            weight = self._weight(route)
+            self._mean_log_by_route[route] = mean + weight * (value - mean)
+
+    def _weight(self, route: str) -> float:
+        """Return the weight of one more run; higher while a restored mean counts."""
+        runs = self._restored_runs_by_route.pop(route, None)
+        if runs is None or 1 / (runs + 1) <= SMOOTHING_WEIGHT:
+            return SMOOTHING_WEIGHT
+        self._restored_runs_by_route[route] = runs + 1
+        return 1 / (runs + 1)
 
     def expected_s(self, route: str, declared_s: float) -> float:
         """Return the expected run time of a task, in seconds.
--- a/src/cassiaturn/sharing/_speed_estimate.py
+++ b/src/cassiaturn/sharing/_speed_estimate.py
@@ -66,6 +66,19 @@
         self.mean += gain * difference
         self.variance = max(self._floor, self.variance * (1.0 - gain))
 
+    def restore(self, mean: float, variance: float) -> None:
+        """Replace the estimate by one that was learned earlier.
+
+        :param variance: its variance, raised for what may have changed since.
+        """
+        self.mean = mean
+        self.variance = max(self._floor, variance)
+
+
+def own_effect() -> SpeedEffect:
+    """Return an effect for what distinguishes one target from others of its kind."""
+    return SpeedEffect(variance=OWN_VARIANCE, floor=OWN_VARIANCE_FLOOR)
+
 
 def shared_effect() -> SpeedEffect:
     """Return an effect for a property that several targets share."""
@@ -77,13 +90,19 @@
 
     __slots__ = ("effects",)
 
-    def __init__(self, *, shared: Sequence[SpeedEffect] = ()) -> None:
+    def __init__(
+        self,
+        *,
+        shared: Sequence[SpeedEffect] = (),
+        own: SpeedEffect | None = None,
+    ) -> None:
         """Start from the effects that the target shares with others.
 
         :param shared: those effects.
+        :param own: the target's own effect as an earlier leader learned it; None: not
+            known.
         """
-        own = SpeedEffect(variance=OWN_VARIANCE, floor=OWN_VARIANCE_FLOOR)
-        self.effects = (own, *shared)
+        self.effects = (own or own_effect(), *shared)
         """The target's own effect, followed by the shared ones."""
 
     def observe(self, ratio: float, *, variance: float = RUN_VARIANCE) -> None:
@@ -97,6 +116,11 @@
         for effect in self.effects:
             effect.learn(difference, total)
 
+    @property
+    def own(self) -> SpeedEffect:
+        """The target's own effect."""
+        return self.effects[0]
+
     @property
     def log_ratio(self) -> float:
         """Logarithm of the target's run times over the expected ones."""
--- a/src/cassiaturn/sharing/_speed_model.py
+++ b/src/cassiaturn/sharing/_speed_model.py
@@ -9,10 +9,11 @@
 of the declared time. It tells the targets apart after several times fewer runs.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from cassiaturn.sharing._speed_estimate import (
     LOG_STEP,
+    SHARED_VARIANCE,
     SpeedEffect,
     SpeedEstimate,
     clamped_log,
@@ -32,6 +33,9 @@
 MIN_VARIANCE = 0.003
 """Minimum of either variance."""
 
+ALL_TARGETS = ""
+"""Stands for the label of the effect that all targets of the service share."""
+
 MAX_LABELS = 8
 """Number of a target's labels that are used. A directory entry may have thousands of
 them, and each costs time at each run."""
@@ -52,16 +56,19 @@
         self._between = BETWEEN_VARIANCE
         self._reported_by_label: dict[str, float] = {}
 
-    def new_estimate(self, labels: Iterable[str]) -> SpeedEstimate:
+    def new_estimate(
+        self, labels: Iterable[str], *, own: SpeedEffect | None = None
+    ) -> SpeedEstimate:
         """Return the speed estimate of a new target.
 
         :param labels: properties that it shares with other targets.
+        :param own: its own effect as an earlier leader learned it; None: not known.
         """
         shared = [
             self._effects_by_label.setdefault(label, shared_effect())
             for label in sorted(labels)[:MAX_LABELS]
         ]
-        return SpeedEstimate(shared=(self._all, *shared))
+        return SpeedEstimate(shared=(self._all, *shared), own=own)
 
     def observe_job(self, runs: Sequence[tuple[SpeedEstimate, float]]) -> None:
         """Add the runs of a job's tasks.
@@ -84,6 +91,27 @@
             for effect in speed.effects:
                 effect.learn(mean, total)
 
+    @property
+    def effects_by_label(self) -> Mapping[str, SpeedEffect]:
+        """Shared effects; the one of all targets stands under the empty label."""
+        return {**self._effects_by_label, ALL_TARGETS: self._all}
+
+    def restore_label(self, label: str, mean: float, variance: float) -> bool:
+        """Use the effect of a label that was learned earlier.
+
+        :param label: the label, or :data:`ALL_TARGETS`.
+        :param variance: its variance, raised for what may have changed since.
+        :returns: False if the effect has been learned from runs already.
+        """
+        if label == ALL_TARGETS:
+            effect = self._all
+        else:
+            effect = self._effects_by_label.setdefault(label, shared_effect())
+        if effect.variance < SHARED_VARIANCE:
+            return False
+        effect.restore(mean, variance)
+        return True
+
     def shared_effects_changed(self) -> bool:
         """Return whether a label's effect has changed since this last returned true."""
         means_by_label = {
