Restore the estimates of an earlier leader into the tables

Cause: a successor knows no speed, and places tight tasks on slow targets until each target has had some runs.

Ruled out: restoring after the targets were added; all of them would be indexed a second time, and the first tasks placed without the estimates.

Change: list_estimates gives what the tables hold, restore_estimates takes estimates over before the targets are added.

--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -18,6 +18,7 @@
 from cassiaturn.workload._dispatch import MAX_STARTS_PER_TURN, dispatch
 from cassiaturn.workload._drains import on_drained_domains
 from cassiaturn.workload._ends import note_done
+from cassiaturn.workload._estimates import list_estimates, restore_estimates
 from cassiaturn.workload._intake import (
     Submission,
     cancel,
@@ -77,6 +78,7 @@
     "dispatch",
     "end_unstarted",
     "has_tight_runs",
+    "list_estimates",
     "note_done",
     "next_check",
     "on_drained_domains",
@@ -89,6 +91,7 @@
     "on_target_lost",
     "on_target_silent",
     "on_target_unanswered",
+    "restore_estimates",
     "submit",
     "settings_for_lease",
     "tick",
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -19,6 +19,7 @@
     GroupKey,
     JobQueue,
     SharedTarget,
+    SpeedEffect,
     SpeedModel,
     TargetIndex,
     needs_fast_target,
@@ -455,6 +456,10 @@
     expected: ExpectedRuns = field(default_factory=ExpectedRuns)
     """Expected run times of each route."""
 
+    inherited_effects_by_id: dict[str, SpeedEffect] = field(default_factory=dict)
+    """Own speed effects of targets that an earlier leader learned and that have not
+    been added yet."""
+
     routing: RoutingTable | None = None
     """Routing configuration in force; None: not known yet."""
 
@@ -508,7 +513,9 @@
         """Add a target and index it."""
         self.targets_by_id[target.target_id] = target
         speed_model = self.speeds_by_service.setdefault(target.service, SpeedModel())
-        target.speed = speed_model.new_estimate(target.labels)
+        target.speed = speed_model.new_estimate(
+            target.labels, own=self.inherited_effects_by_id.pop(target.target_id, None)
+        )
         self.index_by_service.setdefault(target.service, TargetIndex()).add(target)
 
     def may_still_run(self, ref: TaskRef) -> bool:
