--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -102,6 +102,18 @@
     TARGET_SPEED = _info(
         "target_speed", "Runs on a target take `ratio` times as long as expected."
     )
+    ESTIMATES_RESTORED = _info(
+        "estimates_restored", "A new leader starts from estimates of `source`."
+    )
+    ESTIMATES_MISSING = _info(
+        "estimates_missing", "A new leader knows no speeds or run times, for `reason`."
+    )
+    ESTIMATES_IGNORED = _warning(
+        "estimates_ignored", "`count` estimates with impossible values were ignored."
+    )
+    ESTIMATES_STORED = _info(
+        "estimates_stored", "The leader wrote its estimates' row, or failed to."
+    )
     TARGET_REMOVED = _info("target_removed", "A target left the directory.")
     TARGET_SILENT = _warning("target_silent", "A target stopped answering.")
     TARGET_UNANSWERED = _info(
