Build a page of estimates once for all followers that need it

Cause: each of 35 followers had its own page built from the same entries.

Ruled out: keeping pages until an entry changes; a follower that joins later would be told the ages of long ago.

Change: EstimatesFeed keeps the pages built since its last update, of which there is one a second.

--- a/src/cassiaturn/fleet/_estimates_feed.py
+++ b/src/cassiaturn/fleet/_estimates_feed.py
@@ -26,6 +26,11 @@
 be sent at the same time, and orders to targets need the rest of a narrow link."""
 
 
+MAX_CACHED_PAGES = 32
+"""Number of pages that are kept for other followers: four times those of a fleet of the
+design size."""
+
+
 class EstimatesFeed:
     """The estimates that a leader sends to all its followers."""
 
@@ -40,6 +45,9 @@
         """Number of entries sent, to all followers together."""
 
         self._cursors_by_id: dict[str, EstimatesCursor] = {}
+        self._pages_by_keys: dict[tuple[EstimateKey, ...], pb.Estimates] = {}
+        """Pages built since the last update. Most followers are sent the same ones, and
+        building one takes far longer than sending it."""
 
     def begin(self, summary: EstimateSummary) -> None:
         """Start a leadership term without followers.
@@ -48,6 +56,7 @@
         """
         self.summary = summary
         self._cursors_by_id = {}
+        self._pages_by_keys = {}
 
     def join(
         self, member_id: str, *, on_change: Callable[[], None]
@@ -66,13 +75,38 @@
         self._cursors_by_id.pop(member_id, None)
 
     def note_changed(self, keys: Iterable[EstimateKey]) -> None:
-        """Queue estimates that changed or are gone, for every follower."""
+        """Queue estimates that changed or are gone, for every follower.
+
+        Called after each update of the summary, also if nothing changed.
+        """
+        self._pages_by_keys = {}
         changed = dict.fromkeys(keys)
         if not changed:
             return
         for cursor in self._cursors_by_id.values():
             cursor.note_changed(changed)
 
+    def build_page(self, keys: tuple[EstimateKey, ...]) -> pb.Estimates:
+        """Return a page with some estimates, not marked as the last one.
+
+        Ages are those of the time at which the first follower was sent the page; others
+        are sent it before the next update, within a second.
+        """
+        page = self._pages_by_keys.get(keys)
+        if page is not None:
+            return page
+        now = time.monotonic()
+        page = pb.Estimates()
+        for key in keys:
+            estimate = self.summary.estimate(key)
+            if estimate is None:
+                put_gone(page, key)
+            else:
+                put_estimate(page, estimate, now)
+        if len(self._pages_by_keys) < MAX_CACHED_PAGES:
+            self._pages_by_keys[keys] = page
+        return page
+
 
 class EstimatesCursor:
     """What one follower has not been sent yet.
@@ -113,17 +147,14 @@
 
     def next_page(self) -> pb.Estimates:
         """Return the next page; its entries count as sent."""
-        now = time.monotonic()
-        page = pb.Estimates()
-        taken = list(islice(self._keys, PAGE_ENTRIES))
+        taken = tuple(islice(self._keys, PAGE_ENTRIES))
         for key in taken:
             del self._keys[key]
-            estimate = self._feed.summary.estimate(key)
-            if estimate is None:
-                put_gone(page, key)
-            else:
-                put_estimate(page, estimate, now)
-        page.whole = not self._keys
+        page = self._feed.build_page(taken)
+        if not self._keys:
+            last = pb.Estimates(whole=True)
+            last.MergeFrom(page)
+            page = last
         self._feed.sent_entries += len(taken)
         self._feed.pace.correct(page.ByteSize() - self._reserved_bytes)
         self.due_at = None
