Let entries of earlier leaders make place, and write the row in each term

Cause: targets that left while nobody led are never told to be gone. Their entries could fill what a follower keeps, and it would ignore new ones. And a member that leads again compared the row with what it had written in an earlier term, although another leader may have written it since.

Ruled out: dropping all entries that the present leader has not told; it may know less than its followers if it had just joined.

Change: at the limit, an entry of an earlier leader is dropped for one of the present leader. A new term forgets what was written, and remembers what it read.

Conclusion: at most one write more in a term.

--- a/src/cassiaturn/fleet/_estimates_row.py
+++ b/src/cassiaturn/fleet/_estimates_row.py
@@ -60,6 +60,10 @@
         self._table = table
         self._value = ""
 
+    def reset(self) -> None:
+        """Forget what was written: another leader may have written the row since."""
+        self._value = ""
+
     async def read(self, now: float) -> RowEstimates:
         """Read the row.
 
@@ -77,6 +81,7 @@
                 return RowEstimates(problem="unreachable")
         if row is None:
             return RowEstimates(problem="absent")
+        self._value = row.value
         return read_value(row.value, now)
 
     async def write(self, estimates: Iterable[Estimate]) -> bool | None:
--- a/src/cassiaturn/fleet/_kept_estimates.py
+++ b/src/cassiaturn/fleet/_kept_estimates.py
@@ -52,7 +52,7 @@
             self._remove(key)
         for estimate in read.estimates:
             self._earlier_by_key.pop(estimate.key, None)
-            if estimate.key not in self._told_by_key and self.count >= MAX_ENTRIES:
+            if estimate.key not in self._told_by_key and not self._has_place():
                 ignored += 1
                 continue
             self._told_by_key[estimate.key] = estimate
@@ -86,6 +86,15 @@
         """All entries, once the term of the leader has ended."""
         return tuple(self._earlier_by_key.values())
 
+    def _has_place(self) -> bool:
+        """Return whether one more entry can be kept; an earlier leader's makes place.
+
+        Targets that left while nobody led are never told to be gone.
+        """
+        if self.count >= MAX_ENTRIES and self._earlier_by_key:
+            del self._earlier_by_key[next(iter(self._earlier_by_key))]
+        return self.count < MAX_ENTRIES
+
     def _remove(self, key: EstimateKey) -> None:
         self._told_by_key.pop(key, None)
         self._told_at_by_key.pop(key, None)
--- a/src/cassiaturn/fleet/_shared_estimates.py
+++ b/src/cassiaturn/fleet/_shared_estimates.py
@@ -92,6 +92,7 @@
         self._update_at = now + UPDATE_PERIOD_S
         self._write_at = now + WRITE_PERIOD_S
         self.feed.begin(EstimateSummary())
+        self._row.reset()
         if self._kept.count:
             self._restore(tables, self._kept.estimates, "leader", now)
         else:
--- a/src/cassiaturn/fleet/tests/test_estimates_feed.py
+++ b/src/cassiaturn/fleet/tests/test_estimates_feed.py
@@ -129,6 +129,17 @@
     assert len(_kept(kept, clock.now)) == 3
 
 
+def test_followers_that_join_later_are_told_later_ages(clock: Clock) -> None:
+    """Guards against a page built for one follower that others get long after."""
+    feed = EstimatesFeed(link_mbps=LINK_MBPS)
+    ages = []
+    for _ in range(3):
+        _update(feed, _targets(1), clock.now)
+        ages.append(_join(feed).next_page().targets[0].age_ms)
+        clock.now += 5.0
+    assert ages == [0, 5_000, 10_000]
+
+
 def test_estimates_grow_old_only_without_their_leader(clock: Clock) -> None:
     """Guards against a successor that distrusts what was true a moment ago.
 
@@ -180,6 +191,13 @@
     assert kept.read(message, 1.0) == 15
     assert kept.count == 10
     assert kept.ignored == 15
+    # Those of an earlier leader make place for those of the present one.
+    kept.end_term(2.0)
+    message = pb.Estimates()
+    for number in range(30, 38):
+        message.targets.add(target_id=f"t{number}", effect=1, variance=30)
+    assert kept.read(message, 3.0) == 0
+    assert kept.count == 10
 
 
 _TEXT = st.text(max_size=210)
