Share estimates between members with share_estimates on

Cause: followers and successors did not use the feed and the row.

Ruled out: counting estimates among what a successor must have been sent before a leader stops; it can lead without them, and others wait for it. Reading estimates from a leader that asked this member to lead; what the member learns itself is newer.

Change: a follower's stream sends pages of estimates after all other frames, LeaderStream passes them on, and Member starts and ends the parts of SharedEstimates with its terms. Without the setting none of it exists.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -9,6 +9,7 @@
 from cassiaturn.entities import TaskRef
 from cassiaturn.fleet._codec import from_completed, from_leadership, from_outcome
 from cassiaturn.fleet._done_tasks import to_message
+from cassiaturn.fleet._estimates_feed import EstimatesFeed
 from cassiaturn.fleet._leadership import Leadership
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing_feed import RoutingCursor, RoutingFeed
@@ -46,13 +47,19 @@
     """
 
     def __init__(
-        self, *, hello: pb.Hello, feed: RosterFeed, routing: RoutingFeed
+        self,
+        *,
+        hello: pb.Hello,
+        feed: RosterFeed,
+        routing: RoutingFeed,
+        estimates: EstimatesFeed | None = None,
     ) -> None:
         """Accept a member as a follower.
 
         :param hello: its first frame.
         :param feed: the members and targets that every follower is told of.
         :param routing: the configuration that every follower must have.
+        :param estimates: what the leader has learned; None: it is not shared.
         """
         self.hello = hello
         self.heard_at = time.monotonic()
@@ -70,6 +77,9 @@
         self._routing = RoutingCursor(
             feed=routing, follower_version=hello.routing_version
         )
+        self._estimates = None
+        if estimates is not None:
+            self._estimates = estimates.join(hello.member_id, on_change=self._wake.set)
 
     @property
     def keeper_rank(self) -> tuple[bool, float, str]:
@@ -86,7 +96,11 @@
 
     @property
     def waiting(self) -> int:
-        """Number of frames and list entries that wait to be sent."""
+        """Number of frames and list entries that wait to be sent.
+
+        Estimates do not count: a successor can lead without them, so that a leader that
+        stops does not wait until they were sent.
+        """
         return len(self._frames) + self._roster.waiting
 
     def enqueue(self, frame: pb.LeaderFrame, *, receipt: Receipt | None = None) -> None:
@@ -209,6 +223,8 @@
                 return due_list
             self._wake.clear()
             due_at = [heartbeat_at, self._roster.due_at, self._routing.due_at]
+            if self._estimates is not None:
+                due_at.append(self._estimates.due_at)
             wait_s = min(at for at in due_at if at is not None) - now
             try:
                 async with asyncio.timeout(wait_s):
@@ -230,4 +246,13 @@
             if document is not None:
                 frame = pb.LeaderFrame(routing=document)
                 return QueuedFrame(frame=frame, queued_at=due_at)
-        return None
+        return self._next_estimates(now)
+
+    def _next_estimates(self, now: float) -> QueuedFrame | None:
+        """Return a page of estimates if one is due; else None."""
+        estimates = self._estimates
+        if estimates is None or estimates.due_at is None or estimates.due_at > now:
+            return None
+        since = estimates.waiting_since
+        frame = pb.LeaderFrame(estimates=estimates.next_page())
+        return QueuedFrame(frame=frame, queued_at=since)
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -118,6 +118,7 @@
         read_routing: Callable[[pb.RoutingDocument], None],
         read_drains: Callable[[pb.DrainedDomains], None],
         on_leadership: Callable[[Leadership], None],
+        read_estimates: Callable[[pb.Estimates, str], None] | None = None,
     ) -> None:
         """Prepare to follow; :meth:`run` opens the stream.
 
@@ -128,6 +129,8 @@
         :param read_drains: called with the drained failure domains that the leader
             knows.
         :param on_leadership: called when the leader continues under a higher token.
+        :param read_estimates: called with estimates and the leader's member id; None:
+            they are not kept.
         """
         self.leadership = leadership
         self.heard_at = 0.0
@@ -148,6 +151,7 @@
         self._read_routing = read_routing
         self._read_drains = read_drains
         self._on_leadership = on_leadership
+        self._read_estimates = read_estimates
         self._frames: asyncio.Queue[pb.FollowerFrame] = asyncio.Queue()
         self._sent_routing_version = 0
         self._known_pauses = 0
@@ -376,6 +380,9 @@
                     self._done_tasks.read(frame.done)
                 case "unheard":
                     self.unheard_targets = frozenset(frame.unheard.target_ids)
+                case "estimates":
+                    if self._read_estimates is not None:
+                        self._read_estimates(frame.estimates, self.leadership.member_id)
                 case "hand_over":
                     self._asked.set()
                 case _:
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -42,6 +42,7 @@
 from cassiaturn.fleet._roster import Roster
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.fleet._service import FleetService
+from cassiaturn.fleet._shared_estimates import SharedEstimates
 from cassiaturn.fleet._superseded_signal import SupersededSignal
 from cassiaturn.fleet._term import LeaderTerm
 from cassiaturn.observability import Event, FleetMetrics, log_event
@@ -109,12 +110,20 @@
         self.leader: Leader | None = None
         self.known_leadership: Leadership | None = None
         self.load = LeaderLoad(metrics=self.metrics)
+        self._estimates: SharedEstimates | None = None
+        if settings.share_estimates:
+            self._estimates = SharedEstimates(
+                table=services.table,
+                link_mbps=settings.link_mbps,
+                metrics=self.metrics,
+            )
         self.service = FleetService(
             member=self,
             routing=self.routing,
             drains=self.drains,
             load=self.load,
             link_mbps=settings.link_mbps,
+            estimates=self._estimates.feed if self._estimates is not None else None,
         )
         self._services = services
         self._configuration = ConfigurationSource(
@@ -471,12 +480,17 @@
             read_routing=self.read_routing,
             read_drains=self.read_drains,
             on_leadership=self._note_leadership,
+            read_estimates=(
+                self._estimates.read if self._estimates is not None else None
+            ),
         )
         self._following = stream
         self._leadership_announced.clear()
         self._peers.last_leader_address = leadership.address
         result = await stream.run()
         self._following = None
+        if self._estimates is not None:
+            self._estimates.end_following(stream.heard_at)
         self._asked_by = stream if result.end is FollowEnd.ASKED else None
         if result.welcomed:
             self._row.reset()
@@ -567,10 +581,12 @@
             load=self.load,
             failure_domain=self.settings.failure_domain,
         )
-        leader.on_tick = self._report_load
+        leader.on_tick = self._on_leader_tick
         leader.on_directory_change = self.service.note_target
         self.service.begin_term(leader.reports_by_id)
         self.load.begin_term(called_bytes=self._services.bytes_sent())
+        if self._estimates is not None:
+            self._estimates.begin_term(leader.tables)
         self.leader = leader
         self._resigned.clear()
         log_event(
@@ -608,6 +624,11 @@
             leader.note_unheard_by_predecessor(asked_by.unheard_targets)
         leader.attach_callers()
 
+    def _on_leader_tick(self) -> None:
+        self._report_load()
+        if self._estimates is not None:
+            self._estimates.tick(time.monotonic())
+
     def _report_load(self) -> None:
         sent_mbps = self.load.log_if_due(
             followers=len(self.service.followers),
@@ -650,6 +671,8 @@
         self._term = None
         self._resigned.set()
         self._roster.replace_targets(leader.reports_by_id, leader.own_tokens)
+        if self._estimates is not None:
+            self._estimates.end_term()
         leader.close()
         leader.send_progress()
         if successor is not None:
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -17,6 +17,7 @@
 )
 from cassiaturn.fleet._done_tasks import to_refs
 from cassiaturn.fleet._drains import CurrentDrains
+from cassiaturn.fleet._estimates_feed import EstimatesFeed
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._follower import HEARTBEAT_S, Follower
 from cassiaturn.fleet._leader import Leader
@@ -97,6 +98,7 @@
         drains: CurrentDrains,
         load: LeaderLoad,
         link_mbps: float,
+        estimates: EstimatesFeed | None = None,
     ) -> None:
         """Prepare to serve a member.
 
@@ -105,6 +107,7 @@
         :param drains: the drained failure domains in force.
         :param load: counts what is sent to followers.
         :param link_mbps: bandwidth of the host's link, in megabits per second.
+        :param estimates: what the leader has learned; None: it is not shared.
         """
         self._member = member
         self._load = load
@@ -114,6 +117,7 @@
         self._routing_feed = RoutingFeed(
             routing=routing, pace=ListPace(link_mbps=link_mbps)
         )
+        self._estimates = estimates
         self._routing = routing
         self._drains = drains
         self._followers_by_id: dict[str, Follower] = {}
@@ -221,7 +225,12 @@
             redirect = from_leadership(self._member.known_leadership)
             await stream.send_message(pb.LeaderFrame(redirect=redirect))
             return
-        follower = Follower(hello=hello, feed=self._feed, routing=self._routing_feed)
+        follower = Follower(
+            hello=hello,
+            feed=self._feed,
+            routing=self._routing_feed,
+            estimates=self._estimates,
+        )
         self._followers_by_id[hello.member_id] = follower
         leader.followers_by_id[hello.member_id] = follower
         self._member.note_joined(hello.address)
@@ -386,6 +395,8 @@
         if self._followers_by_id.get(member_id) is follower:
             del self._followers_by_id[member_id]
             self._feed.leave(member_id)
+            if self._estimates is not None:
+                self._estimates.leave(member_id)
         leader.drop_member(member_id)
         if silent:
             self._member.note_silent_member()
