Log whether a successor had all estimates of its leader

Cause: an operator could not tell a leader that was lost with half a summary sent from one that had little to tell.

Ruled out: a field in the status page; the question arises after the fact.

Change: estimates_restored has the field whole, from the last page that the leader sent.

--- a/src/cassiaturn/fleet/_kept_estimates.py
+++ b/src/cassiaturn/fleet/_kept_estimates.py
@@ -24,7 +24,7 @@
         """Number of entries ignored for their values, or beyond the limit."""
 
         self.is_whole = False
-        """Whether the leader has sent all that it knew."""
+        """Whether the last leader had sent all that it knew with its last page."""
 
         self._told_by_key: dict[EstimateKey, Estimate] = {}
         """Entries of the leader that is followed, with the time for which their age
@@ -57,7 +57,7 @@
                 continue
             self._told_by_key[estimate.key] = estimate
             self._told_at_by_key[estimate.key] = now
-        self.is_whole = self.is_whole or message.whole
+        self.is_whole = message.whole
         self.ignored += ignored
         return ignored
 
@@ -73,13 +73,13 @@
             )
         self._told_by_key = {}
         self._told_at_by_key = {}
-        self.is_whole = False
 
     def keep_own(self, estimates: Sequence[Estimate]) -> None:
         """Keep what this member has learned as the leader."""
         self._told_by_key = {}
         self._told_at_by_key = {}
         self._earlier_by_key = {estimate.key: estimate for estimate in estimates}
+        self.is_whole = True
 
     @property
     def estimates(self) -> Sequence[Estimate]:
--- a/src/cassiaturn/fleet/_shared_estimates.py
+++ b/src/cassiaturn/fleet/_shared_estimates.py
@@ -158,6 +158,7 @@
             labels=count_by_kind[EstimateKind.LABEL],
             routes=count_by_kind[EstimateKind.ROUTE],
             oldest_ms=round((now - oldest_at) * MILLISECONDS),
+            whole=self._kept.is_whole,
         )
 
     async def _write_row(self, estimates: Sequence[Estimate]) -> None:
