Send no estimates on streams of an earlier term

Cause: a stream that outlives its leader's term, or that its follower has replaced, would build its pages from the summary of the next term, and tell that targets are gone. Redirects go first, so that it takes a stream that nobody redirects; none was seen.

Ruled out: one summary for each cursor; old streams would still reserve link time.

Change: a new term, and a follower that joins again, clear the earlier cursor.

Conclusion: only streams of the present term are sent estimates.

--- a/src/cassiaturn/fleet/_estimates_feed.py
+++ b/src/cassiaturn/fleet/_estimates_feed.py
@@ -54,8 +54,9 @@
 
         :param summary: the estimates to send; the leader updates them.
         """
+        for member_id in list(self._cursors_by_id):
+            self.leave(member_id)
         self.summary = summary
-        self._cursors_by_id = {}
         self._pages_by_keys = {}
 
     def join(
@@ -66,13 +67,19 @@
         :param on_change: called when something waits to be sent to it.
         :returns: the follower's position in the feed.
         """
+        self.leave(member_id)
         cursor = EstimatesCursor(feed=self, on_change=on_change)
         self._cursors_by_id[member_id] = cursor
         return cursor
 
     def leave(self, member_id: str) -> None:
-        """Remove a follower."""
-        self._cursors_by_id.pop(member_id, None)
+        """Remove a follower, and send nothing more on its stream.
+
+        With the estimates of another term, a page would tell that targets are gone.
+        """
+        cursor = self._cursors_by_id.pop(member_id, None)
+        if cursor is not None:
+            cursor.clear()
 
     def note_changed(self, keys: Iterable[EstimateKey]) -> None:
         """Queue estimates that changed or are gone, for every follower.
@@ -145,6 +152,11 @@
             self._reserve()
             self._on_change()
 
+    def clear(self) -> None:
+        """Send nothing of what waits."""
+        self._keys = {}
+        self.due_at = None
+
     def next_page(self) -> pb.Estimates:
         """Return the next page; its entries count as sent."""
         taken = tuple(islice(self._keys, PAGE_ENTRIES))
--- a/src/cassiaturn/fleet/tests/test_estimates_feed.py
+++ b/src/cassiaturn/fleet/tests/test_estimates_feed.py
@@ -15,7 +15,13 @@
 )
 from cassiaturn.fleet._kept_estimates import KeptEstimates
 from cassiaturn.fleet._list_pace import LIST_SHARE, MEGABIT_BYTES
-from cassiaturn.sharing import Estimate, EstimateKey, EstimateKind, Learned
+from cassiaturn.sharing import (
+    Estimate,
+    EstimateKey,
+    EstimateKind,
+    EstimateSummary,
+    Learned,
+)
 from cassiaturn.v1 import fleet_pb2 as pb
 
 LINK_MBPS = 12.5
@@ -129,6 +135,16 @@
     assert ages == [0, 5_000, 10_000]
 
 
+def test_streams_of_an_earlier_term_are_sent_nothing(clock: Clock) -> None:
+    """Guards against pages that tell followers that all targets are gone."""
+    feed = EstimatesFeed(link_mbps=LINK_MBPS)
+    _update(feed, _targets(3), clock.now)
+    cursors = [_join(feed), _join(feed)]
+    assert [cursor.waiting for cursor in cursors] == [0, 3]
+    feed.begin(EstimateSummary())
+    assert [cursor.due_at for cursor in cursors] == [None, None]
+
+
 def test_estimates_grow_old_only_without_their_leader(clock: Clock) -> None:
     """Guards against a successor that distrusts what was true a moment ago.
 
