Log how long callers waited for a start, and its processor time

Cause: the line listening of a member said neither how long its port had been open nor what the start cost, so a log did not tell a slow host from a start that does too much.

Change: open_ms, since the port of callers was opened, and cpu_ms, the processor time of the process until then.

--- a/src/cassiaturn/fleet/_process.py
+++ b/src/cassiaturn/fleet/_process.py
@@ -18,6 +18,8 @@
 from cassiaturn.settings import FleetSettings, load_fleet_settings
 from cassiaturn.transport import ClosingServer
 
+MS_PER_S = 1000
+
 EXIT_OK = 0
 EXIT_LISTEN = 6
 EXIT_INVARIANT = 70
@@ -148,7 +150,12 @@
         except OSError as error:
             log_event(Event.LISTEN_FAILED, detail=str(error))
             return EXIT_LISTEN
-        log_event(Event.LISTENING, address=self._settings.callers)
+        log_event(
+            Event.LISTENING,
+            address=self._settings.callers,
+            open_ms=round((time.monotonic() - self._opened_at) * MS_PER_S),
+            cpu_ms=round(time.process_time() * MS_PER_S),
+        )
         await self._stop.wait()
         await self._drain(member)
         for task in running:
--- a/src/cassiaturn/platform/tests/test_start.py
+++ b/src/cassiaturn/platform/tests/test_start.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import socket
 import subprocess
 import sys
@@ -204,6 +205,9 @@
         await runner.close()
         await store.close()
     assert head.split()[1] == b"200"
+    assert re.search(
+        r" event=listening address=\S+ open_ms=\d+ cpu_ms=\d+", log.decode()
+    )
     # The log line is written after all imports.
     imported_at = _time_of(log.decode(), "process_starting")
     assert connected_at < imported_at - LEAST_IMPORT_TIME
