Make the labels of a metric only for its first value

Cause: each start, answer of a target and frame to a follower built the labels of its histogram, which are used only when the histogram is created. For a start that were a dictionary of a named tuple, and another with its values as text.

Ruled out: updating metrics in batches. An update is one list entry; what costs is finding it.

Change: a histogram is looked up first, and its labels are built if there is none.

--- a/src/cassiaturn/observability/_fleet_metrics.py
+++ b/src/cassiaturn/observability/_fleet_metrics.py
@@ -126,7 +126,8 @@
         :param response_s: time since its request, in seconds.
         """
         key = AnswerKey(route, priority, verdict.name.lower())
-        self._responses.bind(key, _labels(key)).record(response_s)
+        tally = self._responses.find(key) or self._responses.bind(key, _labels(key))
+        tally.record(response_s)
 
     def started(self, route: str, priority: int, wait_s: float) -> None:
         """Count the start of a task.
@@ -136,7 +137,8 @@
         :param wait_s: time since the job's request, in seconds.
         """
         key = WaitKey(route, priority)
-        self._waits.bind(key, _labels(key)).record(wait_s)
+        tally = self._waits.find(key) or self._waits.bind(key, _labels(key))
+        tally.record(wait_s)
 
     def target_answered(self, kind: str, answer_s: float) -> None:
         """Count the answer of a target to a request that it answers at once.
@@ -144,7 +146,9 @@
         :param kind: of the request.
         :param answer_s: time since the request, in seconds.
         """
-        self._target_answers.bind(kind, {"kind": kind}).record(answer_s)
+        answers = self._target_answers
+        tally = answers.find(kind) or answers.bind(kind, {"kind": kind})
+        tally.record(answer_s)
 
     def frame_sent(self, kind: str, waited_s: float) -> None:
         """Count a frame to a follower.
@@ -152,7 +156,9 @@
         :param kind: of the frame.
         :param waited_s: how long it waited for the stream, in seconds.
         """
-        self._frame_waits.bind(kind, {"kind": kind}).record(waited_s)
+        waits = self._frame_waits
+        tally = waits.find(kind) or waits.bind(kind, {"kind": kind})
+        tally.record(waited_s)
 
     def loop_late(self, late_s: float) -> None:
         """Count a timer of the event loop.
--- a/src/cassiaturn/observability/_tally.py
+++ b/src/cassiaturn/observability/_tally.py
@@ -88,6 +88,10 @@
         self._tallies: dict[KeyT | None, Tally] = {}
         self._labels: dict[KeyT | None, Mapping[str, str]] = {}
 
+    def find(self, key: KeyT) -> Tally | None:
+        """Return the histogram of a key if there is one, without a need for labels."""
+        return self._tallies.get(key)
+
     def bind(self, key: KeyT, labels: Mapping[str, str]) -> Tally:
         """Return the histogram of a key, to be kept by the caller.
 
