Wait for long polls and frames without scopes and wait sets

Cause: for each list, a link waited for its long poll by asyncio.wait, which builds a set, a future and a callback. For each frame, a follower's sender opened a scope of asyncio with a timeout. A spawned call had two callbacks.

Ruled out: awaiting the long poll in the task of the link, without a task of its own.

Change: a link awaits the task of its long poll, and goes on however that ends. The sender's timer sets the event that it waits for. One callback follows a spawned call.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -196,6 +196,7 @@
 
         :param beat: returns the heartbeat.
         """
+        loop = asyncio.get_running_loop()
         heartbeat_at = time.monotonic() + HEARTBEAT_S
         while self._is_heartbeat_due or not self._frames:
             now = time.monotonic()
@@ -210,11 +211,12 @@
             self._wake.clear()
             due_at = [heartbeat_at, self._roster.due_at, self._routing.due_at]
             wait_s = min(at for at in due_at if at is not None) - now
+            # Several frames a millisecond: a scope with a timeout costs twice as much.
+            timer = loop.call_later(wait_s, self._wake.set)
             try:
-                async with asyncio.timeout(wait_s):
-                    await self._wake.wait()
-            except TimeoutError:
-                continue
+                await self._wake.wait()
+            finally:
+                timer.cancel()
         return self._frames.popleft()
 
     def _next_due_list(self, now: float) -> QueuedFrame | None:
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -200,10 +200,13 @@
     def _spawn(self, work: "asyncio._CoroutineLike[None]") -> "asyncio.Task[None]":
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        task.add_done_callback(report_failure)
+        task.add_done_callback(self._on_task_done)
         return task
 
+    def _on_task_done(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        report_failure(task)
+
     async def _poll_reports(self) -> None:
         await self._fetch_first_list()
         while not self._closed:
@@ -216,7 +219,7 @@
             request = self._request_list(wait_s=wait_s, renew=self._has_runs())
             self._long_poll_sent_at = time.monotonic()
             self._long_poll = self._spawn(request)
-            await asyncio.wait([self._long_poll])
+            await _wait_for_end(self._long_poll)
             self._long_poll = None
             # A target answers a long poll at once while an end is not acknowledged.
             await self._told_ends.wait(
@@ -495,6 +498,22 @@
             )
 
 
+async def _wait_for_end(task: "asyncio.Task[None]") -> None:
+    """Wait until a spawned task has ended, in whatever way.
+
+    ``asyncio.wait`` does the same for twice the processor time.
+    """
+    try:
+        await task
+    except asyncio.CancelledError:
+        waiting = asyncio.current_task()
+        if waiting is not None and waiting.cancelling():
+            raise
+    except Exception:
+        # The task's own callback reports it.
+        return
+
+
 def _is_answered(result: Result[Any, CallProblem]) -> bool:
     match result:
         case Failure(NoAnswer()):
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -14,7 +14,7 @@
 )
 from cassiaturn.fleet._leader_load import LeaderLoad
 from cassiaturn.fleet._ports import Authority, CallProblem, NoAnswer, StartReply
-from cassiaturn.fleet._target_link import TargetLink
+from cassiaturn.fleet._target_link import TargetLink, _wait_for_end
 from cassiaturn.fleet._target_timing import (
     LOSSY_RENEW_PERIOD_S,
     MAX_LISTS_PER_S,
@@ -362,6 +362,32 @@
     assert lost_answer.cancelled()
 
 
+async def test_a_long_poll_that_is_cancelled_or_fails_does_not_end_the_polling() -> (
+    None
+):
+    """A link restarts its long poll, or one fails; its target is polled on.
+
+    Otherwise ended runs of that target would be reported by periodic lists only, and
+    by none while it has no runs. A link that is closed stops.
+    """
+    restarted = asyncio.ensure_future(asyncio.sleep(5.0))
+    asyncio.get_running_loop().call_soon(restarted.cancel)
+    await _wait_for_end(restarted)
+    assert restarted.cancelled()
+
+    async def fail() -> None:
+        raise AssertionError
+
+    await _wait_for_end(asyncio.ensure_future(fail()))
+    polling = asyncio.ensure_future(
+        _wait_for_end(asyncio.ensure_future(asyncio.sleep(5.0)))
+    )
+    await asyncio.sleep(0.001)
+    polling.cancel()
+    await asyncio.wait([polling])
+    assert polling.cancelled()
+
+
 async def test_lists_are_not_requested_more_often_without_losses() -> None:
     calls = FakeTargetCalls([True])
     link = _link(calls, RecordedEvents())
