Reject a list whose progress is infinite

Cause: a target's list with a share of 1e999 percent passes the model as an infinite float, and its conversion to an integer raises an error that the decoder does not catch. The task that reads the list fails, and the process of the leader ends as for a broken invariant.

Change: such a list is malformed, as is one with another unreadable value.

Figures: pytest src/cassiaturn/platform/tests/test_decode.py: the new case raises OverflowError before, and passes after.

--- a/src/cassiaturn/platform/_decode.py
+++ b/src/cassiaturn/platform/_decode.py
@@ -187,7 +187,7 @@
             )
             for sequence, name, run, end_name, checkpoint in parsed.ended
         )
-    except (ValidationError, ValueError, KeyError):
+    except (ValidationError, ValueError, KeyError, OverflowError):
         return None
     return LeaseReport(clock_ms=parsed.clock_ms, running=running, ended=ended)
 
--- a/src/cassiaturn/platform/tests/test_decode.py
+++ b/src/cassiaturn/platform/tests/test_decode.py
@@ -161,6 +161,7 @@
         b"",
         b"{}",
         b'{"clockMs":1,"running":[["x",1,"",1]],"ended":[]}',
+        b'{"clockMs":1,"running":[["a.0.0.0",1,"",1e999]],"ended":[]}',
         b'{"clockMs":1,"running":[],"ended":[[1,"a.0.0.0",1,"vanished",""]]}',
     ],
 )
