--- a/src/cassiaturn/fleet/_process.py
+++ b/src/cassiaturn/fleet/_process.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Success
 
 from cassiaturn.fleet._callers import CallerJobService, MemberJobService
+from cassiaturn.fleet._cpu_clock import cpu_time_s
 from cassiaturn.fleet._member import STOP_MARGIN_S, Member
 from cassiaturn.fleet._metrics_server import MetricsServer
 from cassiaturn.fleet._ports import PlatformServices
@@ -154,7 +155,7 @@
             Event.LISTENING,
             address=self._settings.callers,
             open_ms=round((time.monotonic() - self._opened_at) * MS_PER_S),
-            cpu_ms=round(time.process_time() * MS_PER_S),
+            cpu_ms=round(cpu_time_s() * MS_PER_S),
         )
         await self._stop.wait()
         await self._drain(member)
