Rank hosts as leaders by link and processor, and tell a full processor

Cause: leaders are chosen, and hand over, by the width of their links alone.

Ruled out: an order by processor alone (an order queues for a narrow link just as long); an order by how busy members are (they would disagree on it, and two would claim); capacity in use instead of the share of time in use (a saturated process is busy all the time on a small host, too); a request to the strongest host whatever its link (two members could ask each other in turn, one for its processor and one for its link).

Change: two pure modules. One orders hosts: those with less than half of the largest known processor or of the widest known link come last, then the wider link goes first, then the larger processor. A capacity that is negative, not finite or above 1,000 cores counts as not reported. The other averages how busy a process is and how late its timers are, and tells whom a leader may ask for which reason.

Result: python -m pytest -q src/cassiaturn/sharing passes. For every pair of 42 hosts, a request raises the product of both capacities, so members that are full in turn do not alternate; the test fails without the condition on the other capacity, for either reason. Nothing uses the modules yet.

--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -6,6 +6,14 @@
 """
 
 from cassiaturn.sharing._cpu_headroom import CpuHeadroom
+from cassiaturn.sharing._cpu_load import (
+    SAMPLE_PERIOD_S,
+    CpuLoad,
+    is_cpu_full,
+    is_unfit,
+    relieves_cpu,
+    relieves_link,
+)
 from cassiaturn.sharing._deadlines import Deadlines, job_deadlines, longest_chain_s
 from cassiaturn.sharing._due_order import (
     Lateness,
@@ -18,6 +26,7 @@
 from cassiaturn.sharing._failed_target import failed_target_pause_s
 from cassiaturn.sharing._feasibility import Progress, latest_start
 from cassiaturn.sharing._job_queue import JobQueue, queue_key
+from cassiaturn.sharing._leader_fitness import FitnessOrder, FitnessRank, HostCapacity
 from cassiaturn.sharing._link_capacity import should_hand_over
 from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared_target
 from cassiaturn.sharing._remote_racks import remote_rack_factor
@@ -30,10 +39,15 @@
 from cassiaturn.sharing._transit_delay import TransitDelay
 
 __all__ = [
+    "SAMPLE_PERIOD_S",
     "CpuHeadroom",
+    "CpuLoad",
     "Deadlines",
     "ExpectedRuns",
+    "FitnessOrder",
+    "FitnessRank",
     "GroupKey",
+    "HostCapacity",
     "JobQueue",
     "Lateness",
     "LoadShedder",
@@ -47,7 +61,9 @@
     "TransitDelay",
     "choose_shared_target",
     "failed_target_pause_s",
+    "is_cpu_full",
     "is_shed",
+    "is_unfit",
     "job_deadlines",
     "lateness_changes",
     "latest_start",
@@ -55,6 +71,8 @@
     "needs_fast_target",
     "order_key",
     "queue_key",
+    "relieves_cpu",
+    "relieves_link",
     "remote_rack_factor",
     "should_hand_over",
     "spread_retry_after",
