Choose leaders by processor capacity as well as by link

Cause: the order of claims, the keeper of finished tasks and the successor of a leader that stops know only the width of links. Among equal links the address decides, and a host with a fifth of the processor capacity of another may lead.

Ruled out: the capacity that a member answers, or its own settings, ahead of the leader's lists. After a leader of the previous version, whose lists name no processor, each member would come first in its own view (all 12 members with wide links claim in a fleet of 96).

Change: Hello, Member and LookReply carry the processor capacity. Claims, keeper and successor use one order of hosts; a capacity that makes no sense counts as not reported. The lists go before answers. A silent member counts (fitter_is_silent, was wider_is_silent) if its link is wider or if it is not held back and this member is. leader_elected and member_joined tell both capacities.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -13,7 +13,7 @@
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing_feed import RoutingCursor, RoutingFeed
 from cassiaturn.fleet._told_ends import Receipt
-from cassiaturn.sharing import TransitDelay
+from cassiaturn.sharing import FitnessRank, HostCapacity, TransitDelay
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import Outcome
 
@@ -55,6 +55,7 @@
         :param routing: the configuration that every follower must have.
         """
         self.hello = hello
+        self.host = HostCapacity.reported(hello)
         self.heard_at = time.monotonic()
         self.leaving = hello.leaving
         self.is_gone = False
@@ -66,18 +67,20 @@
         self._done_receipt: Receipt | None = None
         self._frames: deque[QueuedFrame] = deque()
         self._wake = asyncio.Event()
+        self._feed = feed
         self._roster = feed.join(hello, on_change=self._wake.set)
         self._routing = RoutingCursor(
             feed=routing, follower_version=hello.routing_version
         )
 
     @property
-    def keeper_rank(self) -> tuple[bool, float, str]:
+    def keeper_rank(self) -> tuple[bool, FitnessRank, str]:
         """Rank as the keeper of finished tasks; the lowest is the likeliest successor.
 
         Members claim the leadership in this order.
         """
-        return (self.leaving, -self.hello.link_mbps, self.hello.address)
+        fitness = self._feed.fitness_order.rank(self.host)
+        return (self.leaving, fitness, self.hello.address)
 
     @property
     def answers_pauses(self) -> bool:
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -29,7 +29,7 @@
 from cassiaturn.fleet._told_ends import TELL_TIMEOUT_S, Receipt
 from cassiaturn.fleet._watch import Watch
 from cassiaturn.observability import Event, FleetMetrics, log_event
-from cassiaturn.sharing import CpuHeadroom, Lateness, LoadShedder
+from cassiaturn.sharing import CpuHeadroom, FitnessRank, Lateness, LoadShedder
 from cassiaturn.workload import (
     Job,
     Outcome,
@@ -73,7 +73,7 @@
     """Whether its stream has ended."""
 
     @property
-    def keeper_rank(self) -> tuple[bool, float, str]:
+    def keeper_rank(self) -> tuple[bool, FitnessRank, str]:
         """Rank as the keeper of finished tasks; the lowest comes first."""
 
     @property
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -457,6 +457,7 @@
         hears_leader=reply.hears_leader,
         highest=to_leadership(reply.leadership),
         link_mbps=reply.link_mbps,
+        cpu_cores=reply.cpu_cores,
     )
 
 
--- a/src/cassiaturn/fleet/_leadership.py
+++ b/src/cassiaturn/fleet/_leadership.py
@@ -179,6 +179,9 @@
     link_mbps: float = 0.0
     """Bandwidth of its host's link, in megabits per second; 0 if not told."""
 
+    cpu_cores: float = 0.0
+    """Processor capacity of its host, in cores; 0 if not reported."""
+
 
 class LookFailure(Enum):
     """Why another member gave no answer."""
@@ -215,8 +218,8 @@
     members_before: int
     """Number of members that answer and precede this one in the claim order."""
 
-    wider_is_silent: bool = False
-    """Whether a member with more link bandwidth did not answer in time."""
+    fitter_is_silent: bool = False
+    """Whether a member on a fitter host did not answer in time."""
 
     tries: int = 0
     """Number of earlier rounds of questions since the loss."""
@@ -287,9 +290,10 @@
         # The table service would have to decide between concurrent claims, which may
         # take longer than the leases last.
         return Step.WAIT
-    if view.wider_is_silent and not view.tries:
+    if view.fitter_is_silent and not view.tries:
         # A busy member may fail to answer once. A claim that ignores it would make a
-        # member lead whose link is too slow for the orders, until the next election.
+        # member lead whose link or processor is too slow for the orders, until the
+        # next election.
         return Step.WAIT
     has_row = view.row is not RowState.UNREADABLE
     if has_row and (view.members_before or not view.looks):
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -46,7 +46,7 @@
 from cassiaturn.fleet._term import LeaderTerm
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.settings import FleetSettings
-from cassiaturn.sharing import should_hand_over
+from cassiaturn.sharing import HostCapacity, should_hand_over
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import settings_for_lease
 
@@ -114,7 +114,9 @@
             routing=self.routing,
             drains=self.drains,
             load=self.load,
-            link_mbps=settings.link_mbps,
+            host=HostCapacity(
+                link_mbps=settings.link_mbps, cpu_cores=settings.cpu_cores
+            ),
         )
         self._services = services
         self._configuration = ConfigurationSource(
@@ -424,7 +426,7 @@
             looks=survey.looks,
             members_asked=survey.asked,
             members_before=survey.members_before,
-            wider_is_silent=survey.wider_is_silent,
+            fitter_is_silent=survey.fitter_is_silent,
             tries=tries,
             knows_targets=knows_targets,
             leader_answers=loss is Loss.SILENT and survey.leader_answers,
@@ -459,6 +461,7 @@
                 target_digests=self._roster.target_digests,
                 routing_version=self.routing.version,
                 link_mbps=self.settings.link_mbps,
+                cpu_cores=self.settings.cpu_cores,
                 leaving=self._stopping,
                 answers_pauses=True,
                 drained=from_drains(self.drains.current),
@@ -578,6 +581,8 @@
             token=leadership.token,
             term=leadership.term,
             targets=len(leader.reports_by_id),
+            link_mbps=self.settings.link_mbps,
+            cpu_cores=self.settings.cpu_cores,
         )
         leader.open()
         for refs in self._done_tasks.take().values():
--- a/src/cassiaturn/fleet/_peers.py
+++ b/src/cassiaturn/fleet/_peers.py
@@ -11,7 +11,7 @@
 import asyncio
 import random
 from collections import OrderedDict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -20,6 +20,7 @@
 from cassiaturn.fleet._leadership import NO_TOKEN, Leadership, Look, LookFailure
 from cassiaturn.fleet._roster import Roster
 from cassiaturn.settings import FleetSettings
+from cassiaturn.sharing import FitnessOrder, FitnessRank, HostCapacity
 
 MAX_KNOWN_ADDRESSES = 64
 """Addresses of past followers to remember: several times those of a small site."""
@@ -45,14 +46,14 @@
 class ClaimRank(NamedTuple):
     """A member's rank in the order in which members claim; the lowest claims first.
 
-    The members with the most link bandwidth come first. A leader sends the orders for
-    all callers: a thousand jobs a second take 3 MB a second, twice what a link of 12.5
-    Mbit/s carries, and orders delayed by a full link time out as long as that member
-    leads.
+    The members on the fittest hosts come first. A leader sends the orders for all
+    callers: a thousand jobs a second take 3 MB a second, twice what a link of 12.5
+    Mbit/s carries, and their starts take half a core or more. Orders delayed by a full
+    link or processor time out as long as that member leads.
     """
 
-    negative_link_mbps: float
-    """Bandwidth of its host's link, in megabits per second, negated."""
+    fitness: FitnessRank
+    """Rank of its host among those that are known."""
 
     address: str
     """Its address for other members, ``host:port``."""
@@ -74,8 +75,8 @@
     members_before: int
     """Number of members that answered and precede this one in claim order."""
 
-    wider_is_silent: bool
-    """Whether a member with more link bandwidth did not answer in time."""
+    fitter_is_silent: bool
+    """Whether a member on a fitter host did not answer in time."""
 
 
 class Peers:
@@ -93,7 +94,8 @@
         """Estimated number of members that this one reaches, by the last answers."""
 
         self._known_addresses: OrderedDict[str, None] = OrderedDict()
-        self._own_rank = ClaimRank(-settings.link_mbps, str(settings.members))
+        self._own_address = str(settings.members)
+        self._configured_host = HostCapacity.reported(settings)
         self._failure_domain = settings.failure_domain
         self._seeds = frozenset(str(seed) for seed in settings.seeds)
         self._roster = roster
@@ -101,10 +103,13 @@
     @property
     def claims_early(self) -> bool:
         """Whether this member is among the first that ask their peers and claim."""
+        hosts_by_address = self._hosts_by_address(without=self.last_leader_address)
+        order = self._order(hosts_by_address.values())
+        own_rank = self._own_rank(order)
         before = [
             member
             for member in self._roster.members
-            if self._rank(member.address, member.link_mbps) < self._own_rank
+            if _rank(order, member.address, HostCapacity.reported(member)) < own_rank
         ]
         in_domain = [
             member for member in before if member.failure_domain == self._failure_domain
@@ -125,9 +130,16 @@
 
         :param lost: the leader that was lost; None if there was none.
         """
-        ranks = self._ranks(without=lost.address if lost is not None else "")
-        before = [rank.address for rank in ranks if rank < self._own_rank]
-        after = [rank.address for rank in ranks if rank > self._own_rank]
+        hosts_by_address = self._hosts_by_address(
+            without=lost.address if lost is not None else ""
+        )
+        order = self._order(hosts_by_address.values())
+        own_rank = self._own_rank(order)
+        ranks = sorted(
+            _rank(order, address, host) for address, host in hosts_by_address.items()
+        )
+        before = [rank.address for rank in ranks if rank < own_rank]
+        after = [rank.address for rank in ranks if rank > own_rank]
         others = random.sample(after, min(LATER_ASKED, len(after)))
         token = lost.token if lost is not None else NO_TOKEN
         looks_by_address, lost_answer = await asyncio.gather(
@@ -137,7 +149,9 @@
         # If none of the first members answers, ask the next ones: otherwise each later
         # member would claim as the first.
         asked = EARLIER_ASKED_AT_ONCE
-        while asked < len(before) and not self._count_before(looks_by_address):
+        while asked < len(before) and not self._count_before(
+            looks_by_address, hosts_by_address
+        ):
             batch = before[asked : asked + EARLIER_ASKED_AT_ONCE]
             looks_by_address |= await _ask_all(batch, token)
             asked += EARLIER_ASKED_AT_ONCE
@@ -148,63 +162,109 @@
             looks=answers,
             leader_answers=_still_leads(lost_answer, lost),
             asked=len(looks_by_address),
-            members_before=self._count_before(looks_by_address),
-            wider_is_silent=self._is_wider_silent(looks_by_address),
+            members_before=self._count_before(looks_by_address, hosts_by_address),
+            fitter_is_silent=self._is_fitter_silent(looks_by_address, order),
         )
 
-    def _count_before(self, looks_by_address: Mapping[str, Look | LookFailure]) -> int:
-        return sum(
-            isinstance(look, Look)
-            and self._rank(address, look.link_mbps) < self._own_rank
+    def _count_before(
+        self,
+        looks_by_address: Mapping[str, Look | LookFailure],
+        hosts_by_address: Mapping[str, HostCapacity],
+    ) -> int:
+        """Return the number of members that answer and precede this one.
+
+        What a member answers of its host counts only if the leader's lists do not name
+        it: every member has got the same lists.
+        """
+        answered_by_address = {
+            address: HostCapacity.reported(look)
             for address, look in looks_by_address.items()
+            if isinstance(look, Look)
+        }
+        known_by_address = answered_by_address | {
+            address: host
+            for address, host in hosts_by_address.items()
+            if host != HostCapacity()
+        }
+        order = self._order(known_by_address.values())
+        own_rank = self._own_rank(order)
+        return sum(
+            _rank(order, address, known_by_address[address]) < own_rank
+            for address in answered_by_address
         )
 
-    def _is_wider_silent(
-        self, looks_by_address: Mapping[str, Look | LookFailure]
+    def _is_fitter_silent(
+        self, looks_by_address: Mapping[str, Look | LookFailure], order: FitnessOrder
     ) -> bool:
+        """Return whether a member on a fitter host did not answer in time.
+
+        Less than a factor of two in processor capacity does not justify a wait while
+        nobody leads.
+        """
+        own_fitness = order.rank(self._own_host)
         return any(
             looks_by_address.get(member.address) is LookFailure.SILENT
-            and -member.link_mbps < self._own_rank.negative_link_mbps
+            and order.rank(HostCapacity.reported(member)).is_ahead_by_group_or_link(
+                own_fitness
+            )
             for member in self._roster.members
         )
 
     async def _ask_lost_leader(self, lost: Leadership | None) -> Look | LookFailure:
-        if lost is None or lost.address == self._own_rank.address:
+        if lost is None or lost.address == self._own_address:
             return LookFailure.REFUSED
         return await ask_peer(to_address(lost.address), lost.token)
 
     async def announce(self, leadership: Leadership) -> Sequence[Look]:
         """Announce a leadership to every known member; returns their answers."""
-        addresses = {rank.address for rank in self._ranks(without="")}
+        addresses = set(self._hosts_by_address(without=""))
         addresses |= self._known_addresses.keys()
         looks = await asyncio.gather(
             *(
                 ask_peer(to_address(address), leadership.token, announced=leadership)
-                for address in sorted(addresses - {self._own_rank.address})
+                for address in sorted(addresses - {self._own_address})
             )
         )
         return [look for look in looks if isinstance(look, Look)]
 
-    def _ranks(self, *, without: str) -> Sequence[ClaimRank]:
-        """Return the ranks of the other members in claim order.
+    def _hosts_by_address(self, *, without: str) -> dict[str, HostCapacity]:
+        """Return the hosts of the other members by address.
 
-        The bandwidth of seeds and of the last leader may be unknown; then they come
-        last.
+        Those of seeds and of the last leader may be unknown; then they come last.
         """
-        links_by_address = dict.fromkeys(self._seeds | {self.last_leader_address}, 0.0)
-        links_by_address |= {
-            member.address: member.link_mbps for member in self._roster.members
-        }
-        for address in ("", self._own_rank.address, without):
-            links_by_address.pop(address, None)
-        return sorted(
-            self._rank(address, link_mbps)
-            for address, link_mbps in links_by_address.items()
+        hosts_by_address = dict.fromkeys(
+            self._seeds | {self.last_leader_address}, HostCapacity()
         )
+        hosts_by_address |= {
+            member.address: HostCapacity.reported(member)
+            for member in self._roster.members
+        }
+        for address in ("", self._own_address, without):
+            hosts_by_address.pop(address, None)
+        return hosts_by_address
+
+    @property
+    def _own_host(self) -> HostCapacity:
+        """The host of this member, as the leader has told all others of it.
+
+        A leader of the previous version tells no processor capacities. A member that
+        counted its own alone would precede all others in its own view only.
+        """
+        for member in self._roster.members:
+            if member.address == self._own_address:
+                return HostCapacity.reported(member)
+        return self._configured_host
+
+    def _order(self, hosts: Iterable[HostCapacity]) -> FitnessOrder:
+        """Return the order among other hosts and this member's own."""
+        return FitnessOrder.among(hosts).including(self._own_host)
+
+    def _own_rank(self, order: FitnessOrder) -> ClaimRank:
+        return _rank(order, self._own_address, self._own_host)
+
 
-    @staticmethod
-    def _rank(address: str, link_mbps: float) -> ClaimRank:
-        return ClaimRank(-link_mbps, address)
+def _rank(order: FitnessOrder, address: str, host: HostCapacity) -> ClaimRank:
+    return ClaimRank(order.rank(host), address)
 
 
 async def _ask_all(
--- a/src/cassiaturn/fleet/_roster_feed.py
+++ b/src/cassiaturn/fleet/_roster_feed.py
@@ -15,6 +15,7 @@
 from cassiaturn.fleet._codec import from_target
 from cassiaturn.fleet._digests import Digests, bucket_of
 from cassiaturn.fleet._list_pace import ListPace
+from cassiaturn.sharing import FitnessOrder, HostCapacity
 from cassiaturn.v1 import fleet_pb2 as pb
 
 BATCH_WINDOW_S = 0.05
@@ -43,6 +44,9 @@
         self.digests = Digests()
         self.members_by_id: dict[str, pb.Member] = {}
         self.entries_by_id: dict[str, pb.TargetEntry] = {}
+        self.fitness_order = FitnessOrder()
+        """Order of the members as leaders, by what each has reported of its host."""
+
         self._cursors_by_id: dict[str, RosterCursor] = {}
 
     def begin(self, reports_by_id: Mapping[str, TargetReport]) -> None:
@@ -53,6 +57,7 @@
         self.digests = Digests()
         self.members_by_id = {}
         self.entries_by_id = {}
+        self.fitness_order = FitnessOrder()
         self._cursors_by_id = {}
         for report in reports_by_id.values():
             self.put_target(report)
@@ -69,8 +74,11 @@
             address=hello.address,
             failure_domain=hello.failure_domain,
             link_mbps=hello.link_mbps,
+            cpu_cores=hello.cpu_cores,
         )
         self.members_by_id[member.member_id] = member
+        host = HostCapacity.reported(member)
+        self.fitness_order = self.fitness_order.including(host)
         self._note_member(member.member_id)
         cursor = RosterCursor(feed=self, hello=hello, on_change=on_change)
         self._cursors_by_id[member.member_id] = cursor
@@ -80,6 +88,9 @@
         """Remove a follower, and tell the others."""
         self._cursors_by_id.pop(member_id, None)
         if self.members_by_id.pop(member_id, None) is not None:
+            self.fitness_order = FitnessOrder.among(
+                map(HostCapacity.reported, self.members_by_id.values())
+            )
             self._note_member(member_id)
 
     def put_target(self, report: TargetReport) -> None:
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -27,6 +27,7 @@
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.fleet._routing_feed import RoutingFeed
 from cassiaturn.observability import Event, log_event
+from cassiaturn.sharing import FitnessOrder, HostCapacity
 from cassiaturn.transport import sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.v1.fleet_grpc import FleetBase
@@ -96,7 +97,7 @@
         routing: CurrentRouting,
         drains: CurrentDrains,
         load: LeaderLoad,
-        link_mbps: float,
+        host: HostCapacity,
     ) -> None:
         """Prepare to serve a member.
 
@@ -104,15 +105,15 @@
         :param routing: the configuration in force.
         :param drains: the drained failure domains in force.
         :param load: counts what is sent to followers.
-        :param link_mbps: bandwidth of the host's link, in megabits per second.
+        :param host: capacity of this member's host.
         """
         self._member = member
         self._load = load
-        self._link_mbps = link_mbps
-        self._feed = RosterFeed(pace=ListPace(link_mbps=link_mbps))
+        self._host = host
+        self._feed = RosterFeed(pace=ListPace(link_mbps=host.link_mbps))
         # A separate pace, so that a large document does not delay changes of targets.
         self._routing_feed = RoutingFeed(
-            routing=routing, pace=ListPace(link_mbps=link_mbps)
+            routing=routing, pace=ListPace(link_mbps=host.link_mbps)
         )
         self._routing = routing
         self._drains = drains
@@ -169,7 +170,7 @@
     def choose_successor(self, *, without: Collection[str] = ()) -> Follower | None:
         """Return the follower that is to lead next; None if there is none.
 
-        It is the one with the most link bandwidth; among equals, the one heard last.
+        It is the one on the fittest host; among equals, the one heard last.
 
         :param without: members that are not to lead.
         """
@@ -179,10 +180,11 @@
             if not (follower.leaving or follower.is_gone)
             and follower.hello.member_id not in without
         ]
-        if not staying:
-            return None
-        return max(
-            staying, key=lambda follower: (follower.hello.link_mbps, follower.heard_at)
+        order = FitnessOrder.among(follower.host for follower in staying)
+        return min(
+            staying,
+            key=lambda follower: (order.rank(follower.host), -follower.heard_at),
+            default=None,
         )
 
     def begin_term(self, reports_by_id: Mapping[str, TargetReport]) -> None:
@@ -230,6 +232,8 @@
             member=hello.member_id,
             failure_domain=hello.failure_domain,
             token=leader.leadership.token,
+            link_mbps=follower.host.link_mbps,
+            cpu_cores=follower.host.cpu_cores,
         )
         if leader.pauses:
             follower.send_heartbeat()
@@ -264,7 +268,8 @@
         reply = pb.LookReply(
             leadership=from_leadership(known),
             hears_leader=hears,
-            link_mbps=self._link_mbps,
+            link_mbps=self._host.link_mbps,
+            cpu_cores=self._host.cpu_cores,
         )
         await stream.send_message(reply)
 
--- a/src/cassiaturn/fleet/tests/test_leadership.py
+++ b/src/cassiaturn/fleet/tests/test_leadership.py
@@ -91,16 +91,16 @@
         Step.WAIT,
     ),
     "silent for everybody, and so is a member with a wider link": (
-        {"looks": (MISSES,), "wider_is_silent": True},
+        {"looks": (MISSES,), "fitter_is_silent": True},
         Step.WAIT,
     ),
     # As above, in the second round of questions.
     "and that one is silent still": (
-        {"looks": (MISSES,), "wider_is_silent": True, "tries": 1},
+        {"looks": (MISSES,), "fitter_is_silent": True, "tries": 1},
         Step.CLAIM_ALONE,
     ),
     "the last member that is left, the wide ones lost power": (
-        {"row": RowState.STALE, "wider_is_silent": True},
+        {"row": RowState.STALE, "fitter_is_silent": True},
         Step.WAIT,
     ),
     "silent for everybody, no target is known here": (
--- a/src/cassiaturn/fleet/tests/test_peers.py
+++ b/src/cassiaturn/fleet/tests/test_peers.py
@@ -35,9 +35,24 @@
 ]
 
 
-def _peers_of(member: pb.Member) -> Peers:
+MIXED_MEMBERS = [
+    pb.Member(
+        member_id=f"m{number}",
+        address=f"10.0.0.{number}:1",
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        link_mbps=100.0 if number < WIDE_LINK_MEMBERS else 60.0,
+        cpu_cores=0.387 if number < WIDE_LINK_MEMBERS else 2.15,
+    )
+    for number in range(48)
+]
+"""Members of which those with the widest links have the smallest processors."""
+
+
+def _peers_of(
+    member: pb.Member, members: Sequence[pb.Member] = tuple(MEMBERS)
+) -> Peers:
     roster = Roster()
-    others = [other for other in MEMBERS if other is not member]
+    others = [other for other in members if other is not member]
     roster.apply(pb.RosterPage(members=others, whole=True))
     host, _, port = member.address.partition(":")
     address = Address(host=host, port=int(port))
@@ -51,6 +66,7 @@
         metrics=address,
         table_service=address,
         link_mbps=member.link_mbps,
+        cpu_share=member.cpu_cores or None,
     )
     return Peers(settings=settings, roster=roster)
 
@@ -58,10 +74,12 @@
 class _FakePeers:
     """Answers for the members that a test selects, and counts the requests."""
 
-    def __init__(self, answers: Callable[[pb.Member], bool]) -> None:
+    def __init__(
+        self, answers: Callable[[pb.Member], bool], members: Sequence[pb.Member]
+    ) -> None:
         self.count = 0
         self._answers = answers
-        self._members_by_address = {member.address: member for member in MEMBERS}
+        self._members_by_address = {member.address: member for member in members}
 
     async def ask_peer(
         self, address: Address, token: int, announced: object = None
@@ -70,24 +88,34 @@
         member = self._members_by_address[str(address)]
         if not self._answers(member):
             return LookFailure.SILENT
-        return Look(hears_leader=False, highest=None, link_mbps=member.link_mbps)
+        return Look(
+            hears_leader=False,
+            highest=None,
+            link_mbps=member.link_mbps,
+            cpu_cores=member.cpu_cores,
+        )
 
 
 @pytest.fixture
 def fake_peers(monkeypatch: pytest.MonkeyPatch) -> Callable[..., _FakePeers]:
-    def patch(answers: Callable[[pb.Member], bool]) -> _FakePeers:
-        asked = _FakePeers(answers)
+    def patch(
+        answers: Callable[[pb.Member], bool],
+        members: Sequence[pb.Member] = tuple(MEMBERS),
+    ) -> _FakePeers:
+        asked = _FakePeers(answers, members)
         monkeypatch.setattr(_peers, "ask_peer", asked.ask_peer)
         return asked
 
     return patch
 
 
-async def _first_to_claim(members: Sequence[pb.Member]) -> list[str]:
+async def _first_to_claim(
+    members: Sequence[pb.Member], known: Sequence[pb.Member] = tuple(MEMBERS)
+) -> list[str]:
     return [
         member.member_id
         for member in members
-        if not (await _peers_of(member).look(None)).members_before
+        if not (await _peers_of(member, known).look(None)).members_before
     ]
 
 
@@ -118,6 +146,43 @@
     assert len(await _first_to_claim(MEMBERS)) == 1
 
 
+async def test_one_member_with_a_large_processor_claims_first(
+    fake_peers: Callable[..., _FakePeers],
+) -> None:
+    """Guards against members that claim at once, as each orders them differently."""
+    fake_peers(lambda member: True, MIXED_MEMBERS)
+    (first,) = await _first_to_claim(MIXED_MEMBERS, MIXED_MEMBERS)
+    assert first == MIXED_MEMBERS[WIDE_LINK_MEMBERS].member_id
+
+
+async def test_one_member_claims_first_after_a_leader_of_the_previous_version(
+    fake_peers: Callable[..., _FakePeers],
+) -> None:
+    """Guards against many claims at once: each member would know its processor alone.
+
+    A leader of the previous version names no processor capacity in its lists.
+    """
+    fake_peers(lambda member: True)
+    first = []
+    for listed in MEMBERS:
+        member = pb.Member()
+        member.CopyFrom(listed)
+        member.cpu_cores = 2.15
+        if not (await _peers_of(member).look(None)).members_before:
+            first.append(member.member_id)
+    assert first == [MEMBERS[0].member_id]
+
+
+@pytest.mark.parametrize(("own", "silent"), [(5, 20), (-1, 0)])
+async def test_only_a_fitter_member_that_is_silent_counts(
+    fake_peers: Callable[..., _FakePeers], own: int, silent: int
+) -> None:
+    """Guards against callers that wait for a host that would make a worse leader."""
+    fake_peers(lambda member: member is not MIXED_MEMBERS[silent], MIXED_MEMBERS)
+    survey = await _peers_of(MIXED_MEMBERS[own], MIXED_MEMBERS).look(None)
+    assert survey.fitter_is_silent is (silent >= WIDE_LINK_MEMBERS)
+
+
 async def test_one_member_claims_first_if_all_wide_links_are_gone(
     fake_peers: Callable[..., _FakePeers],
 ) -> None:
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -88,6 +88,7 @@
         seeds: tuple[Address, ...],
         link_mbps: float = DEFAULT_LINK_MBPS,
         failure_domain: str = "a",
+        cpu_cores: float | None = None,
     ) -> None:
         host, _, port = store.rpartition(":")
         callers, readiness, members, metrics, behind_relay = free_addresses(5)
@@ -102,6 +103,7 @@
             seeds=seeds,
             table_service=Address(host=host, port=int(port)),
             link_mbps=link_mbps,
+            cpu_share=cpu_cores,
         )
         self._client = _InterruptibleClient()
         self.adapter = PlatformAdapter(self.settings, client=self._client)
@@ -185,6 +187,7 @@
         *,
         link_mbps: float = DEFAULT_LINK_MBPS,
         failure_domain: str = "a",
+        cpu_cores: float | None = None,
     ) -> RunningMember:
         seeds = tuple(seed.settings.members for seed in self.members[:2])
         member = RunningMember(
@@ -193,6 +196,7 @@
             seeds=seeds,
             link_mbps=link_mbps,
             failure_domain=failure_domain,
+            cpu_cores=cpu_cores,
         )
         await member.start()
         self.members.append(member)
