Hand over from a leader whose processor is full or that is unfit

Cause: a leader hands over for its link alone. After a restart of all members the first process that is back leads, and on a small host all orders are late until it stops.

Ruled out: a wait until the processor counts as full, also after a restart (a second and more of late callers); a request at the first Hello of a fitter member (it would know no targets, and hold back inherited jobs); requests to members with half of the link (see the pure module).

Change: followers report in each heartbeat how busy they are. A leader asks a member with twice its processor capacity to lead if its own process is busy for 0.6 of the time or its timers are late by 30 ms, on average over a second. It asks one with more than twice its capacity (reason unfit) once that one was sent all lists and the configuration, and no inherited job is held back. All reasons share the pause of 5 s. A full link asks no member with half of the processor. A member whose own processor is full is not asked. Processes without a known capacity sample nothing. The log line and three metrics tell reason, member and both hosts.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -13,10 +13,12 @@
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing_feed import RoutingCursor, RoutingFeed
 from cassiaturn.fleet._told_ends import Receipt
-from cassiaturn.sharing import FitnessRank, HostCapacity, TransitDelay
+from cassiaturn.sharing import FitnessRank, HostCapacity, TransitDelay, is_cpu_full
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import Outcome
 
+MILLISECONDS = 1000
+
 HEARTBEAT_S = 0.15
 """Heartbeat period in both directions, in seconds: three of them fit into the silence
 after which a leader counts as lost."""
@@ -60,6 +62,7 @@
         self.leaving = hello.leaving
         self.is_gone = False
         self.transit = TransitDelay()
+        self._is_cpu_full = False
         self._is_heartbeat_due = False
         self._receipts: set[Receipt] = set()
         self._done_by_job: dict[str, set[TaskRef]] = {}
@@ -82,6 +85,22 @@
         fitness = self._feed.fitness_order.rank(self.host)
         return (self.leaving, fitness, self.hello.address)
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether the member was sent all lists and has the configuration in force."""
+        return self._roster.is_told_all and self._routing.due_at is None
+
+    @property
+    def is_cpu_full(self) -> bool:
+        """Whether its processor is full, by its last heartbeat."""
+        return self._is_cpu_full
+
+    def note_load(self, beat: pb.FollowerBeat) -> None:
+        """Record how busy the member is; an earlier version reports nothing."""
+        self._is_cpu_full = is_cpu_full(
+            busy_share=beat.cpu_used, late_s=beat.late_ms / MILLISECONDS
+        )
+
     @property
     def answers_pauses(self) -> bool:
         """Whether the member answers the question that follows a pause."""
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -221,6 +221,11 @@
         """Whether new jobs of followers wait for a confirmation before they start."""
         return self._cpu_headroom.is_available
 
+    @property
+    def holds_inherited_jobs(self) -> bool:
+        """Whether jobs wait for runs that an earlier leader may have started."""
+        return workload.holds_inherited_jobs(self._tables, time.monotonic())
+
     @property
     def pauses(self) -> int:
         """How often this process was paused in this term."""
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -26,6 +26,7 @@
 from cassiaturn.fleet._roster import Roster
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.observability import Event, log_event
+from cassiaturn.sharing import CpuLoad
 from cassiaturn.transport import run_apart, sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.v1.fleet_grpc import FleetStub
@@ -59,6 +60,8 @@
 """Longest wait for a peer's view of the leader, in seconds: thirty times the usual one.
 In a network partition some peers never answer, and callers wait meanwhile."""
 
+MILLISECONDS = 1000
+
 STREAM_ERRORS = (
     OSError,
     GRPCError,
@@ -118,6 +121,7 @@
         read_routing: Callable[[pb.RoutingDocument], None],
         read_drains: Callable[[pb.DrainedDomains], None],
         on_leadership: Callable[[Leadership], None],
+        cpu_load: CpuLoad,
     ) -> None:
         """Prepare to follow; :meth:`run` opens the stream.
 
@@ -128,6 +132,7 @@
         :param read_drains: called with the drained failure domains that the leader
             knows.
         :param on_leadership: called when the leader continues under a higher token.
+        :param cpu_load: how busy this process is, for heartbeats.
         """
         self.leadership = leadership
         self.heard_at = 0.0
@@ -148,6 +153,7 @@
         self._read_routing = read_routing
         self._read_drains = read_drains
         self._on_leadership = on_leadership
+        self._cpu_load = cpu_load
         self._frames: asyncio.Queue[pb.FollowerFrame] = asyncio.Queue()
         self._sent_routing_version = 0
         self._known_pauses = 0
@@ -328,6 +334,8 @@
             leaving=self.leaving,
             drained=from_drains(self._drains.current),
             pauses=self._known_pauses,
+            cpu_used=self._cpu_load.busy_share,
+            late_ms=round(self._cpu_load.late_s * MILLISECONDS),
         )
         return pb.FollowerFrame(beat=beat)
 
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -9,12 +9,14 @@
 from cassiaturn.fleet._caller_jobs import CallerJobs
 from cassiaturn.fleet._codec import from_drains
 from cassiaturn.fleet._configuration import ConfigurationSource
+from cassiaturn.fleet._cpu_sampler import sample_cpu
 from cassiaturn.fleet._done_tasks import DoneTasks
 from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._follower import Follower
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_load import LeaderLoad
+from cassiaturn.fleet._leader_relief import LeaderRelief
 from cassiaturn.fleet._leader_row import (
     CALL_TIMEOUT_S,
     QUICK_READ_TIMEOUT_S,
@@ -46,7 +48,7 @@
 from cassiaturn.fleet._term import LeaderTerm
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.settings import FleetSettings
-from cassiaturn.sharing import HostCapacity, should_hand_over
+from cassiaturn.sharing import CpuLoad, HostCapacity
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.workload import settings_for_lease
 
@@ -78,11 +80,6 @@
 """Period in which a leader that stops checks on the member that it has asked, in
 seconds."""
 
-HAND_OVER_PAUSE_S = 5.0
-"""Minimum pause before another member is asked to lead, in seconds: the member that is
-asked drops its stream, and its callers lose their running tasks if it does not lead in
-time."""
-
 MILLISECONDS = 1000
 
 
@@ -118,6 +115,8 @@
                 link_mbps=settings.link_mbps, cpu_cores=settings.cpu_cores
             ),
         )
+        self.cpu_load = CpuLoad()
+        self.relief = LeaderRelief(member=self, cpu_load=self.cpu_load)
         self._services = services
         self._configuration = ConfigurationSource(
             services=services, routing=self.routing, drains=self.drains
@@ -138,7 +137,6 @@
         self._stopping = False
         self._stopping_leftovers: asyncio.Future[None] | None = None
         self._last_followed_token = NO_TOKEN
-        self._asked_to_lead_at = float("-inf")
         self.asked_to_lead: set[str] = set()
         """Members that this one has asked to lead since it began to stop."""
 
@@ -232,11 +230,15 @@
     async def run(self) -> None:
         """Lead or follow until cancelled."""
         loop = asyncio.get_running_loop()
-        watcher = loop.create_task(self._configuration.watch())
+        tasks = [loop.create_task(self._configuration.watch())]
+        if self.settings.cpu_cores:
+            # Without a known capacity, no decision depends on how busy this process is.
+            tasks.append(loop.create_task(sample_cpu(self.cpu_load)))
         try:
             await self._lead_or_follow()
         finally:
-            watcher.cancel()
+            for task in tasks:
+                task.cancel()
             if self.leader is not None:
                 self._step_down(None)
 
@@ -279,6 +281,7 @@
             successor.ask_to_lead(self.leader.leadership)
             passed_over.add(successor.hello.member_id)
             self.asked_to_lead.add(successor.hello.member_id)
+            self.relief.requests_by_reason["stopping"] += 1
             log_event(
                 Event.HAND_OVER_ASKED,
                 reason="stopping",
@@ -474,6 +477,7 @@
             read_routing=self.read_routing,
             read_drains=self.read_drains,
             on_leadership=self._note_leadership,
+            cpu_load=self.cpu_load,
         )
         self._following = stream
         self._leadership_announced.clear()
@@ -621,31 +625,8 @@
             asks_first=self.leader is not None and self.leader.asks_first,
         )
         if sent_mbps is not None:
-            self._hand_over_if_full(sent_mbps)
-
-    def _hand_over_if_full(self, sent_mbps: float) -> None:
-        """Ask a member with more bandwidth to lead if this member's link is full."""
-        own_mbps = self.settings.link_mbps
-        widest_mbps = self.service.widest_link_mbps
-        is_full = should_hand_over(
-            own_mbps=own_mbps, used_mbps=sent_mbps, widest_mbps=widest_mbps
-        )
-        if self.leader is None or self._stopping or not is_full:
-            return
-        now = time.monotonic()
-        if now - self._asked_to_lead_at < HAND_OVER_PAUSE_S:
-            return
-        self._asked_to_lead_at = now
-        log_event(
-            Event.HAND_OVER_ASKED,
-            reason="link_full",
-            sent_mbps=round(sent_mbps, 2),
-            link_mbps=own_mbps,
-            widest_mbps=widest_mbps,
-        )
-        successor = self.service.choose_successor()
-        if successor is not None:
-            successor.ask_to_lead(self.leader.leadership)
+            self.relief.check_load(sent_mbps)
+        self.relief.check_fitness()
 
     def _step_down(self, successor: Leadership | None) -> None:
         leader = self.leader
--- a/src/cassiaturn/fleet/_member_metrics.py
+++ b/src/cassiaturn/fleet/_member_metrics.py
@@ -6,8 +6,11 @@
 from cassiaturn.fleet._caller_jobs import CallerJobs
 from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._leader import Leader
+from cassiaturn.fleet._leader_relief import LeaderRelief
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.observability import FleetMetrics
+from cassiaturn.settings import FleetSettings
+from cassiaturn.sharing import CpuLoad
 
 
 class ObservedMember(Protocol):
@@ -17,6 +20,9 @@
     caller_jobs: CallerJobs
     routing: CurrentRouting
     drains: CurrentDrains
+    settings: FleetSettings
+    cpu_load: CpuLoad
+    relief: LeaderRelief
 
     @property
     def leader(self) -> Leader | None:
@@ -31,6 +37,21 @@
         "What this member did as the leader.",
         lambda: _counts(member.leader),
     )
+    metrics.observe_counts(
+        "cassiaturn.hand_over_requests",
+        "Requests to other members to lead for this one, by reason.",
+        member.relief.requests_by_reason.copy,
+    )
+    metrics.observe_gauge(
+        "cassiaturn.cpu_capacity",
+        "Processor capacity of the host, in cores; 0: not known.",
+        lambda: member.settings.cpu_cores,
+    )
+    metrics.observe_gauge(
+        "cassiaturn.cpu_busy_share",
+        "Share of the last second or so that the process was busy; 0: not measured.",
+        lambda: member.cpu_load.busy_share,
+    )
     metrics.observe_gauge(
         "cassiaturn.open_jobs",
         "Jobs without an answer.",
--- a/src/cassiaturn/fleet/_roster_feed.py
+++ b/src/cassiaturn/fleet/_roster_feed.py
@@ -158,6 +158,11 @@
         """Number of members and targets that wait to be sent."""
         return len(self._changed) + len(self._backlog) + len(self._members)
 
+    @property
+    def is_told_all(self) -> bool:
+        """Whether the follower was sent the whole lists, and nothing waits since."""
+        return self._sent_whole and not self.waiting
+
     def note_member(self, member_id: str) -> None:
         """Queue a member that joined or left."""
         self._members[member_id] = None
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -2,7 +2,14 @@
 
 import asyncio
 import time
-from collections.abc import Collection, Coroutine, Iterable, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Coroutine,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from typing import Any, Protocol
 
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
@@ -156,23 +163,22 @@
             follower.enqueue(frame)
 
     @property
-    def widest_link_mbps(self) -> float:
-        """Highest link bandwidth of followers that stay, in Mbit/s; 0 if none does."""
-        return max(
-            (
-                follower.hello.link_mbps
-                for follower in self.followers
-                if not follower.leaving
-            ),
-            default=0.0,
-        )
+    def most_cpu_cores(self) -> float:
+        """Highest processor capacity of followers, in cores; 0 if none reports one."""
+        return self._feed.fitness_order.most_cpu_cores
 
-    def choose_successor(self, *, without: Collection[str] = ()) -> Follower | None:
+    def choose_successor(
+        self,
+        *,
+        without: Collection[str] = (),
+        suits: Callable[[Follower], bool] = lambda follower: True,
+    ) -> Follower | None:
         """Return the follower that is to lead next; None if there is none.
 
         It is the one on the fittest host; among equals, the one heard last.
 
         :param without: members that are not to lead.
+        :param suits: returns whether a member may lead.
         """
         staying = [
             follower
@@ -180,11 +186,13 @@
             if not (follower.leaving or follower.is_gone)
             and follower.hello.member_id not in without
         ]
+        candidates = list(filter(suits, staying))
+        if not candidates:
+            return None
         order = FitnessOrder.among(follower.host for follower in staying)
         return min(
-            staying,
+            candidates,
             key=lambda follower: (order.rank(follower.host), -follower.heard_at),
-            default=None,
         )
 
     def begin_term(self, reports_by_id: Mapping[str, TargetReport]) -> None:
@@ -364,6 +372,7 @@
                 case "beat":
                     follower.note_routing(frame.beat.routing_version)
                     follower.leaving = frame.beat.leaving
+                    follower.note_load(frame.beat)
                     leader.note_answer(follower.hello.member_id, frame.beat.pauses)
                     self._member.read_drains(frame.beat.drained)
                 case "done":
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -15,7 +15,11 @@
     on_target_silent,
     on_target_unanswered,
 )
-from cassiaturn.workload._dispatch import MAX_STARTS_PER_TURN, dispatch
+from cassiaturn.workload._dispatch import (
+    MAX_STARTS_PER_TURN,
+    dispatch,
+    holds_inherited_jobs,
+)
 from cassiaturn.workload._drains import on_drained_domains
 from cassiaturn.workload._ends import note_done
 from cassiaturn.workload._intake import (
@@ -77,6 +81,7 @@
     "dispatch",
     "end_unstarted",
     "has_tight_runs",
+    "holds_inherited_jobs",
     "note_done",
     "next_check",
     "on_drained_domains",
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -112,6 +112,22 @@
     )
 
 
+def holds_inherited_jobs(tables: Tables, now: float) -> bool:
+    """Return whether any job waits for runs that an earlier leader may have started.
+
+    :param now: time in seconds.
+    """
+    # Jobs with the same earlier leaders wait for the same targets.
+    held_by_tokens = {
+        job.earlier_tokens: job
+        for job in tables.jobs_by_id.values()
+        if now < job.hold_until and job.waiting
+    }
+    return any(
+        waits_for_earlier_runs(tables, job, now) for job in held_by_tokens.values()
+    )
+
+
 def _start(
     tables: Tables,
     ports: Ports,
--- a/src/cassiaturn/workload/tests/test_leader_change.py
+++ b/src/cassiaturn/workload/tests/test_leader_change.py
@@ -104,6 +104,17 @@
     assert play.verdict("b") is Verdict.COMPLETED
 
 
+def test_a_leader_tells_whether_it_holds_inherited_jobs() -> None:
+    """Guards against a change of leader that has inherited jobs wait a second time."""
+    play = _new_leader(is_reachable=False)
+    play.submit("own", run_s=0.1)
+    play.submit("a", run_s=0.3, begun_earlier=True, limit_s=4.0)
+    play.run(0.5)
+    assert workload.holds_inherited_jobs(play.tables, play.now)
+    play.run(2.0)
+    assert not workload.holds_inherited_jobs(play.tables, play.now)
+
+
 @pytest.mark.parametrize(("knows_targets", "wait_s"), [(False, 0.0), (True, 3.0)])
 def test_job_from_other_side_of_a_partition_waits_for_leases(
     knows_targets: bool, wait_s: float
