--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -30,7 +30,7 @@
 from cassiaturn.fleet._told_ends import TELL_TIMEOUT_S, Receipt
 from cassiaturn.fleet._watch import Watch
 from cassiaturn.observability import Event, FleetMetrics, log_event
-from cassiaturn.sharing import CpuHeadroom, Lateness, LoadShedder
+from cassiaturn.sharing import CpuHeadroom, FitnessRank, Lateness, LoadShedder
 from cassiaturn.workload import (
     Job,
     Outcome,
@@ -74,7 +74,7 @@
     """Whether its stream has ended."""
 
     @property
-    def keeper_rank(self) -> tuple[bool, float, str]:
+    def keeper_rank(self) -> tuple[bool, FitnessRank, str]:
         """Rank as the keeper of finished tasks; the lowest comes first."""
 
     @property
@@ -222,6 +222,11 @@
         """Whether new jobs of followers wait for a confirmation before they start."""
         return self._cpu_headroom.is_available
 
+    @property
+    def holds_inherited_jobs(self) -> bool:
+        """Whether jobs wait for runs that an earlier leader may have started."""
+        return workload.holds_inherited_jobs(self._tables, time.monotonic())
+
     @property
     def pauses(self) -> int:
         """How often this process was paused in this term."""
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -26,6 +26,7 @@
 from cassiaturn.fleet._roster import Roster
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.observability import Event, log_event
+from cassiaturn.sharing import CpuLoad
 from cassiaturn.transport import run_apart, sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.v1.fleet_grpc import FleetStub
@@ -59,6 +60,8 @@
 """Longest wait for a peer's view of the leader, in seconds: thirty times the usual one.
 In a network partition some peers never answer, and callers wait meanwhile."""
 
+MILLISECONDS = 1000
+
 STREAM_ERRORS = (
     OSError,
     GRPCError,
@@ -118,6 +121,7 @@
         read_routing: Callable[[pb.RoutingDocument], None],
         read_drains: Callable[[pb.DrainedDomains], None],
         on_leadership: Callable[[Leadership], None],
+        cpu_load: CpuLoad,
         read_estimates: Callable[[pb.Estimates, str], None] | None = None,
     ) -> None:
         """Prepare to follow; :meth:`run` opens the stream.
@@ -129,6 +133,7 @@
         :param read_drains: called with the drained failure domains that the leader
             knows.
         :param on_leadership: called when the leader continues under a higher token.
+        :param cpu_load: how busy this process is, for heartbeats.
         :param read_estimates: called with estimates and the leader's member id; None:
             they are not kept.
         """
@@ -152,6 +157,7 @@
         self._read_drains = read_drains
         self._on_leadership = on_leadership
         self._read_estimates = read_estimates
+        self._cpu_load = cpu_load
         self._frames: asyncio.Queue[pb.FollowerFrame] = asyncio.Queue()
         self._sent_routing_version = 0
         self._known_pauses = 0
@@ -332,6 +338,8 @@
             leaving=self.leaving,
             drained=from_drains(self._drains.current),
             pauses=self._known_pauses,
+            cpu_used=self._cpu_load.busy_share,
+            late_ms=round(self._cpu_load.late_s * MILLISECONDS),
         )
         return pb.FollowerFrame(beat=beat)
 
@@ -464,6 +472,7 @@
         hears_leader=reply.hears_leader,
         highest=to_leadership(reply.leadership),
         link_mbps=reply.link_mbps,
+        cpu_cores=reply.cpu_cores,
     )
 
 
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -2,7 +2,14 @@
 
 import asyncio
 import time
-from collections.abc import Collection, Coroutine, Iterable, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Coroutine,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from typing import Any, Protocol
 
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
@@ -28,6 +35,7 @@
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.fleet._routing_feed import RoutingFeed
 from cassiaturn.observability import Event, log_event
+from cassiaturn.sharing import FitnessOrder, HostCapacity
 from cassiaturn.transport import sleep_awake
 from cassiaturn.v1 import fleet_pb2 as pb
 from cassiaturn.v1.fleet_grpc import FleetBase
@@ -97,7 +105,7 @@
         routing: CurrentRouting,
         drains: CurrentDrains,
         load: LeaderLoad,
-        link_mbps: float,
+        host: HostCapacity,
         estimates: EstimatesFeed | None = None,
     ) -> None:
         """Prepare to serve a member.
@@ -106,16 +114,16 @@
         :param routing: the configuration in force.
         :param drains: the drained failure domains in force.
         :param load: counts what is sent to followers.
-        :param link_mbps: bandwidth of the host's link, in megabits per second.
+        :param host: capacity of this member's host.
         :param estimates: what the leader has learned; None: it is not shared.
         """
         self._member = member
         self._load = load
-        self._link_mbps = link_mbps
-        self._feed = RosterFeed(pace=ListPace(link_mbps=link_mbps))
+        self._host = host
+        self._feed = RosterFeed(pace=ListPace(link_mbps=host.link_mbps))
         # A separate pace, so that a large document does not delay changes of targets.
         self._routing_feed = RoutingFeed(
-            routing=routing, pace=ListPace(link_mbps=link_mbps)
+            routing=routing, pace=ListPace(link_mbps=host.link_mbps)
         )
         self._estimates = estimates
         self._routing = routing
@@ -159,23 +167,22 @@
             follower.enqueue(frame)
 
     @property
-    def widest_link_mbps(self) -> float:
-        """Highest link bandwidth of followers that stay, in Mbit/s; 0 if none does."""
-        return max(
-            (
-                follower.hello.link_mbps
-                for follower in self.followers
-                if not follower.leaving
-            ),
-            default=0.0,
-        )
+    def most_cpu_cores(self) -> float:
+        """Highest processor capacity of followers, in cores; 0 if none reports one."""
+        return self._feed.fitness_order.most_cpu_cores
 
-    def choose_successor(self, *, without: Collection[str] = ()) -> Follower | None:
+    def choose_successor(
+        self,
+        *,
+        without: Collection[str] = (),
+        suits: Callable[[Follower], bool] = lambda follower: True,
+    ) -> Follower | None:
         """Return the follower that is to lead next; None if there is none.
 
-        It is the one with the most link bandwidth; among equals, the one heard last.
+        It is the one on the fittest host; among equals, the one heard last.
 
         :param without: members that are not to lead.
+        :param suits: returns whether a member may lead.
         """
         staying = [
             follower
@@ -183,10 +190,13 @@
             if not (follower.leaving or follower.is_gone)
             and follower.hello.member_id not in without
         ]
-        if not staying:
+        candidates = list(filter(suits, staying))
+        if not candidates:
             return None
-        return max(
-            staying, key=lambda follower: (follower.hello.link_mbps, follower.heard_at)
+        order = FitnessOrder.among(follower.host for follower in staying)
+        return min(
+            candidates,
+            key=lambda follower: (order.rank(follower.host), -follower.heard_at),
         )
 
     def begin_term(self, reports_by_id: Mapping[str, TargetReport]) -> None:
@@ -239,6 +249,8 @@
             member=hello.member_id,
             failure_domain=hello.failure_domain,
             token=leader.leadership.token,
+            link_mbps=follower.host.link_mbps,
+            cpu_cores=follower.host.cpu_cores,
         )
         if leader.pauses:
             follower.send_heartbeat()
@@ -273,7 +285,8 @@
         reply = pb.LookReply(
             leadership=from_leadership(known),
             hears_leader=hears,
-            link_mbps=self._link_mbps,
+            link_mbps=self._host.link_mbps,
+            cpu_cores=self._host.cpu_cores,
         )
         await stream.send_message(reply)
 
@@ -368,6 +381,7 @@
                 case "beat":
                     follower.note_routing(frame.beat.routing_version)
                     follower.leaving = frame.beat.leaving
+                    follower.note_load(frame.beat)
                     leader.note_answer(follower.hello.member_id, frame.beat.pauses)
                     self._member.read_drains(frame.beat.drained)
                 case "done":
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -89,6 +89,7 @@
         link_mbps: float = DEFAULT_LINK_MBPS,
         failure_domain: str = "a",
         share_estimates: bool = False,
+        cpu_cores: float | None = None,
     ) -> None:
         host, _, port = store.rpartition(":")
         callers, readiness, members, metrics, behind_relay = free_addresses(5)
@@ -104,6 +105,7 @@
             table_service=Address(host=host, port=int(port)),
             link_mbps=link_mbps,
             share_estimates=share_estimates,
+            cpu_share=cpu_cores,
         )
         self._client = _InterruptibleClient()
         self.adapter = PlatformAdapter(self.settings, client=self._client)
@@ -188,6 +190,7 @@
         *,
         link_mbps: float = DEFAULT_LINK_MBPS,
         failure_domain: str = "a",
+        cpu_cores: float | None = None,
     ) -> RunningMember:
         seeds = tuple(seed.settings.members for seed in self.members[:2])
         member = RunningMember(
@@ -197,6 +200,7 @@
             link_mbps=link_mbps,
             failure_domain=failure_domain,
             share_estimates=self.share_estimates,
+            cpu_cores=cpu_cores,
         )
         await member.start()
         self.members.append(member)
