Compare the targets of a leader that steps down with one's own

Of two claimants at once, the one that steps down had started jobs; it knew the same targets.

Change: a member that led tells in its Hello the tokens of that term while the digests of its list are those of the leader. If they do not differ from the new leader's, the lists of all targets tell what runs. Targets that the predecessor never heard count only for jobs that the predecessor alone had.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -289,6 +289,14 @@
         self._tables.unheard_by_predecessor = target_ids
         self._schedule_dispatch()
 
+    def note_same_targets(self, tokens: frozenset[int]) -> None:
+        """Record that a leader which stepped down knew the same targets as this one.
+
+        :param tokens: the tokens of its term.
+        """
+        self._tables.same_targets_tokens |= tokens
+        self._schedule_dispatch()
+
     def send_progress(self) -> None:
         """Tell the members of each open job which of its tasks are done.
 
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -481,6 +481,7 @@
                 leaving=self._stopping,
                 answers_pauses=True,
                 drained=from_drains(self.drains.current),
+                led_tokens=sorted(self._roster.led_tokens),
             ),
             caller_jobs=self.caller_jobs,
             routing=self.routing,
--- a/src/cassiaturn/fleet/_roster.py
+++ b/src/cassiaturn/fleet/_roster.py
@@ -23,6 +23,10 @@
         self.leader_tokens: frozenset[int] = frozenset()
         """Tokens that its leader has had in its term, as far as this member knows."""
 
+        self.led_tokens: frozenset[int] = frozenset()
+        """Tokens of this member's own last term, while the targets are those that it
+        knew as the leader."""
+
         self._members_by_id: dict[str, pb.Member] = {}
         self._targets_by_id: dict[str, TargetReport] = {}
         self._digests = Digests()
@@ -53,6 +57,7 @@
         :param leader_token: the leader's token.
         """
         self.is_whole = False
+        self.led_tokens = frozenset()
         self.leader_tokens = frozenset({leader_token})
         self._unconfirmed_members = set(self._members_by_id)
         self._unconfirmed_targets = set()
@@ -69,6 +74,7 @@
         :param leader_tokens: the tokens that it has had in its term.
         """
         self.leader_tokens = leader_tokens
+        self.led_tokens = leader_tokens
         self._targets_by_id = {}
         self._digests = Digests()
         for report in reports_by_id.values():
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -243,6 +243,8 @@
         )
         self._followers_by_id[hello.member_id] = follower
         leader.followers_by_id[hello.member_id] = follower
+        if hello.led_tokens and not self._feed.digests.differing(hello.target_digests):
+            leader.note_same_targets(frozenset(hello.led_tokens))
         self._member.note_joined(hello.address)
         log_event(
             Event.MEMBER_JOINED,
--- a/src/cassiaturn/model/leases/_explore.py
+++ b/src/cassiaturn/model/leases/_explore.py
@@ -60,6 +60,9 @@
     "leader_freezes_cut": Scenario(
         Budget(freezes=1, cuts=1, resets=1), caller_at=0, started=False
     ),
+    "cut_planned_change": Scenario(
+        Budget(cuts=1, changes=1, target_cuts=1, late_stops=1, submits=1), caller_at=1
+    ),
     "leader_freezes_target_cut": Scenario(
         Budget(freezes=1, resets=1, target_cuts=1), caller_at=0
     ),
--- a/src/cassiaturn/model/leases/_members.py
+++ b/src/cassiaturn/model/leases/_members.py
@@ -326,6 +326,7 @@
                 roster=state.tables[leader].directory,
                 roster_token=state.tables[leader].token,
             )
+            after = _compare_targets(after, number, leader)
             label = f"member {number} follows {leader}"
             late = spend(after, "late_stops")
             if late is not None and rules.stop_leftovers:
@@ -336,6 +337,15 @@
             yield Step(label, put_tables(after, number, **_RESIGNED))
 
 
+def _compare_targets(state: State, resigned: int, leader: int) -> State:
+    """Return a state in which a leader knows whether another had the same targets."""
+    own, other = state.tables[leader], state.tables[resigned]
+    if not other.token or own.directory != other.directory:
+        return state
+    same_targets = own.same_targets | {other.token}
+    return put_tables(state, leader, same_targets=same_targets)
+
+
 def _stop_leftover(state: State, leader: int) -> State:
     """Return a state in which a leader that steps down stopped what it left."""
     tables = state.tables[leader]
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -93,6 +93,10 @@
     """A successor waits for a target that its predecessor does not hear any more, but
     has a run on."""
 
+    wait_for_other_leaders: bool = True
+    """A target on which the predecessor has no runs counts for the jobs of another
+    leader that stepped down."""
+
     cover_earlier_leaders: bool = True
     """The lists of all targets in a leader's directory stand for the runs of its
     predecessor only; a job that another leader had waits for the leases."""
@@ -231,6 +235,9 @@
     covered: frozenset[int] = frozenset()
     """Tokens of this leader and of its predecessor."""
 
+    same_targets: frozenset[int] = frozenset()
+    """Tokens of leaders that knew the same targets when they stepped down."""
+
     earlier: frozenset[int] = frozenset()
     """Tokens of the leaders that had the job before."""
 
--- a/src/cassiaturn/model/leases/_targets.py
+++ b/src/cassiaturn/model/leases/_targets.py
@@ -53,9 +53,12 @@
     """Return whether the lists that a leader has read contain all runs of its job."""
     if not tables.knows_targets:
         return False
-    if not tables.heard >= tables.directory - tables.predecessor_left:
-        return False
-    return tables.earlier <= tables.covered or not rules.cover_earlier_leaders
+    needed = tables.directory
+    if tables.earlier <= tables.covered or not rules.wait_for_other_leaders:
+        needed -= tables.predecessor_left
+    known = tables.covered | tables.same_targets
+    is_covered = tables.earlier <= known or not rules.cover_earlier_leaders
+    return is_covered and tables.heard >= needed
 
 
 def decide(state: State, leader: int, target: int) -> tuple[Order, State]:
--- a/src/cassiaturn/model/tests/test_leases.py
+++ b/src/cassiaturn/model/tests/test_leases.py
@@ -45,6 +45,7 @@
     "hear_after_pause_off": ("leader_freezes_before_start", "never_two_at_once"),
     "start_by_from_decision_off": ("leader_freezes_before_start", "never_two_at_once"),
     "wait_for_silent_targets_off": ("planned_change_target_cut", "never_two_at_once"),
+    "wait_for_other_leaders_off": ("cut_planned_change", "never_two_at_once"),
     "cover_earlier_leaders_off": ("zone_cut_planned_change", "never_two_at_once"),
 }
 
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -105,11 +105,7 @@
     # side of a partition may have reached targets that are not in this leader's
     # directory at all.
     in_handover = now < tables.began_at + tables.settings.handover_window_s
-    return not (
-        in_handover
-        and tables.knows_predecessors_runs
-        and tables.covers(job.earlier_tokens)
-    )
+    return not (in_handover and tables.knows_runs_of(job.earlier_tokens))
 
 
 def holds_inherited_jobs(tables: Tables, now: float) -> bool:
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -120,7 +120,7 @@
     if submission.begun_earlier:
         # Tasks of it that wait here may run under a leader that this one knows nothing
         # of, also if this leader has started others of them.
-        is_unknown = not tables.covers(submission.earlier_tokens)
+        is_unknown = not submission.earlier_tokens <= tables.covered_tokens
         job.earlier_tokens |= submission.earlier_tokens
         if not job.begun or is_unknown:
             job.begun = True
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -413,6 +413,10 @@
     """Tokens of this leader in its term and of its predecessor: all targets to which
     they gave orders are known."""
 
+    same_targets_tokens: frozenset[int] = frozenset()
+    """Tokens of other leaders that knew the same targets when they stepped down: two
+    members claimed at once, or a partition healed soon."""
+
     unheard_by_predecessor: frozenset[str] = frozenset()
     """Targets that had not reported to the predecessor, so that it has no runs there;
     as it told when it stepped down."""
@@ -474,12 +478,19 @@
     counters: Counters = field(default_factory=Counters)
     """Counters for the metrics."""
 
-    def covers(self, earlier_tokens: frozenset[int]) -> bool:
-        """Return whether this leader knows the targets of all leaders of a job.
+    def knows_runs_of(self, earlier_tokens: frozenset[int]) -> bool:
+        """Return whether the lists of targets contain all runs of some leaders.
 
         :param earlier_tokens: tokens of those leaders; empty: not told.
         """
-        return bool(earlier_tokens) and earlier_tokens <= self.covered_tokens
+        if not earlier_tokens or not self.knows_targets:
+            return False
+        unknown = self.unreported_targets
+        if earlier_tokens <= self.covered_tokens:
+            unknown -= self.unheard_by_predecessor
+        elif not earlier_tokens <= self.covered_tokens | self.same_targets_tokens:
+            return False
+        return not unknown
 
     def may_start_on(self, target: Target) -> bool:
         """Return whether operators are known to allow starts on a target."""
@@ -564,9 +575,3 @@
             for target in self.targets_by_id.values()
             if not target.has_reported
         )
-
-    @property
-    def knows_predecessors_runs(self) -> bool:
-        """Whether the lists of targets contain all runs of the predecessor."""
-        unknown = self.unreported_targets - self.unheard_by_predecessor
-        return self.knows_targets and not unknown
