Refuse jobs at members by priority when starts exceed the processor

Cause: a leader that is asked for more starts than its processor can make learns it from late timers only, and then refuses a share of all jobs that falls by 0.01 a tick, for seconds after a burst.

Ruled out: dividing the received starts by the share that was not refused, since members apply a share up to a heartbeat later than the leader decides on it; counting is done among the hashes that no share in force refuses instead. One window for rise and fall: with 0.1 s the count of the remaining jobs varies too much, with 0.25 s the rise takes longer than two heartbeats.

Change: with admission "forecast", the leader learns the processor time of a start, derives the starts that it can make in a second, and tells members in the heartbeat which share of each priority's new jobs to refuse, the least urgent first. Nothing is refused before the processor is nearly full. A changed share is told at once, at most each 150 ms, since a busy stream sends no heartbeat of its own. The share of all jobs stays as the last resort.

Result: pytest src/cassiaturn/sharing/tests/test_start_rate.py, jobs of 8 tasks at 1.75 and 3 times the processor: the refused share is within 0.05 of the excess, first jobs are refused within 6 ticks, none 0.5 s after the burst, and none at 0.6.

--- a/src/cassiaturn/fleet/_caller_jobs.py
+++ b/src/cassiaturn/fleet/_caller_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 from cassiaturn.fleet._leader_history import LeaderHistory
 from cassiaturn.observability import Event, FleetMetrics, log_event
 from cassiaturn.sharing import (
+    is_in_shed_share,
     is_shed,
     longest_chain_s,
     spread_retry_after,
@@ -125,6 +127,10 @@
         self.shed_share = 0.0
         """Share of all new jobs, 0 to 1, that is shed because the leader's process is
         overloaded."""
+        self.shed_by_priority: Mapping[int, float] = {}
+        """Share of the new jobs of each priority, 0 to 1, that is shed because more
+        starts are requested than the leader can make. While the leader reports any, it
+        applies instead of the share of all jobs."""
         self._priorities: list[int] = []
         self._jobs_by_id: dict[str, OpenJob] = {}
         self._leader: LeaderPort | None = None
@@ -172,6 +178,7 @@
             self._leaderless_since = now if heard_at is None else heard_at
             self.waiting_by_route = {}
             self.shed_share = 0.0
+            self.shed_by_priority = {}
             for job in self._jobs_by_id.values():
                 self._wait_for_leader(job)
 
@@ -210,6 +217,9 @@
                 self._drop_without_waiters(job)
 
     def _is_shed(self, request: JobRequest, route: Route) -> bool:
+        if self.shed_by_priority:
+            share = self.shed_by_priority.get(route.priority, 0.0)
+            return is_in_shed_share(request.job_id, share)
         if route.priority not in self._priorities:
             self._priorities = sorted({*self._priorities, route.priority})
         return is_shed(
@@ -229,7 +239,7 @@
             id=request.job_id,
             route=route.name,
             reason=reason,
-            shed_share=self.shed_share,
+            shed_share=self.shed_by_priority.get(route.priority, self.shed_share),
         )
         return _refusal(request, reason, retry_after_s)
 
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -29,7 +29,13 @@
 from cassiaturn.fleet._told_ends import TELL_TIMEOUT_S, Receipt
 from cassiaturn.fleet._watch import Watch
 from cassiaturn.observability import Event, FleetMetrics, log_event
-from cassiaturn.sharing import CpuHeadroom, Lateness, LoadShedder
+from cassiaturn.sharing import (
+    CpuHeadroom,
+    Lateness,
+    LoadShedder,
+    StartDemand,
+    StartRate,
+)
 from cassiaturn.workload import (
     Job,
     Outcome,
@@ -44,6 +50,13 @@
 """Period of the checks of deadlines and leases, in seconds: the run time of the
 shortest tasks, and a twentieth of a lease."""
 
+SHARES_INTERVAL_S = 0.15
+"""Minimum time between two heartbeats that tell changed shares of jobs to refuse, in
+seconds: the period of the heartbeat."""
+
+MAX_LOGGED_RATE = 1e6
+"""Starts per second that the log shows where their number is not limited."""
+
 DIRECTORY_WAIT_S = 1.5
 """Longest wait for a change of the directory in one call, in seconds: a dead connection
 is noticed in time for a target that leaves after 2 s."""
@@ -172,6 +185,14 @@
         )
         self._shedder = LoadShedder()
         self._cpu_headroom = CpuHeadroom()
+        self._start_rate = StartRate(cpu_cores=settings.cpu_cores)
+        self._start_demand = StartDemand()
+        self._forecasts = settings.admission == "forecast"
+        self._sampled_at = time.monotonic()
+        self._sampled_cpu_s = time.process_time()
+        self._sampled_starts = 0
+        self._told_shares: Mapping[int, float] = {}
+        self._told_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._is_dispatch_scheduled = False
         self._behind_since = 0.0
@@ -216,6 +237,16 @@
         """Fraction of new jobs, 0 to 1, that are refused to relieve this process."""
         return self._shedder.share
 
+    @property
+    def shed_by_priority(self) -> Mapping[int, float]:
+        """Share of new jobs, 0 to 1, that members refuse, by priority; empty: none."""
+        return self._start_demand.shares
+
+    @property
+    def start_rate(self) -> StartRate:
+        """How many starts a second this process can make, for metrics."""
+        return self._start_rate
+
     @property
     def asks_first(self) -> bool:
         """Whether new jobs of followers wait for a confirmation before they start."""
@@ -331,7 +362,15 @@
 
     def accept_submission(self, submission: Submission) -> None:
         """Queue or refuse a job of any member."""
-        outcome = workload.submit(self._tables, self, submission, time.monotonic())
+        now = time.monotonic()
+        if self._forecasts and not submission.begun_earlier:
+            self._start_demand.note(
+                submission.request.job_id,
+                priority=submission.route.priority,
+                starts=sum(group.count for group in submission.request.groups),
+                now=now,
+            )
+        outcome = workload.submit(self._tables, self, submission, now)
         if outcome is not None:
             log_event(
                 Event.JOB_REFUSED,
@@ -585,6 +624,8 @@
             self._load.observe_loop_delay(now - due_at)
             cpu_share = (time.process_time() - cpu_before_s) / (now - began_at)
             self._cpu_headroom.observe(now - due_at, cpu_share)
+            if self._forecasts:
+                self._update_start_rate(now - due_at, now)
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
@@ -612,9 +653,50 @@
                 self._tables, self, before=self._pauses.began_at, now=now
             )
 
+    def _update_start_rate(self, late_s: float, now: float) -> None:
+        """Sample the cost of the last tick's starts, and decide which jobs to shed."""
+        cpu_s = time.process_time()
+        starts = self._tables.counters.starts
+        self._start_rate.observe(
+            cpu_s=cpu_s - self._sampled_cpu_s,
+            starts=starts - self._sampled_starts,
+            elapsed_s=now - self._sampled_at,
+            late_s=late_s,
+        )
+        self._sampled_at = now
+        self._sampled_cpu_s = cpu_s
+        self._sampled_starts = starts
+        priorities_before = self._start_demand.shares.keys()
+        self._start_demand.update(self._start_rate, now)
+        shares = self._start_demand.shares
+        self._caller_jobs.shed_by_priority = shares
+        if shares != self._told_shares and now - self._told_at >= SHARES_INTERVAL_S:
+            # A busy stream sends no heartbeat by itself: any other frame defers it.
+            self._told_shares = shares
+            self._told_at = now
+            for follower in self.followers_by_id.values():
+                follower.send_heartbeat()
+        if shares.keys() != priorities_before:
+            requested = sum(self._start_demand.requested_by_priority(now).values())
+            log_event(
+                Event.STARTS_SHED,
+                shares=",".join(
+                    f"{priority}:{share:.2f}" for priority, share in shares.items()
+                ),
+                requested_per_s=round(requested),
+                starts_per_s=round(min(MAX_LOGGED_RATE, self._start_rate.starts_per_s)),
+                start_cost_us=round(self._start_rate.start_cost_s * 1e6),
+                capacity_cores=round(self._start_rate.capacity_cores, 3),
+                queued=len(self._tables.jobs_by_id),
+            )
+
     def _shed_load(self, late_s: float, now: float) -> None:
         was_shedding = bool(self._shedder.share)
         behind_s = now - self._behind_since if self._behind_since else 0.0
+        if self._start_demand.shares:
+            # The shares by priority answer this overload already. The other share
+            # would go on for seconds after its end.
+            late_s = behind_s = 0.0
         self._shedder.observe(late_s, now, behind_s=behind_s)
         self._caller_jobs.shed_share = self._shedder.share
         if bool(self._shedder.share) is not was_shedding:
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -389,6 +389,9 @@
             row.route: row.waiting for row in beat.queues
         }
         self._caller_jobs.shed_share = beat.shed_share
+        self._caller_jobs.shed_by_priority = {
+            row.priority: row.share for row in beat.shed_by_priority
+        }
         self.waits_for_confirmation = beat.asks_first
         self._read_drains(beat.drained)
         if beat.pauses != self._known_pauses:
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -554,7 +554,11 @@
             drains=self.drains,
             caller_jobs=self.caller_jobs,
             metrics=self.metrics,
-            settings=settings_for_lease(self.settings.lease_ms / MILLISECONDS),
+            settings=settings_for_lease(
+                self.settings.lease_ms / MILLISECONDS,
+                admission=self.settings.admission,
+                cpu_cores=self.settings.cpu_cores,
+            ),
             known_targets=self._roster.targets_by_id,
             knows_all_targets=self._roster.is_whole,
             predecessor_tokens=self._roster.leader_tokens,
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -317,6 +317,10 @@
             asks_first=leader.asks_first,
             drained=from_drains(self._drains.current),
             pauses=leader.pauses,
+            shed_by_priority=[
+                pb.PriorityShare(priority=priority, share=share)
+                for priority, share in leader.shed_by_priority.items()
+            ],
         )
 
     async def _receive(
--- a/src/cassiaturn/fleet/tests/test_caller_jobs.py
+++ b/src/cassiaturn/fleet/tests/test_caller_jobs.py
@@ -216,3 +216,29 @@
     caller_jobs.end_all("stopping")
     assert (await waiting).verdict is verdict
     assert not caller_jobs.open_jobs
+
+
+async def test_member_refuses_the_share_of_its_priority_only() -> None:
+    """Guards against a leader that must refuse the excess itself, two frames a job."""
+    leader = _RecordingLeader()
+    caller_jobs = _caller_jobs_of(leader)
+    caller_jobs.shed_by_priority = {ROUTE.priority: 1.0}
+    refused = await caller_jobs.submit(REQUEST, ROUTE, 1.5)
+    assert refused.verdict is Verdict.REFUSED
+    assert refused.retry_after_s >= 1.0
+    caller_jobs.shed_by_priority = {ROUTE.priority + 1: 1.0}
+    caller_jobs.shed_share = 1.0
+    waiting = await _submit(caller_jobs)
+    assert len(leader.jobs) == 1
+    waiting.cancel()
+
+
+async def test_shares_of_a_lost_leader_no_longer_apply() -> None:
+    """Guards against jobs refused for an overload of a leader that is gone."""
+    leader = _RecordingLeader()
+    caller_jobs = _caller_jobs_of(leader)
+    caller_jobs.shed_by_priority = {ROUTE.priority: 1.0}
+    caller_jobs.detach(leader)
+    waiting = await _submit(caller_jobs)
+    assert not waiting.done()
+    waiting.cancel()
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -126,6 +126,9 @@
     LEADER_FULL = _warning(
         "leader_full", "The share of new jobs that this leader is too full for changed."
     )
+    STARTS_SHED = _warning(
+        "starts_shed", "The priorities of which members refuse new jobs changed."
+    )
     MEMBER_GONE = _warning("member_gone", "A follower is gone; its jobs end.")
     SETTINGS_RELOADED = _info("settings_reloaded", "The settings file was read again.")
     LINES_DROPPED = _warning(
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -23,6 +23,12 @@
 from cassiaturn.sharing._shedding import LoadShedder, is_shed
 from cassiaturn.sharing._speed_estimate import SpeedEstimate, needs_fast_target
 from cassiaturn.sharing._speed_model import SpeedModel
+from cassiaturn.sharing._start_rate import (
+    StartDemand,
+    StartRate,
+    is_in_shed_share,
+    shares_by_priority,
+)
 from cassiaturn.sharing._stuck_job import stuck_job_deadline
 from cassiaturn.sharing._target_index import TargetIndex
 from cassiaturn.sharing._target_resources import TargetResources
@@ -41,11 +47,14 @@
     "SharedTarget",
     "SpeedEstimate",
     "SpeedModel",
+    "StartDemand",
+    "StartRate",
     "TargetIndex",
     "TargetResources",
     "TransitDelay",
     "choose_shared_target",
     "failed_target_pause_s",
+    "is_in_shed_share",
     "is_shed",
     "job_deadlines",
     "lateness_changes",
@@ -54,6 +63,7 @@
     "needs_fast_target",
     "order_key",
     "queue_key",
+    "shares_by_priority",
     "should_hand_over",
     "spread_retry_after",
     "stuck_job_deadline",
--- /dev/null
+++ b/src/cassiaturn/sharing/_start_rate.py
@@ -0,0 +1,289 @@
+"""Estimates how many starts a second a leader can make, and which jobs to refuse.
+
+Load pattern: bursts of 1.75 and 3 times the starts that the leader's processor can
+make. If all jobs are accepted, each order is late and hardly any caller is answered in
+time. If the leader refuses the excess itself, reading and refusing takes the processor
+time of other starts.
+
+Grounds: the processor time per start changes little with the load, so the rate of
+starts follows from it before timers are late. Members refuse the excess, the least
+urgent priorities first. The hash of a job's id decides, so members keep no state. Jobs
+whose hash exceeds every share in force reach the leader whatever members refuse, so
+their number gives the starts requested without the delay of a report.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import xxhash
+
+DEFAULT_START_COST_S = 0.0005
+"""Processor time per start assumed before any was measured, in seconds of one core:
+0.38 to 0.66 ms were measured."""
+
+DEFAULT_WEIGHT_STARTS = 50.0
+"""Number of starts that the default counts for; a tick at full load makes about 100."""
+
+MAX_PLANNED_SHARE = 0.85
+"""Share of the processor capacity that starts may use. The rest keeps timers and
+heartbeats on time."""
+
+MAX_CORES = 1.0
+"""Processor capacity that the process can use, in cores: one thread runs its event
+loop."""
+
+MIN_STARTS_PER_SAMPLE = 10
+"""Starts in a sample below which it does not count: the processor time of timers and
+heartbeats would weigh too much."""
+
+SAMPLE_DECAY = 0.9
+"""Part of the weight of earlier samples that remains after one sample; the average
+spans about ten of them, half a second."""
+
+USED_WEIGHT = 0.6
+"""Weight of the latest sample in the moving average of the processor share: a process
+at 0.6 of its capacity counts as full two ticks after a burst begins."""
+
+FULL_SHARE = 0.9
+"""Share of the processor capacity in use from which the process counts as full. It is
+above the planned share, so that a process that has processor time left sheds
+nothing."""
+
+LATE_S = 0.01
+"""Lateness of a timer from which the processor may be the limit, in seconds."""
+
+LATE_TIMERS = 2
+"""Consecutive timers that must be late for the capacity to be learned: a single one
+indicates a pause of the process."""
+
+MAX_SHARE = 0.9
+"""Largest share of a priority that is refused. The remaining jobs show how many starts
+are requested."""
+
+MIN_SHARE_CHANGE = 0.04
+"""Smallest change of a share that members are told, unless shedding begins or ends for
+a priority: the count of requested starts varies by as much."""
+
+BUCKET_S = 0.05
+"""Width of the time buckets in which requested starts are counted, in seconds."""
+
+FIRST_WINDOW_BUCKETS = 2
+"""Complete buckets that the requested rate spans while no job is refused. With the
+heartbeat of 150 ms, members refuse the excess within two heartbeats."""
+
+WINDOW_BUCKETS = 5
+"""Complete buckets that it spans while jobs are refused: the requested starts follow
+from fewer jobs then, and in a shorter window their number varies by a third. With the
+heartbeat, members refuse nothing 0.45 s after the end of a burst."""
+
+SHARES_IN_FORCE_BUCKETS = 8
+"""Buckets for which members may still apply a share that the leader has replaced: the
+window, a heartbeat, and its transfer."""
+
+HASH_BINS = 20
+"""Number of intervals of the hash in which requested starts are counted."""
+
+_HASH_SEED = 1
+"""Differs from the hash that spreads the retry-after. With the same hash, the retries
+of the refused jobs would cover only a part of the interval."""
+
+_HASH_RANGE = float(1 << 64)
+
+
+def shed_hash(job_id: str) -> float:
+    """Return the hash of a job's id that decides on its refusal, 0 to 1."""
+    digest = xxhash.xxh3_64_intdigest(job_id.encode(), seed=_HASH_SEED)
+    return digest / _HASH_RANGE
+
+
+def is_in_shed_share(job_id: str, share: float) -> bool:
+    """Return whether a new job belongs to the share of its priority that is refused.
+
+    :param share: share of the jobs of its priority, 0 to 1.
+    """
+    return share > 0.0 and shed_hash(job_id) < share
+
+
+def shares_by_priority(
+    requested_by_priority: Mapping[int, float], starts_per_s: float
+) -> dict[int, float]:
+    """Return the share of new jobs to refuse, by priority, so that the rest fits.
+
+    :param requested_by_priority: starts requested per second; priority 0 is the most
+        urgent.
+    :param starts_per_s: starts that the leader can make per second.
+    :returns: only priorities of which a share is refused.
+    """
+    total = sum(requested_by_priority.values())
+    if total <= starts_per_s:
+        return {}
+    budget = starts_per_s - (1.0 - MAX_SHARE) * total
+    shares: dict[int, float] = {}
+    for priority, requested in sorted(requested_by_priority.items()):
+        optional = MAX_SHARE * requested
+        if budget <= 0.0:
+            # Also if none of its few remaining jobs arrived in the window.
+            shares[priority] = MAX_SHARE
+        elif budget < optional:
+            shares[priority] = (optional - budget) / requested
+        budget -= optional
+    return shares
+
+
+class StartRate:
+    """Learns from samples of the event loop how many starts a second it can make."""
+
+    def __init__(self, *, cpu_cores: float = 0.0) -> None:
+        """Start with the default processor time per start.
+
+        :param cpu_cores: processor capacity of the host, in cores; 0: not known.
+        """
+        self._is_capacity_known = cpu_cores > 0.0
+        self._capacity_cores = min(MAX_CORES, cpu_cores)
+        self._cpu_s = DEFAULT_START_COST_S * DEFAULT_WEIGHT_STARTS
+        self._starts = DEFAULT_WEIGHT_STARTS
+        self._used_cores = 0.0
+        self._late_timers = 0
+
+    @property
+    def capacity_cores(self) -> float:
+        """Processor capacity that the process can use, in cores; 0: not known."""
+        return self._capacity_cores
+
+    @property
+    def start_cost_s(self) -> float:
+        """Processor time per start, in seconds of one core."""
+        return self._cpu_s / self._starts
+
+    @property
+    def starts_per_s(self) -> float:
+        """Starts that may be planned per second; infinite: the capacity is unknown."""
+        if not self._capacity_cores:
+            return float("inf")
+        return MAX_PLANNED_SHARE * self._capacity_cores / self.start_cost_s
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the process uses nearly all of its processor capacity."""
+        full_cores = FULL_SHARE * self._capacity_cores
+        return 0.0 < full_cores <= self._used_cores
+
+    def observe(
+        self, *, cpu_s: float, starts: int, elapsed_s: float, late_s: float
+    ) -> None:
+        """Add the sample of one tick.
+
+        :param cpu_s: processor time used since the previous sample, in seconds of one
+            core.
+        :param starts: starts made since then.
+        :param elapsed_s: time since then, in seconds.
+        :param late_s: by how much the timer of this sample fired late, in seconds.
+        """
+        if elapsed_s <= 0.0:
+            return
+        used_cores = cpu_s / elapsed_s
+        self._used_cores += USED_WEIGHT * (used_cores - self._used_cores)
+        self._late_timers = self._late_timers + 1 if late_s >= LATE_S else 0
+        if not self._is_capacity_known and self._late_timers >= LATE_TIMERS:
+            learned = max(self._capacity_cores, self._used_cores)
+            self._capacity_cores = min(MAX_CORES, learned)
+        if starts >= MIN_STARTS_PER_SAMPLE:
+            self._cpu_s = SAMPLE_DECAY * self._cpu_s + cpu_s
+            self._starts = SAMPLE_DECAY * self._starts + starts
+
+
+@dataclass(slots=True, kw_only=True)
+class _Bucket:
+    """Starts requested in one interval of time."""
+
+    number: int
+    """Number of the interval since time 0."""
+
+    starts_by_bin: dict[int, list[int]] = field(default_factory=dict)
+    """Starts by priority and interval of the hash."""
+
+    shares: dict[int, float] = field(default_factory=dict)
+    """Shares decided in this interval, by priority."""
+
+
+class StartDemand:
+    """Counts the starts requested of a leader and decides which jobs members refuse."""
+
+    def __init__(self) -> None:
+        """Start with no job refused."""
+        self.shares: dict[int, float] = {}
+        """Share of new jobs to refuse, 0 to 1, by priority; empty: none."""
+
+        self._buckets: deque[_Bucket] = deque(maxlen=SHARES_IN_FORCE_BUCKETS)
+        self._window_from = 0
+
+    def note(self, job_id: str, *, priority: int, starts: int, now: float) -> None:
+        """Count a new job that has reached the leader.
+
+        :param priority: priority of its route.
+        :param starts: number of its tasks, each of which is one start.
+        :param now: time in seconds.
+        """
+        bins = self._bucket(now).starts_by_bin.setdefault(priority, [0] * HASH_BINS)
+        bins[min(HASH_BINS - 1, int(shed_hash(job_id) * HASH_BINS))] += starts
+
+    def requested_by_priority(self, now: float) -> dict[int, float]:
+        """Return the starts requested per second, with those that members refused.
+
+        :param now: time in seconds.
+        """
+        current = self._bucket(now).number
+        first_number = max(self._window_from, current - WINDOW_BUCKETS)
+        if not self.shares:
+            first_number = current - FIRST_WINDOW_BUCKETS
+        window_s = (current - first_number) * BUCKET_S
+        highest: dict[int, float] = {}
+        for bucket in self._buckets:
+            for priority, share in bucket.shares.items():
+                highest[priority] = max(share, highest.get(priority, 0.0))
+        requested: dict[int, float] = {}
+        for bucket in self._buckets:
+            for priority, bins in bucket.starts_by_bin.items():
+                requested.setdefault(priority, 0.0)
+                if not first_number <= bucket.number < current:
+                    continue
+                # Members refuse no job of these bins, whichever share they know.
+                first = -int(-highest.get(priority, 0.0) * HASH_BINS // 1)
+                first = min(first, HASH_BINS - 1)
+                starts = sum(bins[first:]) * HASH_BINS / (HASH_BINS - first)
+                requested[priority] += starts / window_s
+        return requested
+
+    def update(self, rate: StartRate, now: float) -> None:
+        """Decide on the shares anew; called once a tick.
+
+        Shedding begins only when the processor is full, and ends when the requested
+        starts fit.
+
+        :param now: time in seconds.
+        """
+        if not self.shares and not rate.is_full:
+            return
+        requested = self.requested_by_priority(now)
+        bucket = self._bucket(now)
+        if not self.shares:
+            # Buckets from before the burst would hide a part of it.
+            self._window_from = bucket.number - FIRST_WINDOW_BUCKETS
+        shares = shares_by_priority(requested, rate.starts_per_s)
+        if shares.keys() != self.shares.keys() or any(
+            abs(share - self.shares[priority]) >= MIN_SHARE_CHANGE
+            for priority, share in shares.items()
+        ):
+            self.shares = shares
+        for priority, share in self.shares.items():
+            bucket.shares[priority] = max(share, bucket.shares.get(priority, 0.0))
+
+    def _bucket(self, now: float) -> _Bucket:
+        number = int(now / BUCKET_S)
+        oldest = number - SHARES_IN_FORCE_BUCKETS
+        while self._buckets and self._buckets[0].number <= oldest:
+            self._buckets.popleft()
+        if not self._buckets or self._buckets[-1].number < number:
+            self._buckets.append(_Bucket(number=number))
+        return self._buckets[-1]
--- /dev/null
+++ b/src/cassiaturn/sharing/tests/test_start_rate.py
@@ -0,0 +1,126 @@
+"""Tests of the rate of starts and of the shares that members refuse."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiaturn.sharing import (
+    StartDemand,
+    StartRate,
+    is_in_shed_share,
+    shares_by_priority,
+)
+
+TICK_S = 0.05
+
+HEARTBEAT_TICKS = 3
+
+START_S = 0.0004
+
+TASKS = 8
+
+
+class _Members:
+    """Members that submit jobs of 8 tasks, and a leader whose processor limits it."""
+
+    def __init__(self) -> None:
+        self.rate = StartRate(cpu_cores=1.0)
+        self.demand = StartDemand()
+        self._ticks = 0
+        self._known: dict[int, float] = {}
+        self._rng = random.Random(4)
+        self._ids = 0
+        self._unstarted = 0
+
+    def run(self, seconds: float, starts_per_s: float) -> list[float]:
+        """Return the refused share of the requested starts in each tick."""
+        refused_shares: list[float] = []
+        for _ in range(round(seconds / TICK_S)):
+            jobs = round(starts_per_s * TICK_S / TASKS)
+            refused = 0
+            for _ in range(jobs):
+                self._ids += 1
+                job_id = f"job-{self._ids}"
+                priority = self._rng.randrange(3)
+                if is_in_shed_share(job_id, self._known.get(priority, 0.0)):
+                    refused += 1
+                    continue
+                now = (self._ticks + 0.5) * TICK_S
+                self.demand.note(job_id, priority=priority, starts=TASKS, now=now)
+                self._unstarted += TASKS
+            started = min(self._unstarted, int(TICK_S / START_S))
+            self._unstarted -= started
+            self._ticks += 1
+            self.rate.observe(
+                cpu_s=started * START_S, starts=started, elapsed_s=TICK_S, late_s=0.0
+            )
+            self.demand.update(self.rate, (self._ticks + 0.2) * TICK_S)
+            if self._ticks % HEARTBEAT_TICKS == 0:
+                self._known = self.demand.shares
+            refused_shares.append(refused / jobs)
+        return refused_shares
+
+
+@pytest.mark.parametrize("burst", [1.75, 3.0])
+def test_burst_is_shed_within_two_heartbeats_and_without_oscillation(
+    burst: float,
+) -> None:
+    """Guards against shares that follow their own effect on the arriving jobs."""
+    fleet = _Members()
+    capacity = 1.0 / START_S
+    assert sum(fleet.run(2.0, 0.6 * capacity)) == 0.0
+    shares = fleet.run(5.0, burst * capacity)
+    expected = 1.0 - 0.85 / burst
+    assert any(shares[: 2 * HEARTBEAT_TICKS])
+    # Means of ten ticks: in one tick the 27 jobs of the smaller burst alone differ by
+    # 0.3, since the hash decides on each.
+    means = [sum(shares[tick : tick + 10]) / 10 for tick in range(20, 91)]
+    assert sum(means) / len(means) == pytest.approx(expected, abs=0.05)
+    assert max(means) - min(means) < 0.25
+    after = fleet.run(2.0, 0.6 * capacity)
+    assert not any(after[10:])
+
+
+def test_no_job_is_refused_while_there_is_processor_time() -> None:
+    """Guards against an overestimated cost of a start that refuses jobs."""
+    rate = StartRate(cpu_cores=1.0)
+    demand = StartDemand()
+    for step in range(100):
+        now = step * TICK_S
+        for number in range(300):
+            demand.note(f"{step}-{number}", priority=0, starts=1, now=now)
+        rate.observe(cpu_s=0.03, starts=20, elapsed_s=TICK_S, late_s=0.0)
+        demand.update(rate, now + TICK_S)
+    assert not demand.shares
+
+
+def test_least_urgent_priority_is_refused_first() -> None:
+    shares = shares_by_priority({0: 1000.0, 1: 1000.0, 2: 1000.0}, 1500.0)
+    assert shares == pytest.approx({1: 0.6, 2: 0.9})
+
+
+@given(
+    st.dictionaries(st.integers(0, 9), st.floats(0.0, 1e6), max_size=6),
+    st.floats(0.0, 1e6),
+)
+def test_what_is_not_refused_fits(requested: dict[int, float], limit: float) -> None:
+    """Guards against shares outside 0 to 1, and against an excess that remains."""
+    shares = shares_by_priority(requested, limit)
+    assert all(0.0 <= share <= 0.9 for share in shares.values())
+    kept = sum(row * (1.0 - shares.get(key, 0.0)) for key, row in requested.items())
+    least = 0.1 * sum(requested.values())
+    assert kept <= max(limit, least) * (1 + 1e-6) + 1e-6
+
+
+def test_unknown_capacity_is_learned_only_from_consecutive_late_timers() -> None:
+    """Guards against a pause of the process that counts as a weak processor."""
+    rate = StartRate()
+    rate.observe(cpu_s=0.001, starts=0, elapsed_s=1.0, late_s=0.9)
+    rate.observe(cpu_s=0.001, starts=0, elapsed_s=0.05, late_s=0.0)
+    assert rate.starts_per_s == float("inf")
+    for _ in range(10):
+        rate.observe(cpu_s=0.03, starts=60, elapsed_s=0.075, late_s=0.025)
+    assert rate.capacity_cores == pytest.approx(0.4, abs=0.02)
+    assert rate.is_full
--- a/src/cassiaturn/workload/_settings.py
+++ b/src/cassiaturn/workload/_settings.py
@@ -1,4 +1,4 @@
-"""Time limits of the scheduling decisions of a leader."""
+"""Settings of the scheduling decisions of a leader."""
 
 from dataclasses import dataclass
 
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorkloadSettings:
-    """Time limits of the decisions about jobs and runs, all in seconds."""
+    """Settings of the decisions about jobs and runs; all times are in seconds."""
 
     lease_s: float = MAX_LEASE_S
     """Longest lease that a target grants."""
@@ -104,18 +104,30 @@
     """Shortest retry delay for a refused caller: the Retry-After header holds whole
     seconds."""
 
+    admission: str = "backlog"
+    """Name of the policy that decides which jobs to refuse."""
+
+    cpu_cores: float = 0.0
+    """Processor capacity of the leader's host, in cores; 0: not known."""
+
     run_numbers_per_term: int = 64
     """Run numbers reserved for each term: more than the starts that one term usually
     makes for a task. A number that is too low is answered as outdated, and raised."""
 
 
-def settings_for_lease(granted_s: float) -> WorkloadSettings:
-    """Return the time limits for targets that grant leases up to a given length.
+def settings_for_lease(
+    granted_s: float, *, admission: str = "backlog", cpu_cores: float = 0.0
+) -> WorkloadSettings:
+    """Return the settings for targets that grant leases up to a given length.
 
     :param granted_s: longest lease that they grant, in seconds.
+    :param admission: name of the policy that decides which jobs to refuse.
+    :param cpu_cores: processor capacity of the leader's host, in cores; 0: not known.
     """
     lease_s = min(MAX_LEASE_S, granted_s)
     return WorkloadSettings(
         lease_s=lease_s,
         lease_over_s=lease_s * (1 + CLOCK_DRIFT_RATIO) + MAX_ORDER_DELAY_S,
+        admission=admission,
+        cpu_cores=cpu_cores,
     )
