Keep the shares of refused jobs steady where few jobs remain

Cause: on a host that makes 500 starts a second, a window of 0.25 s holds one job of a priority of which 0.9 is refused. Its count varied from 0 to 1,600 starts a second, the shares between 0 and 0.9.

Ruled out: a longer window alone, since refusals would outlast a burst by more than half a second.

Change: the window spans 0.5 s. A share falls by at most 0.05 a tick while the processor is full, and by 0.3 a tick once it has time left, as it has at once after a burst while jobs are still refused.

--- a/src/cassiaturn/sharing/_start_rate.py
+++ b/src/cassiaturn/sharing/_start_rate.py
@@ -50,6 +50,15 @@
 above the planned share, so that a process that has processor time left sheds
 nothing."""
 
+FREE_SHARE = 0.6
+"""Share of the processor capacity in use below which the process has time left, so that
+the shares of refused jobs fall at once. While jobs are refused, less than the planned
+share is in use as soon as a burst has ended, also if 0.8 is in use afterwards."""
+
+FREE_WEIGHT = 0.3
+"""Weight of the latest sample in the average that this is compared with. The few jobs
+of one tick vary too much."""
+
 LATE_S = 0.01
 """Lateness of a timer from which the processor may be the limit, in seconds."""
 
@@ -72,12 +81,24 @@
 """Complete buckets that the requested rate spans while no job is refused. With the
 heartbeat of 150 ms, members refuse the excess within two heartbeats."""
 
-WINDOW_BUCKETS = 5
+WINDOW_BUCKETS = 10
 """Complete buckets that it spans while jobs are refused: the requested starts follow
-from fewer jobs then, and in a shorter window their number varies by a third. With the
-heartbeat, members refuse nothing 0.45 s after the end of a burst."""
+from fewer jobs then, and their number varies the more the fewer they are."""
+
+RISE_WEIGHT = 0.5
+"""Part of the way to a larger share that one tick goes, for a priority of which a share
+is refused already."""
+
+MAX_FALL = 0.05
+"""Largest decrease of a share per tick while the processor is full: a short window
+without jobs of the remaining share does not show the end of a burst."""
 
-SHARES_IN_FORCE_BUCKETS = 8
+RELIEF = 0.3
+"""Decrease of each share per tick once the process has processor time left. The largest
+share is gone after three ticks, so members refuse nothing half a second after the end
+of a burst."""
+
+SHARES_IN_FORCE_BUCKETS = 13
 """Buckets for which members may still apply a share that the leader has replaced: the
 window, a heartbeat, and its transfer."""
 
@@ -144,6 +165,7 @@
         self._cpu_s = DEFAULT_START_COST_S * DEFAULT_WEIGHT_STARTS
         self._starts = DEFAULT_WEIGHT_STARTS
         self._used_cores = 0.0
+        self._steady_used_cores = 0.0
         self._late_timers = 0
 
     @property
@@ -169,6 +191,11 @@
         full_cores = FULL_SHARE * self._capacity_cores
         return 0.0 < full_cores <= self._used_cores
 
+    @property
+    def is_free(self) -> bool:
+        """Whether the process has processor time left."""
+        return self._steady_used_cores < FREE_SHARE * self._capacity_cores
+
     def observe(
         self, *, cpu_s: float, starts: int, elapsed_s: float, late_s: float
     ) -> None:
@@ -184,6 +211,7 @@
             return
         used_cores = cpu_s / elapsed_s
         self._used_cores += USED_WEIGHT * (used_cores - self._used_cores)
+        self._steady_used_cores += FREE_WEIGHT * (used_cores - self._steady_used_cores)
         self._late_timers = self._late_timers + 1 if late_s >= LATE_S else 0
         if not self._is_capacity_known and self._late_timers >= LATE_TIMERS:
             learned = max(self._capacity_cores, self._used_cores)
@@ -259,7 +287,7 @@
         """Decide on the shares anew; called once a tick.
 
         Shedding begins only when the processor is full, and ends when the requested
-        starts fit.
+        starts fit or the processor has time left.
 
         :param now: time in seconds.
         """
@@ -270,7 +298,9 @@
         if not self.shares:
             # Buckets from before the burst would hide a part of it.
             self._window_from = bucket.number - FIRST_WINDOW_BUCKETS
-        shares = shares_by_priority(requested, rate.starts_per_s)
+        shares = self._next_shares(
+            shares_by_priority(requested, rate.starts_per_s), is_free=rate.is_free
+        )
         if shares.keys() != self.shares.keys() or any(
             abs(share - self.shares[priority]) >= MIN_SHARE_CHANGE
             for priority, share in shares.items()
@@ -279,6 +309,24 @@
         for priority, share in self.shares.items():
             bucket.shares[priority] = max(share, bucket.shares.get(priority, 0.0))
 
+    def _next_shares(
+        self, wanted: Mapping[int, float], *, is_free: bool
+    ) -> dict[int, float]:
+        """Return the shares of this tick on the way to those that are wanted."""
+        shares: dict[int, float] = {}
+        for priority in {*self.shares, *wanted}:
+            share = wanted.get(priority, 0.0)
+            before = self.shares.get(priority)
+            if before is not None and is_free:
+                share = min(share, before) - RELIEF
+            elif before is not None and share < before:
+                share = max(share, before - MAX_FALL)
+            elif before is not None:
+                share = before + RISE_WEIGHT * (share - before)
+            if share > 0.0:
+                shares[priority] = share
+        return shares
+
     def _bucket(self, now: float) -> _Bucket:
         number = int(now / BUCKET_S)
         oldest = number - SHARES_IN_FORCE_BUCKETS
