Forecast when targets have room for a queued job

Cause: queued work over total capacity says when all of it is done, not when the next task can start, and knows nothing of the runs in progress. Its cost grows with the queue.

--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -17,12 +17,14 @@
 from cassiaturn.sharing._expected_runs import ExpectedRuns
 from cassiaturn.sharing._failed_target import failed_target_pause_s
 from cassiaturn.sharing._feasibility import Progress, latest_start
+from cassiaturn.sharing._forecast_error import ForecastError
 from cassiaturn.sharing._job_queue import JobQueue, queue_key
 from cassiaturn.sharing._link_capacity import should_hand_over
 from cassiaturn.sharing._packing import GroupKey, SharedTarget, choose_shared_target
 from cassiaturn.sharing._shedding import LoadShedder, is_shed
 from cassiaturn.sharing._speed_estimate import SpeedEstimate, needs_fast_target
 from cassiaturn.sharing._speed_model import SpeedModel
+from cassiaturn.sharing._start_forecast import QueuedAhead, RoomForecast
 from cassiaturn.sharing._start_rate import (
     StartDemand,
     StartRate,
@@ -38,12 +40,15 @@
     "CpuHeadroom",
     "Deadlines",
     "ExpectedRuns",
+    "ForecastError",
     "GroupKey",
     "JobQueue",
     "Lateness",
     "LoadShedder",
     "OrderKey",
     "Progress",
+    "QueuedAhead",
+    "RoomForecast",
     "SharedTarget",
     "SpeedEstimate",
     "SpeedModel",
--- a/src/cassiaturn/sharing/_job_queue.py
+++ b/src/cassiaturn/sharing/_job_queue.py
@@ -25,6 +25,7 @@
     order_key,
 )
 from cassiaturn.sharing._feasibility import latest_start
+from cassiaturn.sharing._start_forecast import QueuedAhead
 
 MICROSECONDS_PER_S = 1_000_000
 
@@ -32,6 +33,10 @@
 """Entries of the heap of lateness changes, per queued job, above which the entries of
 jobs that have left the queue are dropped. A queued job has two entries of its own."""
 
+DUE_BUCKET_S = 0.02
+"""Width of the intervals of due times in which queued work is counted, in seconds. What
+is ahead of a job follows from them without a look at the queued jobs."""
+
 MIN_ENTRIES_LIMIT = 64
 """Added to that limit, so that the heap of a short queue is not rebuilt often."""
 
@@ -104,6 +109,24 @@
     sequence: int
 
 
+@dataclass(slots=True)
+class _Amount:
+    """Queued tasks of one job or of several."""
+
+    starts: int = 0
+    cpu_millis: int = 0
+    work: int = 0
+
+    def add(self, other: "_Amount", sign: int = 1) -> None:
+        self.starts += sign * other.starts
+        self.cpu_millis += sign * other.cpu_millis
+        self.work += sign * other.work
+
+
+def _due_bucket(due_at: float) -> int:
+    return int(due_at / DUE_BUCKET_S)
+
+
 @dataclass(slots=True, eq=False)
 class _Band(Generic[JobT]):
     """Jobs that differ only in when they are due, as three parallel sorted lists."""
@@ -112,15 +135,26 @@
     jobs: list[JobT] = field(default_factory=list)
     work_by_position: list[int] = field(default_factory=list)
     total_work: int = 0
-
-    def insert(self, due_key: _DueKey, job: JobT, work: int) -> None:
+    total: _Amount = field(default_factory=_Amount)
+    amount_by_bucket: dict[int, _Amount] = field(default_factory=dict)
+
+    def insert(self, due_key: _DueKey, job: JobT, amount: _Amount) -> None:
+        work = amount.work
+        self.total.add(amount)
+        bucket = _due_bucket(due_key.due_at)
+        self.amount_by_bucket.setdefault(bucket, _Amount()).add(amount)
         position = bisect_left(self.due_keys, due_key)
         self.due_keys.insert(position, due_key)
         self.jobs.insert(position, job)
         self.work_by_position.insert(position, work)
         self.total_work += work
 
-    def delete(self, due_key: _DueKey) -> None:
+    def delete(self, due_key: _DueKey, amount: _Amount) -> None:
+        self.total.add(amount, -1)
+        bucket = _due_bucket(due_key.due_at)
+        self.amount_by_bucket[bucket].add(amount, -1)
+        if not self.amount_by_bucket[bucket].starts:
+            del self.amount_by_bucket[bucket]
         position = bisect_left(self.due_keys, due_key)
         del self.due_keys[position]
         del self.jobs[position]
@@ -138,6 +172,7 @@
     job: JobT
     band_key: _BandKey
     due_key: _DueKey
+    amount: _Amount
 
 
 class JobQueue(Generic[JobT]):
@@ -201,9 +236,9 @@
         key = queue_key(job, self._now)
         sequence = next(self._sequences) if before is None else before.due_key.sequence
         band_key = _BandKey(key.lateness, key.priority, key.is_new)
-        row = _Row(job, band_key, _DueKey(key.due_at, sequence))
+        row = _Row(job, band_key, _DueKey(key.due_at, sequence), _queued_amount(job))
         self._band_by_key.setdefault(band_key, _Band()).insert(
-            row.due_key, job, _queued_work(job)
+            row.due_key, job, row.amount
         )
         self._row_by_id[job.job_id] = row
         if before is None:
@@ -269,9 +304,37 @@
             work += self._band_by_key[own_band_key].work_until(key.due_at)
         return work / MICROSECONDS_PER_S
 
+    def ahead_of(self, job: JobT, key: OrderKey) -> QueuedAhead:
+        """Return the queued tasks that go before a job, without its own.
+
+        The cost does not depend on the number of queued jobs. Jobs that are due in the
+        same 20 ms count as ahead.
+
+        :param job: queued or not.
+        :param key: its sort key.
+        """
+        own_band_key = _BandKey(key.lateness, key.priority, key.is_new)
+        own_bucket = _due_bucket(key.due_at)
+        ahead = _Amount()
+        for band_key, band in self._band_by_key.items():
+            if band_key < own_band_key:
+                ahead.add(band.total)
+            elif band_key == own_band_key:
+                for bucket, amount in band.amount_by_bucket.items():
+                    if bucket <= own_bucket:
+                        ahead.add(amount)
+        row = self._row_by_id.get(job.job_id)
+        if row is not None and row.band_key <= own_band_key:
+            ahead.add(row.amount, -1)
+        return QueuedAhead(
+            starts=ahead.starts,
+            cpu_millis=ahead.cpu_millis,
+            work_millicore_s=ahead.work / MICROSECONDS_PER_S,
+        )
+
     def _remove_from_band(self, row: _Row[JobT]) -> None:
         band = self._band_by_key[row.band_key]
-        band.delete(row.due_key)
+        band.delete(row.due_key, row.amount)
         if not band.due_keys:
             del self._band_by_key[row.band_key]
 
@@ -280,6 +343,15 @@
         del self._least_cpus[bisect_left(self._least_cpus, row.job.least_cpu_millis)]
 
 
-def _queued_work(job: QueuedJob) -> int:
-    """Return a job's waiting work, in millicore-microseconds."""
-    return round(job.expected_run_s * MICROSECONDS_PER_S) * job.waiting_cpu_millis
+def _queued_amount(job: QueuedJob) -> _Amount:
+    """Return a job's waiting tasks; their work is in millicore-microseconds.
+
+    The number of tasks is exact if all of them ask for the same processors, and too
+    high otherwise.
+    """
+    cpu_millis = job.waiting_cpu_millis
+    return _Amount(
+        starts=max(1, cpu_millis // max(1, job.least_cpu_millis)),
+        cpu_millis=cpu_millis,
+        work=round(job.expected_run_s * MICROSECONDS_PER_S) * cpu_millis,
+    )
--- a/src/cassiaturn/sharing/tests/test_job_queue.py
+++ b/src/cassiaturn/sharing/tests/test_job_queue.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cassiaturn.sharing import Deadlines, JobQueue, queue_key
+from cassiaturn.sharing._job_queue import DUE_BUCKET_S
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -102,3 +103,39 @@
         queue.discard(job)
     assert not len(queue)
     assert len(queue._changes) + len(queue._latest_starts) < 200
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_amount_ahead_equals_that_of_the_jobs_before(seed: int) -> None:
+    """Guards against counts that keep jobs which have left the queue or moved."""
+    rng = random.Random(seed)
+    queue: JobQueue[_Job] = JobQueue()
+    jobs: dict[str, _Job] = {}
+    now = 100.0
+    for number in range(200):
+        now += rng.expovariate(50.0)
+        queue.advance(now)
+        job = _draw(rng, number, now)
+        jobs[job.job_id] = job
+        queue.put(job)
+        other = rng.choice(list(jobs.values()))
+        if rng.random() < 0.3:
+            queue.discard(jobs.pop(other.job_id))
+        else:
+            other.waiting_cpu_millis = rng.randrange(1_000, 20_000)
+            queue.put(other)
+        probe = _draw(rng, -1, now)
+        key = queue_key(probe, now)
+        ahead = [
+            row
+            for row in jobs.values()
+            if (row_key := queue_key(row, now))[:3] < key[:3]
+            or (
+                row_key[:3] == key[:3]
+                and row_key.due_at // DUE_BUCKET_S <= key.due_at // DUE_BUCKET_S
+            )
+        ]
+        found = queue.ahead_of(probe, key)
+        assert found.cpu_millis == sum(row.waiting_cpu_millis for row in ahead)
+        own = queue.ahead_of(other, queue_key(other, now)).cpu_millis
+        assert own >= 0
