Admit jobs by a forecast of their start

Cause: beyond the capacity of targets or processor, jobs are accepted that are answered too late, and their callers learn it at their limit only.

Ruled out: one margin for all priorities, since those of the least urgent would refuse urgent jobs; errors of started jobs alone, since jobs that never start have none; a margin without an age, which stays once it refuses all jobs.

Change: policies of admission stand in a registry; "forecast" refuses a job whose forecast answer, with the margin, is too late to be useful. Queued jobs are checked when they must start for a useful answer, and 32 a tick in turn; hopeless ones are refused with reason forecast_lost. Starts of one turn are bounded by 20 ms where the rate of starts is known.

Tests of sharing, workload and fleet pass.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -668,6 +668,8 @@
         self._sampled_starts = starts
         priorities_before = self._start_demand.shares.keys()
         self._start_demand.update(self._start_rate, now)
+        if self._tables.forecast is not None:
+            self._tables.forecast.starts_per_s = self._start_rate.starts_per_s
         shares = self._start_demand.shares
         self._caller_jobs.shed_by_priority = shares
         if shares != self._told_shares and now - self._told_at >= SHARES_INTERVAL_S:
--- a/src/cassiaturn/workload/_directory.py
+++ b/src/cassiaturn/workload/_directory.py
@@ -4,6 +4,7 @@
 from cassiaturn.observability import Event
 from cassiaturn.workload._dispatch import requeue_task
 from cassiaturn.workload._ends import remove_run
+from cassiaturn.workload._forecast import forget_target
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._tables import (
     Tables,
@@ -43,6 +44,7 @@
     target.note_change()
     if report.leaving and not target.leaving:
         target.leaving = True
+        forget_target(tables, target)
         ports.record(Event.TARGET_LEAVING, target=report.target_id)
 
 
@@ -93,6 +95,7 @@
     target = tables.targets_by_id.get(target_id)
     if target is not None and not target.silent:
         target.silent = True
+        forget_target(tables, target)
         ports.record(
             Event.TARGET_SILENT, target=target_id, runs=len(target.runs_by_ref)
         )
@@ -109,6 +112,7 @@
     # Across a partition another leader may start tasks there from now on.
     target.has_reported = False
     tables.set_stray_runs(target, set())
+    forget_target(tables, target)
     for run in list(target.runs_by_ref.values()):
         tables.counters.lost_runs += 1
         ports.record(
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -12,6 +12,7 @@
     queue_key,
 )
 from cassiaturn.workload._backlog import usable_check
+from cassiaturn.workload._forecast import note_first_start, note_run
 from cassiaturn.workload._ports import Ports, StartOrder
 from cassiaturn.workload._tables import Job, Run, RunState, Tables, Target, Task
 
@@ -19,6 +20,13 @@
 """Starts after which the rest of a service's queue waits for the next turn, so that
 jobs that have arrived meanwhile, and may be more urgent, are read first."""
 
+MAX_TURN_S = 0.02
+"""Longest time that the starts of one turn may take if their rate is known, in seconds.
+On a slow host, 32 starts take longer than the most urgent jobs can wait."""
+
+MIN_STARTS_PER_TURN = 8
+"""Starts of one turn on any host: each turn has a cost of its own."""
+
 
 def dispatch(tables: Tables, ports: Ports, now: float) -> Lateness | None:
     """Start queued tasks, up to a limit per service.
@@ -51,11 +59,12 @@
 ) -> Job | None:
     """Start tasks of the first queued jobs; return the first job left over."""
     started_count = 0
+    max_starts = _max_starts(tables)
     free_cpu = index.largest_free_cpu_millis(is_usable)
     for job in queue.in_order():
         if free_cpu < queue.least_cpu_millis:
             return None
-        if started_count >= MAX_STARTS_PER_TURN:
+        if started_count >= max_starts:
             return job
         if job.least_cpu_millis > free_cpu or not _may_start(tables, job, now):
             continue
@@ -70,12 +79,21 @@
                 started.append(run)
                 free_cpu = index.largest_free_cpu_millis(is_usable)
         if started:
+            note_first_start(tables, job, now)
             started_count += len(started)
             tables.requeue(job)
             _record_starts(ports, job, started, now)
     return None
 
 
+def _max_starts(tables: Tables) -> int:
+    """Return after how many starts the rest of a queue waits for the next turn."""
+    if tables.forecast is None or tables.forecast.starts_per_s == float("inf"):
+        return MAX_STARTS_PER_TURN
+    starts = int(tables.forecast.starts_per_s * MAX_TURN_S)
+    return max(MIN_STARTS_PER_TURN, min(MAX_STARTS_PER_TURN, starts))
+
+
 def _may_start(tables: Tables, job: Job, now: float) -> bool:
     if not job.is_confirmed or job.origins <= tables.unheard_members:
         return False
@@ -149,6 +167,7 @@
     target.runs_by_ref[task.ref] = run
     tables.runs_by_ref[task.ref] = run
     tables.counters.starts += 1
+    note_run(tables, run, now)
     ports.start(
         StartOrder(
             target_id=target.target_id,
--- a/src/cassiaturn/workload/_drains.py
+++ b/src/cassiaturn/workload/_drains.py
@@ -7,7 +7,9 @@
 """
 
 from cassiaturn.observability import Event
-from cassiaturn.workload._intake import excess_wait_s, has_target, make_refusal
+from cassiaturn.workload._admission import excess_wait_s, make_refusal
+from cassiaturn.workload._forecast import note_target
+from cassiaturn.workload._intake import has_target
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settle import settle
 from cassiaturn.workload._tables import Tables
@@ -27,6 +29,8 @@
     before = tables.drained_domains or frozenset()
     tables.drained_domains = failure_domains
     tables.usable_cpu_by_service.clear()
+    for target in tables.targets_by_id.values():
+        note_target(tables, target, now)
     _forget_speeds(tables, before - failure_domains)
     refused = _refuse_excess(tables, ports, now) if failure_domains - before else 0
     ports.record(
--- a/src/cassiaturn/workload/_ends.py
+++ b/src/cassiaturn/workload/_ends.py
@@ -10,6 +10,7 @@
 from cassiaturn.observability import Event
 from cassiaturn.sharing import failed_target_pause_s
 from cassiaturn.workload._dispatch import requeue_task
+from cassiaturn.workload._forecast import forget_run
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settle import settle, stop
 from cassiaturn.workload._tables import (
@@ -157,6 +158,7 @@
 def remove_run(tables: Tables, target: Target, run: Run) -> None:
     """Remove a run that has certainly ended, and free its resources."""
     del target.runs_by_ref[run.ref]
+    forget_run(tables, target, run)
     if tables.runs_by_ref.get(run.ref) is run:
         del tables.runs_by_ref[run.ref]
     if run.group is not None:
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -6,12 +6,12 @@
 from cassiaturn.observability import Event
 from cassiaturn.sharing import (
     job_deadlines,
-    latest_start,
     longest_chain_s,
-    spread_retry_after,
 )
-from cassiaturn.workload._backlog import backlog_s
+from cassiaturn.workload._admission import make_refusal, refuse_by_policy
 from cassiaturn.workload._ends import apply_completed, apply_unclaimed_ends
+from cassiaturn.workload._forecast import note_run, note_target
+from cassiaturn.workload._hopeless import note_queued
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settle import remove_ended_job
 from cassiaturn.workload._tables import (
@@ -90,6 +90,7 @@
         tables.counters.refused += 1
         return refusal
     tables.add_job(job, now)
+    note_queued(tables, job)
     ports.record(
         Event.JOB_QUEUED,
         id=job_id,
@@ -107,7 +108,7 @@
     )
     apply_completed(tables, ports, job, submission.completed, now)
     if job.job_id in tables.jobs_by_id:
-        _adopt_listed_runs(tables, job)
+        _adopt_listed_runs(tables, job, now)
         apply_unclaimed_ends(tables, ports, job, now)
     return None
 
@@ -249,24 +250,7 @@
     if not has_target(tables, job.route.service):
         reason = "drained" if has_drained(tables, job.route.service) else "no_target"
         return make_refusal(reason, job, settings.min_retry_after_s)
-    excess_s = excess_wait_s(tables, job, now)
-    if excess_s <= 0.0:
-        return None
-    return make_refusal("backlog", job, max(settings.min_retry_after_s, excess_s))
-
-
-def excess_wait_s(tables: Tables, job: Job, now: float) -> float:
-    """Return how much too long a job would wait in the queue to be answered in time.
-
-    :returns: in seconds; at most 0 if it can be answered.
-    """
-    wait_s = backlog_s(tables, job, now)
-    start_by = latest_start(
-        limit_at=job.deadlines.limit_at,
-        expected_run_s=job.expected_run_s,
-        is_idle=wait_s == 0.0,
-    )
-    return now + wait_s - (start_by - tables.settings.refusal_margin_s)
+    return refuse_by_policy(tables, job, now)
 
 
 def has_target(tables: Tables, service: str) -> bool:
@@ -287,30 +271,20 @@
     )
 
 
-def make_refusal(reason: str, job: Job, retry_after_s: float) -> Outcome:
-    """Return a refusal that tells its caller when to retry.
-
-    :param reason: the rule that decided, as logged.
-    :param retry_after_s: time until capacity may be free, in seconds.
-    """
-    return Outcome(
-        verdict=Verdict.REFUSED,
-        reason=reason,
-        retry_after_s=spread_retry_after(job.job_id, retry_after_s),
-    )
-
-
-def _adopt_listed_runs(tables: Tables, job: Job) -> None:
+def _adopt_listed_runs(tables: Tables, job: Job, now: float) -> None:
     """Assign runs that targets have already listed to the tasks of a job."""
     for task in list(job.waiting):
         run = tables.runs_by_ref.get(task.ref)
         if run is None or run.state is RunState.STOPPING:
             continue
-        adopt_run(tables, job, task)
+        adopt_run(tables, job, task, now)
 
 
-def adopt_run(tables: Tables, job: Job, task: Task) -> None:
-    """Assign a run that a target listed to its task."""
+def adopt_run(tables: Tables, job: Job, task: Task, now: float) -> None:
+    """Assign a run that a target listed to its task.
+
+    :param now: time in seconds.
+    """
     run = tables.runs_by_ref[task.ref]
     task.assign_run(run)
     task.next_run = max(task.next_run, run.number + 1)
@@ -321,3 +295,5 @@
         run.group = task.group
         target = tables.targets_by_id[run.target_id]
         target.allocate(task.group.resources, run.group_key)
+        note_target(tables, target, now)
+        note_run(tables, run, now)
--- a/src/cassiaturn/workload/_reports.py
+++ b/src/cassiaturn/workload/_reports.py
@@ -10,6 +10,11 @@
 from cassiaturn.sharing import Progress, failed_target_pause_s
 from cassiaturn.workload._dispatch import requeue_task
 from cassiaturn.workload._ends import apply_run_end, remove_run, update_slowness
+from cassiaturn.workload._forecast import (
+    note_run,
+    note_target,
+    remaining_by_progress,
+)
 from cassiaturn.workload._intake import adopt_run
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settings import CLOCK_DRIFT_RATIO
@@ -128,6 +133,7 @@
             and run.last_reported_at < asked_at
         ):
             _remove_missing_run(tables, ports, target, run, now)
+    note_target(tables, target, now)
 
 
 def _apply_listing(
@@ -174,7 +180,7 @@
     job = tables.jobs_by_id.get(listed_run.ref.job_id)
     task = job.tasks_by_ref.get(listed_run.ref) if job is not None else None
     if job is not None and task is not None and task in job.waiting:
-        adopt_run(tables, job, task)
+        adopt_run(tables, job, task, now)
     elif now > tables.began_at + tables.settings.orphan_grace_s:
         stop(tables, ports, listed_run, now)
     return True
@@ -202,6 +208,10 @@
     )
     progress = Progress(elapsed_s=elapsed_s, percent=listing.percent)
     run.least_run_s = max(run.least_run_s, progress.least_run_s())
+    remaining_s = None
+    if not run.is_adopted:
+        remaining_s = remaining_by_progress(elapsed_s, listing.percent)
+    note_run(tables, run, now, remaining_s=remaining_s)
     job = tables.jobs_by_id.get(run.ref.job_id)
     if job is not None and run.least_run_s and not run.is_adopted:
         update_slowness(target, job, run.least_run_s)
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -1,6 +1,6 @@
 """State of a leader: jobs, tasks, runs and targets."""
 
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from enum import Enum, auto
@@ -16,8 +16,10 @@
 from cassiaturn.sharing import (
     Deadlines,
     ExpectedRuns,
+    ForecastError,
     GroupKey,
     JobQueue,
+    RoomForecast,
     SharedTarget,
     SpeedModel,
     TargetIndex,
@@ -227,6 +229,10 @@
     """Whether a start may ever have been ordered. Its caller must then not be told that
     it did not run."""
 
+    forecast_start_at: float | None = None
+    """When its first task was expected to start, in seconds; None: there is no
+    forecast."""
+
     @property
     def job_id(self) -> str:
         """Its id."""
@@ -380,6 +386,31 @@
     """Jobs refused before anything started."""
 
 
+@dataclass(slots=True, kw_only=True)
+class ForecastState:
+    """What a leader that admits jobs by a forecast knows for it."""
+
+    starts_per_s: float = float("inf")
+    """Starts that its processor can make in a second; infinite: not known."""
+
+    room_by_service: dict[str, RoomForecast] = field(default_factory=dict)
+    """Runs in progress and capacity of each service's targets."""
+
+    error_by_priority: dict[int, ForecastError] = field(default_factory=dict)
+    """Errors of earlier forecasts. Each priority has its own, since the less urgent
+    ones wait for more urgent jobs that arrive after them."""
+
+    latest_starts: list[tuple[float, str]] = field(default_factory=list)
+    """Heap of the latest times, in seconds, at which queued jobs may start so that
+    their answers are useful, with the jobs' ids."""
+
+    to_check: "deque[str]" = field(default_factory=deque)
+    """Ids of queued jobs whose forecast is checked next."""
+
+    reconciled_at: float = float("-inf")
+    """When all targets were counted last, in seconds."""
+
+
 @dataclass(slots=True, kw_only=True)
 class Tables:
     """All state on which the scheduling functions of a leader work."""
@@ -454,6 +485,14 @@
     counters: Counters = field(default_factory=Counters)
     """Counters for the metrics."""
 
+    forecast: ForecastState | None = None
+    """State of admission by forecast; None: jobs are admitted by another policy."""
+
+    def __post_init__(self) -> None:
+        """Prepare for the admission policy of the settings."""
+        if self.settings.admission == "forecast" and self.forecast is None:
+            self.forecast = ForecastState()
+
     def covers(self, earlier_tokens: frozenset[int]) -> bool:
         """Return whether this leader knows the targets of all leaders of a job.
 
--- a/src/cassiaturn/workload/_tick.py
+++ b/src/cassiaturn/workload/_tick.py
@@ -2,8 +2,10 @@
 
 from cassiaturn.observability import Event
 from cassiaturn.sharing import Lateness, latest_start, stuck_job_deadline
+from cassiaturn.workload._admission import make_refusal
 from cassiaturn.workload._dispatch import dispatch, requeue_task, waits_for_earlier_runs
-from cassiaturn.workload._intake import make_refusal
+from cassiaturn.workload._forecast import reconcile_targets
+from cassiaturn.workload._hopeless import refuse_hopeless
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settle import settle, stop
 from cassiaturn.workload._tables import (
@@ -32,6 +34,7 @@
     :param now: time in seconds.
     :returns: the result of :func:`dispatch`.
     """
+    reconcile_targets(tables, now)
     _check_jobs(tables, ports, now)
     _check_runs(tables, ports, now)
     _expire_records(tables, now)
@@ -68,6 +71,7 @@
 
 
 def _check_jobs(tables: Tables, ports: Ports, now: float) -> None:
+    refuse_hopeless(tables, ports, now)
     _refuse_overdue(tables, ports, now)
     _end_unreachable_jobs(tables, ports, now)
     for job in list(tables.jobs_by_id.values()):
