Forecast that jobs which arrive later go first

Cause: in a burst beyond the room of targets, no job was refused at once. New jobs saw a short queue; the least urgent ones were then overtaken until they were hopeless, after 0.7 to 1.5 s.

Ruled out: one average of the arriving work, since jobs of callers that come back at one moment counted twice, in the queue and as arriving.

Change: a forecast wait is lengthened by the share of the targets' capacity that admitted work of more urgent priorities takes, or all admitted work if the job cannot be in time any more and so goes last.

--- a/src/cassiaturn/sharing/_start_forecast.py
+++ b/src/cassiaturn/sharing/_start_forecast.py
@@ -12,6 +12,7 @@
 count as using that part.
 """
 
+import math
 from collections import Counter
 from collections.abc import Hashable, Iterator
 from dataclasses import dataclass
@@ -23,6 +24,14 @@
 BUCKETS = 512
 """Number of buckets, some 10 s. Later ends count in the last one."""
 
+ARRIVALS_SPAN_S = 0.25
+"""Time constant of each of the two averages of arriving work, in seconds. The second
+one averages the first: jobs that arrive at one moment, such as those of callers that
+come back after an outage, are all in the queue and delay nobody further."""
+
+MAX_DELAY_FACTOR = 20.0
+"""Largest factor by which arriving work delays a task; at 0.95 of the capacity."""
+
 MAX_SIZES = 256
 """Number of task sizes for which the usable capacity is kept."""
 
@@ -134,6 +143,59 @@
             self._first += 1
 
 
+class ArrivingWork:
+    """Work of the jobs that were admitted lately, by priority.
+
+    What is queued ahead of a job does not show those that arrive later and go first.
+    """
+
+    def __init__(self) -> None:
+        """Start without work."""
+        self._averages_by_priority: dict[int, tuple[float, float]] = {}
+        self._at = 0.0
+
+    def note(self, priority: int, work_millicore_s: float, now: float) -> None:
+        """Count an admitted job.
+
+        :param work_millicore_s: expected run times times processors, in
+            millicore-seconds.
+        :param now: current time in seconds.
+        """
+        self._decay(now)
+        first, second = self._averages_by_priority.get(priority, (0.0, 0.0))
+        first += work_millicore_s / ARRIVALS_SPAN_S
+        self._averages_by_priority[priority] = first, second
+
+    def delay_factor(
+        self, now: float, *, capacity_millis: float, before: int | None
+    ) -> float:
+        """Return by which factor arriving work lengthens a wait.
+
+        :param now: current time in seconds.
+        :param capacity_millis: capacity of the targets, in thousandths of a core.
+        :param before: only work of priorities more urgent than this one; None: of all.
+        :returns: 1 or more.
+        """
+        self._decay(now)
+        arriving = sum(
+            second
+            for priority, (_, second) in self._averages_by_priority.items()
+            if before is None or priority < before
+        )
+        left = 1.0 - arriving / capacity_millis if capacity_millis else 0.0
+        return 1.0 / max(left, 1.0 / MAX_DELAY_FACTOR)
+
+    def _decay(self, now: float) -> None:
+        if now <= self._at:
+            return
+        spans = (now - self._at) / ARRIVALS_SPAN_S
+        kept = math.exp(-spans)
+        self._at = now
+        for priority, (first, second) in self._averages_by_priority.items():
+            decayed = (first * kept, (second + first * spans) * kept)
+            self._averages_by_priority[priority] = decayed
+
+
 class RoomForecast:
     """Runs in progress and capacity of the targets of one service."""
 
@@ -142,6 +204,9 @@
         self.ends = ExpectedEnds()
         """Expected ends of the runs on counted targets."""
 
+        self.arriving = ArrivingWork()
+        """Work of the jobs that were admitted lately."""
+
         self._cpu_by_target: dict[str, int] = {}
         self._targets_by_cpu: Counter[int] = Counter()
         self._total = 0
@@ -170,6 +235,11 @@
         """Return whether a target is counted."""
         return target_id in self._cpu_by_target
 
+    @property
+    def capacity_millis(self) -> int:
+        """Capacity of the counted targets, in thousandths of a core."""
+        return self._total
+
     def unit(self, size: int) -> float:
         """Return the capacity that a task of a size uses per processor that it asks.
 
--- a/src/cassiaturn/sharing/tests/test_start_forecast.py
+++ b/src/cassiaturn/sharing/tests/test_start_forecast.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from cassiaturn.sharing import ForecastError, QueuedAhead, RoomForecast
+from cassiaturn.sharing._start_forecast import ArrivingWork
 
 SIZE = 8_000
 
@@ -116,3 +117,23 @@
         errors.observe(5.0, NOW)
     assert errors.margin_s(NOW + 0.9) == pytest.approx(5.0, abs=0.1)
     assert errors.margin_s(NOW + 1.1) == 0.0
+
+
+def test_more_urgent_work_that_keeps_arriving_delays_a_task() -> None:
+    """Guards against jobs that are admitted, and then overtaken until it is too late.
+
+    Jobs that arrive at one moment are in the queue, and must not count twice.
+    """
+    arriving = ArrivingWork()
+    for _ in range(100):
+        arriving.note(0, 1_000.0, NOW)
+    assert arriving.delay_factor(NOW, capacity_millis=10_000, before=1) == 1.0
+    arriving = ArrivingWork()
+    for step in range(200):
+        arriving.note(0, 50.0, NOW + step * 0.01)
+    now = NOW + 2.0
+    factor = arriving.delay_factor(now, capacity_millis=10_000, before=1)
+    assert factor == pytest.approx(2.0, abs=0.1)
+    assert arriving.delay_factor(now, capacity_millis=10_000, before=0) == 1.0
+    later = arriving.delay_factor(now + 2.0, capacity_millis=10_000, before=None)
+    assert later == pytest.approx(1.0, abs=0.01)
--- a/src/cassiaturn/workload/_admission.py
+++ b/src/cassiaturn/workload/_admission.py
@@ -5,7 +5,7 @@
 
 from cassiaturn.sharing import latest_start, spread_retry_after
 from cassiaturn.workload._backlog import backlog_s
-from cassiaturn.workload._forecast import forecast_wait_s, margin_of
+from cassiaturn.workload._forecast import delayed_wait_s, forecast_wait_s, margin_of
 from cassiaturn.workload._tables import Job, Outcome, Tables, Verdict
 
 AdmissionPolicy: TypeAlias = Callable[[Tables, Job, float], "Outcome | None"]
@@ -55,6 +55,7 @@
     if wait_s == float("inf") or (wait_s == 0.0 and not queue):
         # No target of that size has been heard yet, or the job takes nobody's place.
         return _refuse_by_backlog(tables, job, now)
+    wait_s = delayed_wait_s(tables, job, wait_s, now)
     margin_s = margin_of(forecast, job.priority, now) if wait_s else 0.0
     excess_s = forecast_excess_s(job, wait_s + margin_s, now)
     if excess_s <= 0.0:
--- a/src/cassiaturn/workload/_forecast.py
+++ b/src/cassiaturn/workload/_forecast.py
@@ -4,7 +4,13 @@
 can serve. Each function here does nothing unless admission is by forecast.
 """
 
-from cassiaturn.sharing import ForecastError, QueuedAhead, RoomForecast, queue_key
+from cassiaturn.sharing import (
+    ForecastError,
+    QueuedAhead,
+    RoomForecast,
+    lateness_changes,
+    queue_key,
+)
 from cassiaturn.workload._tables import ForecastState, Job, Run, Tables, Target
 
 RECONCILE_INTERVAL_S = 1.0
@@ -157,6 +163,40 @@
     return max(room_s, ahead.starts / forecast.starts_per_s)
 
 
+def note_admitted(tables: Tables, job: Job, now: float) -> None:
+    """Count the work of a job that is queued from now on.
+
+    :param now: time in seconds.
+    """
+    if tables.forecast is not None:
+        work_millicore_s = job.expected_run_s * job.waiting_cpu_millis
+        arriving = _room(tables.forecast, job.route.service).arriving
+        arriving.note(job.priority, work_millicore_s, now)
+
+
+def delayed_wait_s(tables: Tables, job: Job, wait_s: float, now: float) -> float:
+    """Return a forecast wait, lengthened by jobs that arrive later and go first.
+
+    These are the more urgent ones, or all that can be in time once this job cannot.
+
+    :param wait_s: forecast by the queue as it is, in seconds.
+    :param now: time in seconds.
+    """
+    if tables.forecast is None or not wait_s:
+        return wait_s
+    room = _room(tables.forecast, job.route.service)
+    capacity = room.capacity_millis
+    urgent_factor = room.arriving.delay_factor(
+        now, capacity_millis=capacity, before=job.priority
+    )
+    late_from, _ = lateness_changes(job.deadlines, job.expected_run_s)
+    if now + wait_s * urgent_factor <= late_from:
+        return wait_s * urgent_factor
+    return wait_s * room.arriving.delay_factor(
+        now, capacity_millis=capacity, before=None
+    )
+
+
 def _remaining_s(tables: Tables, target: Target, run: Run, now: float) -> float:
     """Return the remaining time of a run by its route and target, in seconds."""
     job = tables.jobs_by_id.get(run.ref.job_id)
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -10,7 +10,7 @@
 )
 from cassiaturn.workload._admission import make_refusal, refuse_by_policy
 from cassiaturn.workload._ends import apply_completed, apply_unclaimed_ends
-from cassiaturn.workload._forecast import note_run, note_target
+from cassiaturn.workload._forecast import note_admitted, note_run, note_target
 from cassiaturn.workload._hopeless import note_queued
 from cassiaturn.workload._ports import Ports
 from cassiaturn.workload._settle import remove_ended_job
@@ -91,6 +91,7 @@
         return refusal
     tables.add_job(job, now)
     note_queued(tables, job)
+    note_admitted(tables, job, now)
     ports.record(
         Event.JOB_QUEUED,
         id=job_id,
