Forecast no start before a new leader's targets have reported

Cause: a new leader hears its targets one after the other within some 20 ms, later where the table service is slow. With the first of them, the forecast refused what all of them have room for.

--- a/src/cassiaturn/workload/_forecast.py
+++ b/src/cassiaturn/workload/_forecast.py
@@ -147,11 +147,14 @@
     """Return after which time the first task of a job is expected to start.
 
     :param now: time in seconds.
-    :returns: in seconds; 0: at once; infinite: no target holds its tasks now.
+    :returns: in seconds; 0: at once; infinite: not known, since no target that holds
+        its tasks is heard, or this leader has just begun.
     """
     forecast = tables.forecast
     if forecast is None:
         return 0.0
+    if now < tables.began_at + _first_reports_s(tables):
+        return float("inf")
     service = job.route.service
     room = _room(forecast, service)
     queue = tables.queue_by_service.get(service)
@@ -197,6 +200,15 @@
     )
 
 
+def _first_reports_s(tables: Tables) -> float:
+    """Return how long a new leader waits for its targets, in seconds.
+
+    With the first few of hundreds of targets, it would refuse what all have room for.
+    """
+    settings = tables.settings
+    return settings.directory_wait_s + settings.first_list_timeout_s
+
+
 def _remaining_s(tables: Tables, target: Target, run: Run, now: float) -> float:
     """Return the remaining time of a run by its route and target, in seconds."""
     job = tables.jobs_by_id.get(run.ref.job_id)
