Show what admission by forecast assumes, and measure its cost

Cause: a refused caller's cause could not be found: no line or metric told the margin, the starts that the leader can make, or the shares that members refuse. Each refusal counted all heard targets for its line.

Change: gauges forecast_margin, start_rate and shed_share, two counts of cassiaturn.leader, lines job_hopeless and forecast (one a second while jobs are refused), fields of job_queued and job_refused. With admission by forecast, heard targets are counted once a tick.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -54,6 +54,9 @@
 """Minimum time between two heartbeats that tell changed shares of jobs to refuse, in
 seconds: the period of the heartbeat."""
 
+FORECAST_LOG_PERIOD_S = 1.0
+"""Period of the log line of the forecast while jobs are refused, in seconds."""
+
 MAX_LOGGED_RATE = 1e6
 """Starts per second that the log shows where their number is not limited."""
 
@@ -191,6 +194,10 @@
         self._sampled_at = time.monotonic()
         self._sampled_cpu_s = time.process_time()
         self._sampled_starts = 0
+        self._heard_counted_at = float("-inf")
+        self._heard_count = 0
+        self._logged_at = time.monotonic()
+        self._logged_refused = 0
         self._told_shares: Mapping[int, float] = {}
         self._told_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
@@ -263,6 +270,41 @@
         targets = self._tables.targets_by_id.values()
         return sum(target.has_reported and not target.silent for target in targets)
 
+    def _count_heard(self, now: float) -> int:
+        """Return the number of heard targets, counted at most once a tick.
+
+        Each refusal names it in the log. Counted for each job of a burst, all targets
+        would be visited thousands of times a second.
+        """
+        if now - self._heard_counted_at >= TICK_S:
+            self._heard_counted_at = now
+            self._heard_count = self.heard_targets
+        return self._heard_count
+
+    def _forecast_fields(self, priority: int, now: float) -> dict[str, float]:
+        """Return the fields of a refusal's log line that tell what was assumed."""
+        forecast = self._tables.forecast
+        if forecast is None:
+            return {}
+        margin_s = workload.margin_of(forecast, priority, now)
+        return {
+            "margin_ms": round(margin_s * 1000),
+            "starts_per_s": round(min(MAX_LOGGED_RATE, forecast.starts_per_s)),
+        }
+
+    @property
+    def margin_s(self) -> float:
+        """Largest time by which forecasts are extended, in seconds, for metrics."""
+        forecast = self._tables.forecast
+        if forecast is None:
+            return 0.0
+        now = time.monotonic()
+        margins = [
+            workload.margin_of(forecast, priority, now)
+            for priority in tuple(forecast.error_by_priority)
+        ]
+        return max(margins, default=0.0)
+
     def open(self) -> None:
         """Open links to the known targets and start to lead."""
         self._targets.open()
@@ -380,8 +422,9 @@
                 reason=outcome.reason,
                 retry_after_s=outcome.retry_after_s,
                 queued=len(self._tables.jobs_by_id),
-                heard=self.heard_targets,
+                heard=self._count_heard(now) if self._forecasts else self.heard_targets,
                 version=self._routing.version,
+                **self._forecast_fields(submission.route.priority, now),
             )
             self._send_outcome(submission.origin, submission.request.job_id, outcome)
             return
@@ -678,6 +721,8 @@
             self._told_at = now
             for follower in self.followers_by_id.values():
                 follower.send_heartbeat()
+        if now - self._logged_at >= FORECAST_LOG_PERIOD_S:
+            self._log_forecast(now)
         if shares.keys() != priorities_before:
             requested = sum(self._start_demand.requested_by_priority(now).values())
             log_event(
@@ -692,6 +737,30 @@
                 queued=len(self._tables.jobs_by_id),
             )
 
+    def _log_forecast(self, now: float) -> None:
+        """Write what admission by forecast assumes, once a period."""
+        period_s = now - self._logged_at
+        self._logged_at = now
+        counters = self._tables.counters
+        refused = counters.refused_by_forecast + counters.refused_hopeless
+        if refused == self._logged_refused and not self._start_demand.shares:
+            return
+        log_event(
+            Event.FORECAST,
+            period_s=period_s,
+            refused=refused - self._logged_refused,
+            margin_ms=round(self.margin_s * 1000),
+            starts_per_s=round(min(MAX_LOGGED_RATE, self._start_rate.starts_per_s)),
+            start_cost_us=round(self._start_rate.start_cost_s * 1e6),
+            capacity_cores=round(self._start_rate.capacity_cores, 3),
+            queued=len(self._tables.jobs_by_id),
+            **{
+                f"share_{priority}": round(share, 2)
+                for priority, share in self._start_demand.shares.items()
+            },
+        )
+        self._logged_refused = refused
+
     def _shed_load(self, late_s: float, now: float) -> None:
         was_shedding = bool(self._shedder.share)
         behind_s = now - self._behind_since if self._behind_since else 0.0
--- a/src/cassiaturn/fleet/_member_metrics.py
+++ b/src/cassiaturn/fleet/_member_metrics.py
@@ -54,6 +54,31 @@
         "Targets that answer this leader.",
         lambda: member.leader.heard_targets if member.leader is not None else 0,
     )
+    metrics.observe_gauge(
+        "cassiaturn.forecast_margin",
+        "Time that this leader adds to forecasts, in seconds; the largest.",
+        lambda: member.leader.margin_s if member.leader is not None else 0.0,
+    )
+    metrics.observe_gauge(
+        "cassiaturn.start_rate",
+        "Starts per second that this leader can make; -1: not known.",
+        lambda: _start_rate(member.leader),
+    )
+    metrics.observe_gauge(
+        "cassiaturn.shed_share",
+        "Largest share of a priority's new jobs that members refuse for this leader.",
+        lambda: _largest_share(member.leader),
+    )
+
+
+def _start_rate(leader: Leader | None) -> float:
+    rate = leader.start_rate.starts_per_s if leader is not None else float("inf")
+    return -1.0 if rate == float("inf") else rate
+
+
+def _largest_share(leader: Leader | None) -> float:
+    shares = leader.shed_by_priority if leader is not None else {}
+    return max(shares.values(), default=0.0)
 
 
 def _drained(drains: CurrentDrains) -> float:
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -72,6 +72,9 @@
     JOB_TIMED = _info(
         "job_timed", "Where the time of a job went that needs much of its caller's."
     )
+    JOB_HOPELESS = _info(
+        "job_hopeless", "A queued job's forecast answer came too late to be useful."
+    )
     JOB_REFUSED = _info("job_refused", "A job was refused and never ran.")
     JOB_ANSWERED = _info("job_answered", "A caller got the final answer to a job.")
     JOB_LEFT = _info("job_left", "A caller closed its connection before the answer.")
@@ -126,6 +129,9 @@
     LEADER_FULL = _warning(
         "leader_full", "The share of new jobs that this leader is too full for changed."
     )
+    FORECAST = _info(
+        "forecast", "What admission by forecast assumed in the last `period_s`."
+    )
     STARTS_SHED = _warning(
         "starts_shed", "The priorities of which members refuse new jobs changed."
     )
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -88,6 +88,7 @@
         seeds: tuple[Address, ...],
         link_mbps: float = DEFAULT_LINK_MBPS,
         failure_domain: str = "a",
+        admission: str = "backlog",
     ) -> None:
         host, _, port = store.rpartition(":")
         callers, readiness, members, metrics, behind_relay = free_addresses(5)
@@ -102,6 +103,7 @@
             seeds=seeds,
             table_service=Address(host=host, port=int(port)),
             link_mbps=link_mbps,
+            admission=admission,
         )
         self._client = _InterruptibleClient()
         self.adapter = PlatformAdapter(self.settings, client=self._client)
@@ -158,7 +160,8 @@
 class Fleet:
     """Three members, four runners and a store."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, admission: str = "backlog") -> None:
+        self._admission = admission
         self.store = StandinStore()
         self.runners = [StandinRunner(f"i-{index}") for index in range(4)]
         self.members: list[RunningMember] = []
@@ -193,6 +196,7 @@
             seeds=seeds,
             link_mbps=link_mbps,
             failure_domain=failure_domain,
+            admission=self._admission,
         )
         await member.start()
         self.members.append(member)
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -18,6 +18,7 @@
 from cassiaturn.workload._dispatch import MAX_STARTS_PER_TURN, dispatch
 from cassiaturn.workload._drains import on_drained_domains
 from cassiaturn.workload._ends import note_done
+from cassiaturn.workload._forecast import margin_of
 from cassiaturn.workload._intake import (
     Submission,
     cancel,
@@ -78,6 +79,7 @@
     "end_unstarted",
     "has_tight_runs",
     "note_done",
+    "margin_of",
     "next_check",
     "on_drained_domains",
     "on_lease_report",
--- a/src/cassiaturn/workload/_admission.py
+++ b/src/cassiaturn/workload/_admission.py
@@ -53,7 +53,7 @@
     wait_s = forecast_wait_s(tables, job, now)
     queue = tables.queue_by_service.get(job.route.service)
     if wait_s == float("inf") or (wait_s == 0.0 and not queue):
-        # No target of that size has been heard yet, or the job takes nobody's place.
+        # Nothing is known for a forecast, or the job takes nobody's place.
         return _refuse_by_backlog(tables, job, now)
     wait_s = delayed_wait_s(tables, job, wait_s, now)
     margin_s = margin_of(forecast, job.priority, now) if wait_s else 0.0
@@ -61,6 +61,7 @@
     if excess_s <= 0.0:
         job.forecast_start_at = now + wait_s
         return None
+    tables.counters.refused_by_forecast += 1
     return make_refusal(
         "forecast", job, max(tables.settings.min_retry_after_s, excess_s)
     )
--- a/src/cassiaturn/workload/_hopeless.py
+++ b/src/cassiaturn/workload/_hopeless.py
@@ -10,6 +10,7 @@
 
 import heapq
 
+from cassiaturn.observability import Event
 from cassiaturn.workload._admission import forecast_excess_s, make_refusal
 from cassiaturn.workload._forecast import forecast_wait_s, note_first_start
 from cassiaturn.workload._ports import Ports
@@ -69,12 +70,22 @@
     """Refuse a job if its forecast answer is too late; return whether it was."""
     wait_s = forecast_wait_s(tables, job, now)
     if wait_s == float("inf"):
-        # No target that could hold it is heard: others decide how long it is kept.
+        # Nothing is known for a forecast: other rules decide how long it is kept.
         return False
     excess_s = forecast_excess_s(job, wait_s, now)
     if wait_s <= 0.0 or excess_s <= 0.0:
         return False
     note_first_start(tables, job, now)
+    tables.counters.refused_hopeless += 1
+    ports.record(
+        Event.JOB_HOPELESS,
+        id=job.job_id,
+        route=job.route.name,
+        wait_ms=round(wait_s * 1000),
+        excess_ms=round(excess_s * 1000),
+        queued_ms=round((now - job.arrived_at) * 1000),
+        queued=len(tables.jobs_by_id),
+    )
     retry_after_s = max(tables.settings.min_retry_after_s, excess_s)
     settle(tables, ports, job, make_refusal("forecast_lost", job, retry_after_s), now)
     return True
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -106,6 +106,7 @@
         inherited=submission.begun_earlier,
         confirmed=job.is_confirmed,
         version=tables.routing.version if tables.routing is not None else 0,
+        **_forecast_field(job, now),
     )
     apply_completed(tables, ports, job, submission.completed, now)
     if job.job_id in tables.jobs_by_id:
@@ -114,6 +115,13 @@
     return None
 
 
+def _forecast_field(job: Job, now: float) -> dict[str, int]:
+    """Return the field of the log that tells when a job is expected to start."""
+    if job.forecast_start_at is None:
+        return {}
+    return {"forecast_ms": round((job.forecast_start_at - now) * 1000)}
+
+
 def _join(tables: Tables, job: Job, submission: Submission, now: float) -> None:
     """Add another waiting caller to a job."""
     job.origins.add(submission.origin)
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -385,6 +385,12 @@
     refused: int = 0
     """Jobs refused before anything started."""
 
+    refused_by_forecast: int = 0
+    """Those refused on arrival since their forecast answer is too late."""
+
+    refused_hopeless: int = 0
+    """Those refused while queued since their answer can no longer be useful."""
+
 
 @dataclass(slots=True, kw_only=True)
 class ForecastState:
