Shed jobs only for a clear excess of requested starts

Cause: at 0.75 of what its processor can make, the leader had members refuse 33 of 585 jobs: jobs have 4 or 8 tasks, so a tenth of a second often requests more starts than it can make, and all of these jobs can be in time.

Ruled out: a longer window for the first shares, since a burst would be noticed too late.

Change: shedding begins only if the excess over 0.1, 0.25 or 0.5 s is more than two standard deviations of the requested starts.

The new test fails before. Tests of sharing and test_admission pass.

--- a/src/cassiaturn/sharing/_start_rate.py
+++ b/src/cassiaturn/sharing/_start_rate.py
@@ -12,6 +12,7 @@
 their number gives the starts requested without the delay of a report.
 """
 
+import math
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -85,6 +86,15 @@
 """Complete buckets that it spans while jobs are refused: the requested starts follow
 from fewer jobs then, and their number varies the more the fewer they are."""
 
+EXCESS_WINDOWS = (FIRST_WINDOW_BUCKETS, 5, WINDOW_BUCKETS)
+"""Numbers of complete buckets over which an excess of requested starts is looked for:
+three times the load shows in the first one, 1.75 times in the others."""
+
+MIN_EXCESS_DEVIATIONS = 2.0
+"""Excess from which shedding begins, in standard deviations of the requested starts. At
+0.75 of what a processor can make, a tenth of a second often requests more than that,
+and all of its jobs can be in time."""
+
 RISE_WEIGHT = 0.5
 """Part of the way to a larger share that one tick goes, for a priority of which a share
 is refused already."""
@@ -231,6 +241,12 @@
     starts_by_bin: dict[int, list[int]] = field(default_factory=dict)
     """Starts by priority and interval of the hash."""
 
+    starts: int = 0
+    """Starts of all jobs."""
+
+    squared_starts: int = 0
+    """Sum of the squares of the jobs' starts, which tells how much their sum varies."""
+
     shares: dict[int, float] = field(default_factory=dict)
     """Shares decided in this interval, by priority."""
 
@@ -253,7 +269,10 @@
         :param starts: number of its tasks, each of which is one start.
         :param now: time in seconds.
         """
-        bins = self._bucket(now).starts_by_bin.setdefault(priority, [0] * HASH_BINS)
+        bucket = self._bucket(now)
+        bucket.starts += starts
+        bucket.squared_starts += starts * starts
+        bins = bucket.starts_by_bin.setdefault(priority, [0] * HASH_BINS)
         bins[min(HASH_BINS - 1, int(shed_hash(job_id) * HASH_BINS))] += starts
 
     def requested_by_priority(self, now: float) -> dict[int, float]:
@@ -286,12 +305,13 @@
     def update(self, rate: StartRate, now: float) -> None:
         """Decide on the shares anew; called once a tick.
 
-        Shedding begins only when the processor is full, and ends when the requested
-        starts fit or the processor has time left.
+        Shedding begins only when the processor is full and clearly more starts are
+        requested than it can make. It ends when they fit or the processor has time
+        left.
 
         :param now: time in seconds.
         """
-        if not self.shares and not rate.is_full:
+        if not self.shares and not (rate.is_full and self._has_excess(rate, now)):
             return
         requested = self.requested_by_priority(now)
         bucket = self._bucket(now)
@@ -309,6 +329,22 @@
         for priority, share in self.shares.items():
             bucket.shares[priority] = max(share, bucket.shares.get(priority, 0.0))
 
+    def _has_excess(self, rate: StartRate, now: float) -> bool:
+        """Return whether clearly more starts are requested than can be made."""
+        current = self._bucket(now).number
+        for window in EXCESS_WINDOWS:
+            buckets = [
+                bucket
+                for bucket in self._buckets
+                if current - window <= bucket.number < current
+            ]
+            possible = rate.starts_per_s * window * BUCKET_S
+            deviation = math.sqrt(sum(bucket.squared_starts for bucket in buckets))
+            excess = sum(bucket.starts for bucket in buckets) - possible
+            if excess > MIN_EXCESS_DEVIATIONS * deviation:
+                return True
+        return False
+
     def _next_shares(
         self, wanted: Mapping[int, float], *, is_free: bool
     ) -> dict[int, float]:
--- a/src/cassiaturn/workload/tests/test_admission.py
+++ b/src/cassiaturn/workload/tests/test_admission.py
@@ -158,6 +158,11 @@
     assert not _play(scenario, "forecast", load).refused_after
 
 
+def test_fluctuations_below_the_limit_of_the_processor_refuse_nobody() -> None:
+    """Guards against shedding for the excess of a tenth of a second."""
+    assert set(_play("processor", "forecast", 1.0).reasons) == {"all_done"}
+
+
 def test_backlog_lets_callers_wait_for_late_refusals() -> None:
     """Shows that the load of these tests is one that the other policy answers late."""
     assert _play("targets", "backlog", 3.0).refused_late
