Correct a processor capacity that was learned by chance

Cause: without cpu_share, two late timers in a row set the capacity to the processor share in use. Late by another cause, at a low use, they would have made the leader refuse jobs for good while it had processor time left.

Change: a learned capacity grows by 2 % with each timer on time, up to one core, and falls to what is in use after four late timers. Shedding then needs late timers as well, to begin.

--- a/src/cassiaturn/sharing/_start_rate.py
+++ b/src/cassiaturn/sharing/_start_rate.py
@@ -63,6 +63,13 @@
 LATE_S = 0.01
 """Lateness of a timer from which the processor may be the limit, in seconds."""
 
+LEARNED_GROWTH = 1.02
+"""Factor by which a learned capacity grows with each timer on time. Two late timers may
+have another cause; a capacity learned from them is corrected within 6 s."""
+
+LATE_TIMERS_TO_LOWER = 4
+"""Consecutive late timers from which a learned capacity falls to what is in use."""
+
 LATE_TIMERS = 2
 """Consecutive timers that must be late for the capacity to be learned: a single one
 indicates a pause of the process."""
@@ -176,6 +183,7 @@
         self._starts = DEFAULT_WEIGHT_STARTS
         self._used_cores = 0.0
         self._steady_used_cores = 0.0
+        self._highest_used_cores = 0.0
         self._late_timers = 0
 
     @property
@@ -197,7 +205,12 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether the process uses nearly all of its processor capacity."""
+        """Whether the process uses nearly all of its processor capacity.
+
+        With a learned capacity, timers must be late as well.
+        """
+        if not self._is_capacity_known and self._late_timers < LATE_TIMERS:
+            return False
         full_cores = FULL_SHARE * self._capacity_cores
         return 0.0 < full_cores <= self._used_cores
 
@@ -223,13 +236,25 @@
         self._used_cores += USED_WEIGHT * (used_cores - self._used_cores)
         self._steady_used_cores += FREE_WEIGHT * (used_cores - self._steady_used_cores)
         self._late_timers = self._late_timers + 1 if late_s >= LATE_S else 0
-        if not self._is_capacity_known and self._late_timers >= LATE_TIMERS:
-            learned = max(self._capacity_cores, self._used_cores)
-            self._capacity_cores = min(MAX_CORES, learned)
+        if not self._is_capacity_known:
+            self._learn_capacity()
         if starts >= MIN_STARTS_PER_SAMPLE:
             self._cpu_s = SAMPLE_DECAY * self._cpu_s + cpu_s
             self._starts = SAMPLE_DECAY * self._starts + starts
 
+    def _learn_capacity(self) -> None:
+        """Learn from the processor share in use whether timers are late at it."""
+        self._highest_used_cores = max(self._highest_used_cores, self._used_cores)
+        if self._late_timers >= LATE_TIMERS_TO_LOWER:
+            learned = self._used_cores
+        elif self._late_timers >= LATE_TIMERS:
+            learned = max(self._capacity_cores, self._highest_used_cores)
+        elif not self._late_timers:
+            learned = self._capacity_cores * LEARNED_GROWTH
+        else:
+            return
+        self._capacity_cores = min(MAX_CORES, learned)
+
 
 @dataclass(slots=True, kw_only=True)
 class _Bucket:
--- a/src/cassiaturn/sharing/tests/test_start_rate.py
+++ b/src/cassiaturn/sharing/tests/test_start_rate.py
@@ -124,3 +124,19 @@
         rate.observe(cpu_s=0.03, starts=60, elapsed_s=0.075, late_s=0.025)
     assert rate.capacity_cores == pytest.approx(0.4, abs=0.02)
     assert rate.is_full
+
+
+def test_wrongly_learned_capacity_is_corrected() -> None:
+    """Guards against jobs refused for ever after timers that were late by chance."""
+    rate = StartRate()
+    for _ in range(2):
+        rate.observe(cpu_s=0.01, starts=20, elapsed_s=0.07, late_s=0.02)
+    assert rate.capacity_cores < 0.2
+    for _ in range(200):
+        rate.observe(cpu_s=0.025, starts=50, elapsed_s=0.05, late_s=0.0)
+        assert not rate.is_full
+    assert rate.capacity_cores > 0.9
+    for _ in range(10):
+        rate.observe(cpu_s=0.03, starts=60, elapsed_s=0.075, late_s=0.025)
+    assert rate.capacity_cores == pytest.approx(0.4, abs=0.02)
+    assert rate.is_full
