Take the capacity from the settings alone, and the cost from the resource usage

With at most one core counted, a leader on 2.15 cores would have counted as full at 0.42 of its load.

Change: no limit of one core; full from 0.85 of the capacity; samples by the resource usage, with the clock that the choice of leaders uses; nothing is learned from late timers.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -18,6 +18,7 @@
     TaskRef,
 )
 from cassiaturn.fleet._caller_jobs import CallerJobs, OpenJob
+from cassiaturn.fleet._cpu_clock import cpu_time_s
 from cassiaturn.fleet._drains import CurrentDrains
 from cassiaturn.fleet._failures import report_failure
 from cassiaturn.fleet._leader_load import LeaderLoad
@@ -192,7 +193,7 @@
         self._start_demand = StartDemand()
         self._forecasts = settings.admission == "forecast"
         self._sampled_at = time.monotonic()
-        self._sampled_cpu_s = time.process_time()
+        self._sampled_cpu_s = cpu_time_s()
         self._sampled_starts = 0
         self._heard_counted_at = float("-inf")
         self._heard_count = 0
@@ -668,7 +669,7 @@
             cpu_share = (time.process_time() - cpu_before_s) / (now - began_at)
             self._cpu_headroom.observe(now - due_at, cpu_share)
             if self._forecasts:
-                self._update_start_rate(now - due_at, now)
+                self._update_start_rate(now)
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
@@ -696,15 +697,14 @@
                 self._tables, self, before=self._pauses.began_at, now=now
             )
 
-    def _update_start_rate(self, late_s: float, now: float) -> None:
+    def _update_start_rate(self, now: float) -> None:
         """Sample the cost of the last tick's starts, and decide which jobs to shed."""
-        cpu_s = time.process_time()
+        cpu_s = cpu_time_s()
         starts = self._tables.counters.starts
         self._start_rate.observe(
             cpu_s=cpu_s - self._sampled_cpu_s,
             starts=starts - self._sampled_starts,
             elapsed_s=now - self._sampled_at,
-            late_s=late_s,
         )
         self._sampled_at = now
         self._sampled_cpu_s = cpu_s
--- a/src/cassiaturn/sharing/_start_rate.py
+++ b/src/cassiaturn/sharing/_start_rate.py
@@ -30,10 +30,6 @@
 """Share of the processor capacity that starts may use. The rest keeps timers and
 heartbeats on time."""
 
-MAX_CORES = 1.0
-"""Processor capacity that the process can use, in cores: one thread runs its event
-loop."""
-
 MIN_STARTS_PER_SAMPLE = 10
 """Starts in a sample below which it does not count: the processor time of timers and
 heartbeats would weigh too much."""
@@ -46,10 +42,9 @@
 """Weight of the latest sample in the moving average of the processor share: a process
 at 0.6 of its capacity counts as full two ticks after a burst begins."""
 
-FULL_SHARE = 0.9
-"""Share of the processor capacity in use from which the process counts as full. It is
-above the planned share, so that a process that has processor time left sheds
-nothing."""
+FULL_SHARE = 0.85
+"""Share of the processor capacity in use from which the process counts as full. A
+saturated process was measured to use 0.93 of it."""
 
 FREE_SHARE = 0.6
 """Share of the processor capacity in use below which the process has time left, so that
@@ -60,20 +55,6 @@
 """Weight of the latest sample in the average that this is compared with. The few jobs
 of one tick vary too much."""
 
-LATE_S = 0.01
-"""Lateness of a timer from which the processor may be the limit, in seconds."""
-
-LEARNED_GROWTH = 1.02
-"""Factor by which a learned capacity grows with each timer on time. Two late timers may
-have another cause; a capacity learned from them is corrected within 6 s."""
-
-LATE_TIMERS_TO_LOWER = 4
-"""Consecutive late timers from which a learned capacity falls to what is in use."""
-
-LATE_TIMERS = 2
-"""Consecutive timers that must be late for the capacity to be learned: a single one
-indicates a pause of the process."""
-
 MAX_SHARE = 0.9
 """Largest share of a priority that is refused. The remaining jobs show how many starts
 are requested."""
@@ -177,18 +158,15 @@
 
         :param cpu_cores: processor capacity of the host, in cores; 0: not known.
         """
-        self._is_capacity_known = cpu_cores > 0.0
-        self._capacity_cores = min(MAX_CORES, cpu_cores)
+        self._capacity_cores = cpu_cores
         self._cpu_s = DEFAULT_START_COST_S * DEFAULT_WEIGHT_STARTS
         self._starts = DEFAULT_WEIGHT_STARTS
         self._used_cores = 0.0
         self._steady_used_cores = 0.0
-        self._highest_used_cores = 0.0
-        self._late_timers = 0
 
     @property
     def capacity_cores(self) -> float:
-        """Processor capacity that the process can use, in cores; 0: not known."""
+        """Processor capacity of the host, in cores; 0: not known."""
         return self._capacity_cores
 
     @property
@@ -205,12 +183,7 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether the process uses nearly all of its processor capacity.
-
-        With a learned capacity, timers must be late as well.
-        """
-        if not self._is_capacity_known and self._late_timers < LATE_TIMERS:
-            return False
+        """Whether the process uses nearly all of its processor capacity."""
         full_cores = FULL_SHARE * self._capacity_cores
         return 0.0 < full_cores <= self._used_cores
 
@@ -219,42 +192,23 @@
         """Whether the process has processor time left."""
         return self._steady_used_cores < FREE_SHARE * self._capacity_cores
 
-    def observe(
-        self, *, cpu_s: float, starts: int, elapsed_s: float, late_s: float
-    ) -> None:
+    def observe(self, *, cpu_s: float, starts: int, elapsed_s: float) -> None:
         """Add the sample of one tick.
 
         :param cpu_s: processor time used since the previous sample, in seconds of one
             core.
         :param starts: starts made since then.
         :param elapsed_s: time since then, in seconds.
-        :param late_s: by how much the timer of this sample fired late, in seconds.
         """
         if elapsed_s <= 0.0:
             return
         used_cores = cpu_s / elapsed_s
         self._used_cores += USED_WEIGHT * (used_cores - self._used_cores)
         self._steady_used_cores += FREE_WEIGHT * (used_cores - self._steady_used_cores)
-        self._late_timers = self._late_timers + 1 if late_s >= LATE_S else 0
-        if not self._is_capacity_known:
-            self._learn_capacity()
         if starts >= MIN_STARTS_PER_SAMPLE:
             self._cpu_s = SAMPLE_DECAY * self._cpu_s + cpu_s
             self._starts = SAMPLE_DECAY * self._starts + starts
 
-    def _learn_capacity(self) -> None:
-        """Learn from the processor share in use whether timers are late at it."""
-        self._highest_used_cores = max(self._highest_used_cores, self._used_cores)
-        if self._late_timers >= LATE_TIMERS_TO_LOWER:
-            learned = self._used_cores
-        elif self._late_timers >= LATE_TIMERS:
-            learned = max(self._capacity_cores, self._highest_used_cores)
-        elif not self._late_timers:
-            learned = self._capacity_cores * LEARNED_GROWTH
-        else:
-            return
-        self._capacity_cores = min(MAX_CORES, learned)
-
 
 @dataclass(slots=True, kw_only=True)
 class _Bucket:
