--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -585,6 +585,8 @@
             settings=settings_for_lease(
                 self.settings.lease_ms / MILLISECONDS,
                 remote_rack_factor=self.settings.remote_rack_factor,
+                admission=self.settings.admission,
+                cpu_cores=self.settings.cpu_cores,
             ),
             known_targets=self._roster.targets_by_id,
             knows_all_targets=self._roster.is_whole,
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -90,6 +90,7 @@
         failure_domain: str = "a",
         share_estimates: bool = False,
         cpu_cores: float | None = None,
+        admission: str = "backlog",
     ) -> None:
         host, _, port = store.rpartition(":")
         callers, readiness, members, metrics, behind_relay = free_addresses(5)
@@ -106,6 +107,7 @@
             link_mbps=link_mbps,
             share_estimates=share_estimates,
             cpu_share=cpu_cores,
+            admission=admission,
         )
         self._client = _InterruptibleClient()
         self.adapter = PlatformAdapter(self.settings, client=self._client)
@@ -162,8 +164,11 @@
 class Fleet:
     """Three members, four runners and a store."""
 
-    def __init__(self, *, share_estimates: bool = False) -> None:
+    def __init__(
+        self, *, share_estimates: bool = False, admission: str = "backlog"
+    ) -> None:
         self.share_estimates = share_estimates
+        self._admission = admission
         self.store = StandinStore()
         self.runners = [StandinRunner(f"i-{index}") for index in range(4)]
         self.members: list[RunningMember] = []
@@ -201,6 +206,7 @@
             failure_domain=failure_domain,
             share_estimates=self.share_estimates,
             cpu_cores=cpu_cores,
+            admission=self._admission,
         )
         await member.start()
         self.members.append(member)
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -32,6 +32,7 @@
 from cassiaturn.sharing._expected_runs import ExpectedRuns
 from cassiaturn.sharing._failed_target import failed_target_pause_s
 from cassiaturn.sharing._feasibility import Progress, latest_start
+from cassiaturn.sharing._forecast_error import ForecastError
 from cassiaturn.sharing._job_queue import JobQueue, queue_key
 from cassiaturn.sharing._leader_fitness import FitnessOrder, FitnessRank, HostCapacity
 from cassiaturn.sharing._link_capacity import should_hand_over
@@ -45,6 +46,13 @@
     own_effect,
 )
 from cassiaturn.sharing._speed_model import SpeedModel
+from cassiaturn.sharing._start_forecast import QueuedAhead, RoomForecast
+from cassiaturn.sharing._start_rate import (
+    StartDemand,
+    StartRate,
+    is_in_shed_share,
+    shares_by_priority,
+)
 from cassiaturn.sharing._stuck_job import stuck_job_deadline
 from cassiaturn.sharing._target_index import TargetIndex
 from cassiaturn.sharing._target_resources import TargetResources
@@ -62,6 +70,7 @@
     "ExpectedRuns",
     "FitnessOrder",
     "FitnessRank",
+    "ForecastError",
     "GroupKey",
     "HostCapacity",
     "JobQueue",
@@ -70,16 +79,21 @@
     "LoadShedder",
     "OrderKey",
     "Progress",
+    "QueuedAhead",
+    "RoomForecast",
     "SharedTarget",
     "SpeedEffect",
     "SpeedEstimate",
     "SpeedModel",
+    "StartDemand",
+    "StartRate",
     "TargetIndex",
     "TargetResources",
     "TransitDelay",
     "choose_shared_target",
     "failed_target_pause_s",
     "is_cpu_full",
+    "is_in_shed_share",
     "is_shed",
     "is_unfit",
     "job_deadlines",
@@ -93,6 +107,7 @@
     "relieves_cpu",
     "relieves_link",
     "remote_rack_factor",
+    "shares_by_priority",
     "should_hand_over",
     "spread_retry_after",
     "stuck_job_deadline",
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -23,6 +23,7 @@
 from cassiaturn.workload._drains import on_drained_domains
 from cassiaturn.workload._ends import note_done
 from cassiaturn.workload._estimates import list_estimates, restore_estimates
+from cassiaturn.workload._forecast import margin_of
 from cassiaturn.workload._intake import (
     Submission,
     cancel,
@@ -85,6 +86,7 @@
     "list_estimates",
     "holds_inherited_jobs",
     "note_done",
+    "margin_of",
     "next_check",
     "on_drained_domains",
     "on_lease_report",
