--- a/src/cassiaturn/fleet/tests/test_peers.py
+++ b/src/cassiaturn/fleet/tests/test_peers.py
@@ -35,17 +35,12 @@
 ]
 
 
-MIXED_MEMBERS = [
-    pb.Member(
-        member_id=f"m{number}",
-        address=f"10.0.0.{number}:1",
-        failure_domain=DOMAINS[number % len(DOMAINS)],
-        link_mbps=100.0 if number < WIDE_LINK_MEMBERS else 60.0,
-        cpu_cores=0.387 if number < WIDE_LINK_MEMBERS else 2.15,
-    )
-    for number in range(48)
-]
-"""Members of which those with the widest links have the smallest processors."""
+MIXED_MEMBERS = [pb.Member.FromString(each.SerializeToString()) for each in MEMBERS]
+"""Members of which those with high link bandwidth have small processors."""
+
+for mixed in MIXED_MEMBERS:
+    mixed.cpu_cores = 0.387 if mixed.link_mbps == 100.0 else 2.15
+    mixed.link_mbps = max(mixed.link_mbps, 60.0)
 
 
 def _peers_of(
@@ -165,9 +160,8 @@
     fake_peers(lambda member: True)
     first = []
     for listed in MEMBERS:
-        member = pb.Member()
-        member.CopyFrom(listed)
-        member.cpu_cores = 2.15
+        member = pb.Member(cpu_cores=2.15)
+        member.MergeFrom(listed)
         if not (await _peers_of(member).look(None)).members_before:
             first.append(member.member_id)
     assert first == [MEMBERS[0].member_id]
--- a/src/cassiaturn/sharing/tests/test_leader_fitness.py
+++ b/src/cassiaturn/sharing/tests/test_leader_fitness.py
@@ -1,6 +1,5 @@
 """Order of members as leaders, by what their hosts have for leading."""
 
-import math
 from collections.abc import Callable
 
 import pytest
@@ -46,10 +45,9 @@
 
 def test_processor_within_a_factor_of_two_justifies_no_wait() -> None:
     """Guards against callers that wait for a silent member that is hardly fitter."""
-    own = HostCapacity(link_mbps=100.0, cpu_cores=2.0)
-    silent = HostCapacity(link_mbps=100.0, cpu_cores=2.15)
-    order = FitnessOrder.among([own, silent])
-    assert not order.rank(silent).is_ahead_by_group_or_link(order.rank(own))
+    own, silent = (HostCapacity(link_mbps=9.5, cpu_cores=cpu) for cpu in (2.0, 2.15))
+    rank = FitnessOrder.among([own, silent]).rank
+    assert not rank(silent).is_ahead_by_group_or_link(rank(own))
 
 
 @given(st.lists(silent_hosts, min_size=1))
@@ -65,7 +63,7 @@
     """Guards against one wrong report that holds back, or disorders, all members."""
     host = HostCapacity.reported(HostCapacity(link_mbps=value, cpu_cores=value))
     assert host.cpu_cores == (value if 0.0 < value <= 1_000.0 else 0.0)
-    assert host.link_mbps == (value if 0.0 < value < math.inf else 0.0)
+    assert host.link_mbps == (value if 0.0 < value < float("inf") else 0.0)
 
 
 @pytest.mark.parametrize("own", HOSTS)
--- a/src/cassiaturn/workload/tests/test_leader_change.py
+++ b/src/cassiaturn/workload/tests/test_leader_change.py
@@ -107,8 +107,8 @@
 def test_a_leader_tells_whether_it_holds_inherited_jobs() -> None:
     """Guards against a change of leader that has inherited jobs wait a second time."""
     play = _new_leader(is_reachable=False)
-    play.submit("own", run_s=0.1)
     play.submit("a", run_s=0.3, begun_earlier=True, limit_s=4.0)
+    play.submit("own", run_s=1.0, limit_s=4.0)
     play.run(0.5)
     assert workload.holds_inherited_jobs(play.tables, play.now)
     play.run(2.0)
