--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -200,7 +200,7 @@
         failure_domain=failure_domain,
         is_confirmed=not message.unconfirmed,
         completed=to_completed(message.job_id, message.completed),
-        earlier_tokens=frozenset(message.earlier_tokens),
+        earlier_tokens=frozenset(message.earlier_tokens) or None,
     )
 
 
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -36,7 +36,7 @@
     """Since when it waits, on the monotonic clock, in seconds."""
 
     receipt: Receipt | None = None
-    """Set once the frame was written; None if nobody waits for that."""
+    """Settled once the frame was written; None if nobody waits for that."""
 
 
 class Follower:
@@ -154,7 +154,10 @@
 
     def _new_receipt(self) -> Receipt:
         receipt = Receipt()
-        self._receipts.add(receipt)
+        if self.is_gone:
+            receipt.settle()
+        else:
+            self._receipts.add(receipt)
         return receipt
 
     def send_heartbeat(self) -> None:
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -190,6 +190,9 @@
         )
         self._shedder = LoadShedder()
         self._cpu_headroom = CpuHeadroom()
+        self._cores = min(1.0, settings.cpu_cores or 1.0)
+        """Processor capacity of the host in cores, at most one."""
+
         self._start_rate = StartRate(cpu_cores=settings.cpu_cores)
         self._start_demand = StartDemand()
         self._forecasts = settings.admission == "forecast"
@@ -352,15 +355,24 @@
 
     @property
     def unreported_targets(self) -> frozenset[str]:
-        """Targets on which this leader has no runs: they have not reported to it."""
-        return self._tables.unreported_targets
+        """Targets on which this leader has no runs.
+
+        They have not listed their runs to it, or their leases are over since.
+        """
+        return frozenset(self._tables.unreported_ids)
 
     def note_unheard_by_predecessor(self, target_ids: frozenset[str]) -> None:
-        """Record which targets had not reported to the leader before this one.
+        """Record on which targets the leader before this one has no runs.
 
         :param target_ids: as that leader told when it stepped down.
         """
         self._tables.unheard_by_predecessor = target_ids
+        log_event(
+            Event.EARLIER_RUNS_KNOWN,
+            reason="unheard_targets",
+            targets=len(target_ids),
+            unreported=len(self._tables.unreported_ids),
+        )
         self._schedule_dispatch()
 
     def note_same_targets(self, tokens: frozenset[int]) -> None:
@@ -369,6 +381,12 @@
         :param tokens: the tokens of its term.
         """
         self._tables.same_targets_tokens |= tokens
+        log_event(
+            Event.EARLIER_RUNS_KNOWN,
+            reason="same_targets",
+            tokens=",".join(map(str, sorted(tokens))),
+            unreported=len(self._tables.unreported_ids),
+        )
         self._schedule_dispatch()
 
     def send_progress(self) -> None:
@@ -422,7 +440,7 @@
             begun_earlier=begun_earlier,
             failure_domain=self._failure_domain,
             completed=job.completed,
-            earlier_tokens=job.earlier_tokens if begun_earlier else frozenset(),
+            earlier_tokens=job.earlier_tokens or None,
         )
         self.accept_submission(submission)
 
@@ -693,7 +711,7 @@
             if paused_s:
                 self._hold_starts(now, paused_s)
             self._load.observe_loop_delay(now - due_at)
-            cpu_share = (cpu_time_s() - cpu_before_s) / (now - began_at)
+            cpu_share = (cpu_time_s() - cpu_before_s) / (now - began_at) / self._cores
             self._cpu_headroom.observe(now - due_at, cpu_share)
             if self._forecasts:
                 self._update_start_rate(now - due_at, now)
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -284,8 +284,8 @@
                 return FollowResult(
                     end=FollowEnd.REDIRECTED, named_leadership=named_leadership
                 )
-            self._begin()
             self._update_leadership(first.welcome)
+            self._begin()
             try:
                 return await self._serve(stream)
             finally:
--- a/src/cassiaturn/fleet/_term.py
+++ b/src/cassiaturn/fleet/_term.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Coroutine
 from collections.abc import Set as AbstractSet
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
 
 from cassiaturn.fleet._leader import Leader
 from cassiaturn.fleet._leader_row import ROW_RENEW_PERIOD_S, LeaderRow
@@ -152,6 +152,7 @@
         :returns: its result; None if a later leader is known.
         """
         working = asyncio.ensure_future(work)
+        told: asyncio.Future[Any] | None = None
         try:
             while not working.done() and self._later_leadership is None:
                 self._later_leader_known.clear()
@@ -161,6 +162,8 @@
             return working.result() if working.done() else None
         finally:
             working.cancel()
+            if told is not None:
+                told.cancel()
 
     async def _raise_token(self, terms: int) -> None:
         """Claim a higher token than the one that targets obey and no leader holds.
@@ -188,8 +191,11 @@
         heals, their leader would take every target away from this one, although this
         one serves more callers.
         """
-        await asyncio.sleep(PARTITION_SETTLE_S)
+        await self._unless_superseded(asyncio.sleep(PARTITION_SETTLE_S))
         silent, self._silent_members = self._silent_members, 0
+        if self._later_leadership is not None:
+            # A claim made now would outrank the successor that was asked to lead.
+            return
         remaining = len(self._member.service.followers)
         if remaining > silent:
             self._continue_as(self._member.next_leadership(reach=remaining))
--- a/src/cassiaturn/fleet/_told_ends.py
+++ b/src/cassiaturn/fleet/_told_ends.py
@@ -11,7 +11,8 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from dataclasses import dataclass
+from functools import partial
 
 TELL_TIMEOUT_S = 0.75
 """Longest wait for a frame to be written before an end is acknowledged anyway, in
@@ -48,10 +49,18 @@
         self._callbacks.append(callback)
 
 
-class _Ends(NamedTuple):
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Ends:
+    """Ends of runs that one list reported."""
+
     sequence: int
-    receipts: frozenset[Receipt]
+    """Sequence number of the last of them."""
+
+    unsettled: int
+    """Receipts that are not settled."""
+
     expires_at: float
+    """When they are acknowledged anyway, in seconds."""
 
 
 class ToldEnds:
@@ -68,8 +77,13 @@
     def acknowledged(self) -> int:
         """Sequence number of the last end that may be acknowledged."""
         now = time.monotonic()
-        while self._waiting and _is_told(self._waiting[0], now):
+        while self._waiting:
+            ends = self._waiting[0]
+            if ends.unsettled and now < ends.expires_at:
+                break
             self._acknowledged = self._waiting.popleft().sequence
+            self._unsettled -= ends.unsettled
+            ends.unsettled = 0
         return self._acknowledged
 
     def add(self, sequence: int, receipts: Iterable[Receipt]) -> None:
@@ -78,12 +92,16 @@
         :param sequence: sequence number of the last of them.
         :param receipts: receipts of the frames that tell of them.
         """
-        expires_at = time.monotonic() + TELL_TIMEOUT_S
-        unsettled = frozenset(receipt for receipt in receipts if not receipt.is_settled)
+        unsettled = {receipt for receipt in receipts if not receipt.is_settled}
+        ends = _Ends(
+            sequence=sequence,
+            unsettled=len(unsettled),
+            expires_at=time.monotonic() + TELL_TIMEOUT_S,
+        )
         for receipt in unsettled:
-            receipt.on_settled(self._count_settled)
+            receipt.on_settled(partial(self._count_settled, ends))
         self._unsettled += len(unsettled)
-        self._waiting.append(_Ends(sequence, unsettled, expires_at))
+        self._waiting.append(ends)
 
     async def wait(self, timeout_s: float) -> None:
         """Wait until every end may be acknowledged.
@@ -101,7 +119,11 @@
             timer.cancel()
             self._all_settled = None
 
-    def _count_settled(self) -> None:
+    def _count_settled(self, ends: _Ends) -> None:
+        if not ends.unsettled:
+            # They were acknowledged after their timeout.
+            return
+        ends.unsettled -= 1
         self._unsettled -= 1
         if not self._unsettled:
             self._end_wait()
@@ -109,9 +131,3 @@
     def _end_wait(self) -> None:
         if self._all_settled is not None and not self._all_settled.done():
             self._all_settled.set_result(None)
-
-
-def _is_told(ends: _Ends, now: float) -> bool:
-    return now >= ends.expires_at or all(
-        receipt.is_settled for receipt in ends.receipts
-    )
--- a/src/cassiaturn/fleet/tests/test_follower.py
+++ b/src/cassiaturn/fleet/tests/test_follower.py
@@ -61,4 +61,5 @@
         follower.send_progress("job", []),
     ]
     follower.close()
+    receipts.append(follower.send_progress("job", []))
     assert all(receipt.is_settled for receipt in receipts)
--- a/src/cassiaturn/fleet/tests/test_told_ends.py
+++ b/src/cassiaturn/fleet/tests/test_told_ends.py
@@ -52,6 +52,22 @@
     assert ends.acknowledged == 1
 
 
+async def test_a_frame_that_is_never_written_delays_no_later_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a pause before each request to a target for the rest of a term."""
+    monkeypatch.setattr(_told_ends, "TELL_TIMEOUT_S", 0.0)
+    ends = ToldEnds()
+    (receipt,) = _receipts(1)
+    ends.add(1, [receipt])
+    assert ends.acknowledged == 1
+    async with asyncio.timeout(5.0):
+        await ends.wait(60.0)
+    receipt.settle()
+    async with asyncio.timeout(5.0):
+        await ends.wait(60.0)
+
+
 def test_a_keeper_hands_on_what_it_was_told_once() -> None:
     """Guards against losing or repeating finished tasks at a change of leader."""
     kept = DoneTasks()
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -125,6 +125,10 @@
     TARGET_HEARD = _info("target_heard", "A target answers and told what it runs.")
     LEADER_ELECTED = _info("leader_elected", "This member leads from now on.")
     LEADER_RESIGNED = _info("leader_resigned", "This member no longer leads.")
+    EARLIER_RUNS_KNOWN = _info(
+        "earlier_runs_known",
+        "This leader learned on which targets an earlier one may have runs.",
+    )
     HAND_OVER_ASKED = _info(
         "hand_over_asked", "This leader asks another member to lead, for `reason`."
     )
--- a/src/cassiaturn/sharing/_cpu_headroom.py
+++ b/src/cassiaturn/sharing/_cpu_headroom.py
@@ -20,7 +20,8 @@
 """Consecutive timers that must be on time: one second at 20 timers a second."""
 
 BUSY_SHARE = 0.4
-"""Share of a core in use by the process from which it counts as busy."""
+"""Share of a core, or of the host's capacity if that is less, from which the process
+counts as busy."""
 
 SMOOTHING_WEIGHT = 0.25
 """Weight of the latest sample in the moving average of the processor share: it spans
@@ -44,8 +45,8 @@
         """Add the sample of one timer.
 
         :param late_s: by how much it fired late, in seconds.
-        :param cpu_share: share of a core that the process used since the previous
-            timer, 0 to 1.
+        :param cpu_share: processor time used since the previous timer over the time
+            that one core of the host could give.
         """
         self._cpu_share += SMOOTHING_WEIGHT * (cpu_share - self._cpu_share)
         is_busy = late_s >= LATE_S or self._cpu_share >= BUSY_SHARE
--- a/src/cassiaturn/sharing/_target_index.py
+++ b/src/cassiaturn/sharing/_target_index.py
@@ -63,7 +63,11 @@
         self._class_by_id: dict[str, _TargetClass] = {}
         self._row_by_id: dict[str, _Row[TargetT]] = {}
         self._ids_by_label: dict[str, dict[str, None]] = {}
-        """Targets with each label, in the order in which they were added."""
+        """Targets with each label."""
+
+        self._labels_by_id: dict[str, frozenset[str]] = {}
+        """Labels by which each target is indexed; those of the target may have changed
+        since."""
 
         self._changed: set[SharedTarget] = set()
         self._added = 0
@@ -72,18 +76,14 @@
         """Add a target; from now on it reports its changes to the index."""
         self._added += 1
         self._insert(target, self._added)
-        for label in target.labels:
-            self._ids_by_label.setdefault(label, {})[target.target_id] = None
+        self._index_labels(target.target_id, target.labels)
         target.changed_targets = self._changed
 
     def remove(self, target: TargetT) -> None:
         """Remove a target."""
         self._delete(target.target_id)
-        for label in target.labels:
-            ids = self._ids_by_label[label]
-            del ids[target.target_id]
-            if not ids:
-                del self._ids_by_label[label]
+        self._index_labels(target.target_id, frozenset())
+        del self._labels_by_id[target.target_id]
         self._changed.discard(target)
         target.changed_targets = None
 
@@ -115,10 +115,11 @@
         preferred_domain: str = "",
         remote_factor: float = 1.0,
     ) -> TargetT | None:
-        """Return the target that :func:`choose_shared_target` would choose.
+        """Return the target that a task should start on, or None if none fits.
 
-        A degraded target on the rack that the group names is also chosen if a task
-        still ends there sooner than on another rack.
+        It is the one that :func:`choose_shared_target` would choose, but for a degraded
+        target on the rack that the group names: it is chosen if a task still ends there
+        sooner than on another rack.
 
         :param is_usable: whether a target may take work now.
         :param avoided: ids of targets that failed this task before.
@@ -156,7 +157,11 @@
     ) -> TargetT | None:
         """Return the best target of the rack that a group names; None: none is free."""
         ids = self._ids_by_label.get(group.preferred_rack, {})
-        targets = (self._row_by_id[target_id].target for target_id in ids)
+        rows = sorted(
+            (self._row_by_id[target_id] for target_id in ids),
+            key=lambda row: row.sequence,
+        )
+        targets = (row.target for row in rows)
         return choose_shared_target(
             group,
             group_key,
@@ -216,9 +221,23 @@
             preferred_domain=preferred_domain,
         )
 
+    def _index_labels(self, target_id: str, labels: frozenset[str]) -> None:
+        """Index a target by its labels instead of those before."""
+        before = self._labels_by_id.get(target_id, frozenset())
+        for label in before - labels:
+            ids = self._ids_by_label[label]
+            del ids[target_id]
+            if not ids:
+                del self._ids_by_label[label]
+        for label in labels - before:
+            self._ids_by_label.setdefault(label, {})[target_id] = None
+        self._labels_by_id[target_id] = labels
+
     def _update(self) -> None:
         for target in self._changed:
             row = self._row_by_id[target.target_id]
+            if self._labels_by_id[target.target_id] != target.labels:
+                self._index_labels(target.target_id, target.labels)
             self._delete(target.target_id)
             self._insert(row.target, row.sequence)
         self._changed.clear()
--- a/src/cassiaturn/sharing/tests/test_target_index.py
+++ b/src/cassiaturn/sharing/tests/test_target_index.py
@@ -114,3 +114,36 @@
         is_tight=is_tight,
         preferred_domain=preferred_domain,
     )
+
+
+def test_a_target_is_found_by_its_labels_after_they_change() -> None:
+    """Guards against a wrong rack, and an error at the removal, after a restart."""
+    index = TargetIndex[SharedTarget]()
+    target = SharedTarget(
+        target_id="t",
+        failure_domain="d",
+        capacity=Resources(cpu_millis=16_000, memory_mib=1_000),
+        labels=frozenset({"rack-1"}),
+        slowness=2.5,
+    )
+    other = SharedTarget(
+        target_id="o",
+        failure_domain="d",
+        capacity=Resources(cpu_millis=16_000, memory_mib=1_000),
+    )
+    index.add(target)
+    index.add(other)
+    target.labels = frozenset({"rack-2"})
+    target.note_change()
+    chosen = {
+        rack: index.choose(
+            TaskGroup(count=1, resources=TASK, preferred_rack=rack),
+            KEY,
+            is_usable=_is_usable,
+            remote_factor=3.0,
+        )
+        for rack in ("rack-1", "rack-2")
+    }
+    assert chosen == {"rack-1": other, "rack-2": target}
+    index.remove(target)
+    assert index.targets == [other]
--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -349,7 +349,7 @@
         origin: str = "m1",
         failure_domain: str = "",
         begun_earlier: bool = False,
-        earlier_tokens: frozenset[int] = frozenset({PREDECESSOR_TOKEN}),
+        earlier_tokens: frozenset[int] | None = frozenset({PREDECESSOR_TOKEN}),
         waited_s: float = 0.0,
         told_wait_s: float | None = None,
         completed: frozenset[TaskRef] = frozenset(),
@@ -358,7 +358,8 @@
 
         :param lengths: of each task, in seconds; None: all as declared.
         :param rack: where the data of its tasks lies; empty: anywhere.
-        :param earlier_tokens: tokens of the leaders that may have begun it.
+        :param earlier_tokens: tokens of the leaders that may have begun it; None: not
+            told.
         :param waited_s: how long its caller has waited already, in seconds.
         :param told_wait_s: what the leader is told of that; None: the truth.
         :param completed: its tasks that are done under an earlier leader.
--- a/src/cassiaturn/workload/_directory.py
+++ b/src/cassiaturn/workload/_directory.py
@@ -109,8 +109,7 @@
     if target is None:
         return
     target.silent = True
-    # Across a partition another leader may start tasks there from now on.
-    target.has_reported = False
+    tables.note_lost(target)
     tables.set_stray_runs(target, set())
     forget_target(tables, target)
     for run in list(target.runs_by_ref.values()):
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -47,8 +47,8 @@
     begun_earlier: bool = False
     """Whether tasks of it may be running that an earlier leader started."""
 
-    earlier_tokens: frozenset[int] = frozenset()
-    """Tokens of the leaders that may have started them; empty: not told."""
+    earlier_tokens: frozenset[int] | None = None
+    """Tokens of the leaders that may have started them; None: not told."""
 
     failure_domain: str = ""
     """Failure domain of that member; empty: not known."""
@@ -130,9 +130,9 @@
     if submission.begun_earlier:
         # Tasks of it that wait here may run under a leader that this one knows nothing
         # of, also if this leader has started others of them.
-        is_unknown = not submission.earlier_tokens <= tables.covered_tokens
-        job.earlier_tokens |= submission.earlier_tokens
-        if not job.begun or is_unknown:
+        tokens = submission.earlier_tokens
+        job.earlier_tokens = _union(job.earlier_tokens, tokens)
+        if not job.begun or tokens is None or not tokens <= tables.covered_tokens:
             job.begun = True
             job.hold_until = now + tables.settings.inherited_hold_s
     limit_at = now + submission.limit_s
@@ -147,6 +147,13 @@
         tables.requeue(job)
 
 
+def _union(
+    one: frozenset[int] | None, other: frozenset[int] | None
+) -> frozenset[int] | None:
+    """Return all tokens; None if some were not told."""
+    return None if one is None or other is None else one | other
+
+
 def confirm(tables: Tables, job_id: str) -> bool:
     """Allow a job to be started, now that its member recorded that it may have begun.
 
@@ -245,7 +252,9 @@
         remaining_by_group=[group.count for group in request.groups],
         least_cpu_millis=min(group.resources.cpu_millis for group in request.groups),
         hold_until=hold_until,
-        earlier_tokens=submission.earlier_tokens,
+        earlier_tokens=(
+            submission.earlier_tokens if submission.begun_earlier else frozenset()
+        ),
         begun=submission.begun_earlier,
         failure_domain=submission.failure_domain,
         is_confirmed=submission.is_confirmed or submission.begun_earlier,
--- a/src/cassiaturn/workload/_reports.py
+++ b/src/cassiaturn/workload/_reports.py
@@ -108,7 +108,7 @@
         return
     if not target.has_reported or target.silent:
         ports.record(Event.TARGET_HEARD, target=target_id, runs=len(report.running))
-    target.has_reported = True
+    tables.note_reported(target)
     target.silent = False
     for ended in report.ended:
         if ended.sequence > target.ended_seen:
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -224,8 +224,8 @@
     """Until then one of its tasks may still run under an earlier leader, unless every
     target has reported; in seconds."""
 
-    earlier_tokens: frozenset[int] = frozenset()
-    """Tokens of the earlier leaders that may have runs of it."""
+    earlier_tokens: frozenset[int] | None = frozenset()
+    """Tokens of the earlier leaders that may have runs of it; None: not told."""
 
     failure_domain: str = ""
     """Failure domain of the member that first passed it on; empty: not known."""
@@ -473,6 +473,10 @@
     ended_jobs_by_id: "OrderedDict[str, EndedJob]" = field(default_factory=OrderedDict)
     """Jobs that ended recently, oldest first."""
 
+    unreported_ids: set[str] = field(default_factory=set)
+    """Targets on which this leader has no runs: they have not listed their runs to it,
+    or were lost since, so that their leases are over."""
+
     targets_by_id: dict[str, Target] = field(default_factory=dict)
     """All targets of the directory; add and remove them by the methods below."""
 
@@ -523,19 +527,34 @@
         if self.settings.admission == "forecast" and self.forecast is None:
             self.forecast = ForecastState()
 
-    def knows_runs_of(self, earlier_tokens: frozenset[int]) -> bool:
+    def knows_runs_of(self, earlier_tokens: frozenset[int] | None) -> bool:
         """Return whether the lists of targets contain all runs of some leaders.
 
-        :param earlier_tokens: tokens of those leaders; empty: not told.
+        :param earlier_tokens: tokens of those leaders; None: not told.
         """
         if not earlier_tokens or not self.knows_targets:
             return False
-        unknown = self.unreported_targets
         if earlier_tokens <= self.covered_tokens:
-            unknown -= self.unheard_by_predecessor
-        elif not earlier_tokens <= self.covered_tokens | self.same_targets_tokens:
+            return self.unreported_ids <= self.unheard_by_predecessor
+        if not earlier_tokens <= self.covered_tokens | self.same_targets_tokens:
             return False
-        return not unknown
+        # Another leader may have started tasks on a target after its last list.
+        return not self.unreported_ids and not any(
+            target.silent for target in self.targets_by_id.values()
+        )
+
+    def note_reported(self, target: Target) -> None:
+        """Record that a target has listed its runs."""
+        target.has_reported = True
+        self.unreported_ids.discard(target.target_id)
+
+    def note_lost(self, target: Target) -> None:
+        """Record that no run of this leader is left on a target.
+
+        Across a partition another leader may start tasks there from now on.
+        """
+        target.has_reported = False
+        self.unreported_ids.add(target.target_id)
 
     def may_start_on(self, target: Target) -> bool:
         """Return whether operators are known to allow starts on a target."""
@@ -568,6 +587,7 @@
     def add_target(self, target: Target) -> None:
         """Add a target and index it."""
         self.targets_by_id[target.target_id] = target
+        self.unreported_ids.add(target.target_id)
         speed_model = self.speeds_by_service.setdefault(target.service, SpeedModel())
         target.speed = speed_model.new_estimate(
             target.labels, own=self.inherited_effects_by_id.pop(target.target_id, None)
@@ -590,6 +610,7 @@
     def remove_target(self, target_id: str) -> None:
         """Remove a target."""
         target = self.targets_by_id.pop(target_id)
+        self.unreported_ids.discard(target_id)
         self.index_by_service[target.service].remove(target)
 
     def has_responding_target(self, service: str) -> bool:
@@ -610,13 +631,4 @@
     @property
     def all_targets_reported(self) -> bool:
         """Whether every target has listed its runs to this leader."""
-        return not self.unreported_targets
-
-    @property
-    def unreported_targets(self) -> frozenset[str]:
-        """Targets without a list of runs for this leader since they were last lost."""
-        return frozenset(
-            target.target_id
-            for target in self.targets_by_id.values()
-            if not target.has_reported
-        )
+        return not self.unreported_ids
