Lead at once where a process has nothing to take over

Cause: a process that starts asks peers before it follows the row's leader and again before it claims; hosts without power do not answer, so each round takes its timeout of 0.1 s, and a connection to the last leader 0.4 s.

Ruled out: a shorter timeout for all members; those with running jobs must not outrun a slow peer.

Change: a process without state follows the row's leader without asking, waits 0.1 s for its connection, then 30 ms for peers; the row decides between claims.

Tests of silent leaders, wide links, fit leaders, slow successors and starts pass.

--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -35,6 +35,11 @@
 """Longest wait for a connection, and for the leader's first frame, in seconds: a
 hundred round trips."""
 
+EARLIER_CONNECT_TIMEOUT_S = 0.1
+"""Longest wait for a connection to a leader that this process has never followed, in
+seconds: thirty round trips. After a power loss of all hosts, that of the last leader
+may come back later than others, and a host without power does not refuse."""
+
 LEADER_SILENCE_S = 0.45
 """Silence after which the leader counts as lost, in seconds: three heartbeats. With
 0.1 s to ask peers and claim, and lease renewals every 0.3 s, a successor reaches the
@@ -60,6 +65,10 @@
 """Longest wait for a peer's view of the leader, in seconds: thirty times the usual one.
 In a network partition some peers never answer, and callers wait meanwhile."""
 
+QUICK_LOOK_TIMEOUT_S = 0.03
+"""The same for a member that has no state to take over, in seconds. It can only claim
+by the row, which decides if a peer that has not answered by then claims as well."""
+
 MILLISECONDS = 1000
 
 STREAM_ERRORS = (
@@ -122,6 +131,7 @@
         read_drains: Callable[[pb.DrainedDomains], None],
         on_leadership: Callable[[Leadership], None],
         cpu_load: CpuLoad,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
         read_estimates: Callable[[pb.Estimates, str], None] | None = None,
     ) -> None:
         """Prepare to follow; :meth:`run` opens the stream.
@@ -134,6 +144,7 @@
             knows.
         :param on_leadership: called when the leader continues under a higher token.
         :param cpu_load: how busy this process is, for heartbeats.
+        :param connect_timeout_s: longest wait for the connection, in seconds.
         :param read_estimates: called with estimates and the leader's member id; None:
             they are not kept.
         """
@@ -158,6 +169,7 @@
         self._on_leadership = on_leadership
         self._read_estimates = read_estimates
         self._cpu_load = cpu_load
+        self._connect_timeout_s = connect_timeout_s
         self._frames: asyncio.Queue[pb.FollowerFrame] = asyncio.Queue()
         self._sent_routing_version = 0
         self._known_pauses = 0
@@ -271,7 +283,7 @@
     async def _run(self, channel: Channel) -> FollowResult:
         # Connecting to an unreachable host would take minutes without this timeout; an
         # open stream is bounded by the check for silence below.
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with asyncio.timeout(self._connect_timeout_s):
             await channel.__connect__()
         async with FleetStub(channel).Follow.open() as stream:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -452,6 +464,8 @@
     address: Address,
     token: int,
     announced: Leadership | None = None,
+    *,
+    timeout_s: float = LOOK_TIMEOUT_S,
 ) -> Look | LookFailure:
     """Ask a peer for its view of a leader.
 
@@ -459,12 +473,13 @@
     :param token: the token of that leader.
     :param announced: the caller's own leadership, to announce it; None if it does not
         lead.
+    :param timeout_s: longest wait for the answer, in seconds.
     :returns: the peer's answer, or why there is none.
     """
     request = pb.LookRequest(token=token, announced=from_leadership(announced))
     channel = Channel(address.host, address.port)
     try:
-        reply = await run_apart(_request_look(channel, request))
+        reply = await run_apart(_request_look(channel, request, timeout_s))
     except STREAM_ERRORS as error:
         log_event(Event.PEER_LOST, address=str(address), detail=repr(error))
         is_refused = isinstance(error, ConnectionRefusedError)
@@ -479,7 +494,9 @@
     )
 
 
-async def _request_look(channel: Channel, request: pb.LookRequest) -> pb.LookReply:
-    async with asyncio.timeout(LOOK_TIMEOUT_S):
+async def _request_look(
+    channel: Channel, request: pb.LookRequest, timeout_s: float
+) -> pb.LookReply:
+    async with asyncio.timeout(timeout_s):
         await channel.__connect__()
         return await FleetStub(channel).Look(request)
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -23,6 +23,10 @@
     LeaderRow,
 )
 from cassiaturn.fleet._leader_stream import (
+    CONNECT_TIMEOUT_S,
+    EARLIER_CONNECT_TIMEOUT_S,
+    LOOK_TIMEOUT_S,
+    QUICK_LOOK_TIMEOUT_S,
     REDIRECT_WAIT_S,
     FollowEnd,
     FollowResult,
@@ -427,13 +431,25 @@
             deciding.cancel()
 
     async def _decide_step(self, loss: Loss, *, tries: int) -> Step:
-        knows_targets = bool(self._roster.targets_by_id)
+        knows_targets = self._knows_targets
+        is_quick = not knows_targets and loss in (Loss.NEVER_KNOWN, Loss.GONE)
         # In sequence, the full timeout during an outage of the table service would be
         # added to the timeout for members that are gone.
-        view, survey = await asyncio.gather(
-            self._row.read(QUICK_READ_TIMEOUT_S if knows_targets else CALL_TIMEOUT_S),
-            self._peers.look(self.known_leadership),
+        looking = asyncio.ensure_future(
+            self._peers.look(
+                self.known_leadership,
+                timeout_s=QUICK_LOOK_TIMEOUT_S if is_quick else LOOK_TIMEOUT_S,
+            )
         )
+        try:
+            view = await self._row.read(
+                QUICK_READ_TIMEOUT_S if knows_targets else CALL_TIMEOUT_S
+            )
+            if is_quick and self._follow_row(view.leadership):
+                return Step.FOLLOW
+            survey = await looking
+        finally:
+            looking.cancel()
         election_view = ElectionView(
             loss=loss,
             known=self.known_leadership,
@@ -462,6 +478,32 @@
         )
         return step
 
+    @property
+    def _knows_targets(self) -> bool:
+        """Whether this process has led, or has followed a leader that told targets."""
+        return bool(self._roster.targets_by_id)
+
+    def _follow_row(self, leadership: Leadership | None) -> bool:
+        """Follow the leader in the row if it is later than the one that is known.
+
+        A process that has just started need not wait for peers that do not answer:
+        after a power loss of all hosts, most of them do not.
+
+        :returns: whether to follow it.
+        """
+        if leadership is None or leadership.token <= self._known_token():
+            return False
+        self.known_leadership = leadership
+        log_event(
+            Event.LEADER_LOST,
+            loss=Loss.NEVER_KNOWN,
+            step=Step.FOLLOW,
+            looks=0,
+            asked=0,
+            token=leadership.token,
+        )
+        return True
+
     async def _follow(self, leadership: Leadership) -> FollowResult:
         asked_by, self._asked_by = self._asked_by, None
         if asked_by is not None:
@@ -495,6 +537,9 @@
                 self._estimates.read if self._estimates is not None else None
             ),
             cpu_load=self.cpu_load,
+            connect_timeout_s=(
+                CONNECT_TIMEOUT_S if self._knows_targets else EARLIER_CONNECT_TIMEOUT_S
+            ),
         )
         self._following = stream
         self._leadership_announced.clear()
--- a/src/cassiaturn/fleet/_peers.py
+++ b/src/cassiaturn/fleet/_peers.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from cassiaturn.entities import Address
-from cassiaturn.fleet._leader_stream import ask_peer
+from cassiaturn.fleet._leader_stream import LOOK_TIMEOUT_S, ask_peer
 from cassiaturn.fleet._leadership import NO_TOKEN, Leadership, Look, LookFailure
 from cassiaturn.fleet._roster import Roster
 from cassiaturn.settings import FleetSettings
@@ -125,10 +125,13 @@
         if len(self._known_addresses) > MAX_KNOWN_ADDRESSES:
             self._known_addresses.popitem(last=False)
 
-    async def look(self, lost: Leadership | None) -> PeerSurvey:
+    async def look(
+        self, lost: Leadership | None, *, timeout_s: float = LOOK_TIMEOUT_S
+    ) -> PeerSurvey:
         """Ask other members, and the lost leader, about the leadership.
 
         :param lost: the leader that was lost; None if there was none.
+        :param timeout_s: longest wait for an answer, in seconds.
         """
         hosts_by_address = self._hosts_by_address(
             without=lost.address if lost is not None else ""
@@ -143,8 +146,8 @@
         others = random.sample(after, min(LATER_ASKED, len(after)))
         token = lost.token if lost is not None else NO_TOKEN
         looks_by_address, lost_answer = await asyncio.gather(
-            _ask_all([*before[:EARLIER_ASKED_AT_ONCE], *others], token),
-            self._ask_lost_leader(lost),
+            _ask_all([*before[:EARLIER_ASKED_AT_ONCE], *others], token, timeout_s),
+            self._ask_lost_leader(lost, timeout_s),
         )
         # If none of the first members answers, ask the next ones: otherwise each later
         # member would claim as the first.
@@ -153,7 +156,7 @@
             looks_by_address, hosts_by_address
         ):
             batch = before[asked : asked + EARLIER_ASKED_AT_ONCE]
-            looks_by_address |= await _ask_all(batch, token)
+            looks_by_address |= await _ask_all(batch, token, timeout_s)
             asked += EARLIER_ASKED_AT_ONCE
         answers = [look for look in looks_by_address.values() if isinstance(look, Look)]
         share = len(answers) / max(1, len(looks_by_address))
@@ -210,10 +213,13 @@
             for member in self._roster.members
         )
 
-    async def _ask_lost_leader(self, lost: Leadership | None) -> Look | LookFailure:
+    async def _ask_lost_leader(
+        self, lost: Leadership | None, timeout_s: float
+    ) -> Look | LookFailure:
         if lost is None or lost.address == self._own_address:
             return LookFailure.REFUSED
-        return await ask_peer(to_address(lost.address), lost.token)
+        address = to_address(lost.address)
+        return await ask_peer(address, lost.token, timeout_s=timeout_s)
 
     async def announce(self, leadership: Leadership) -> Sequence[Look]:
         """Announce a leadership to every known member; returns their answers."""
@@ -268,10 +274,13 @@
 
 
 async def _ask_all(
-    addresses: Sequence[str], token: int
+    addresses: Sequence[str], token: int, timeout_s: float
 ) -> dict[str, Look | LookFailure]:
     looks = await asyncio.gather(
-        *(ask_peer(to_address(address), token) for address in addresses)
+        *(
+            ask_peer(to_address(address), token, timeout_s=timeout_s)
+            for address in addresses
+        )
     )
     return dict(zip(addresses, looks, strict=True))
 
--- a/src/cassiaturn/fleet/tests/test_peers.py
+++ b/src/cassiaturn/fleet/tests/test_peers.py
@@ -77,7 +77,12 @@
         self._members_by_address = {member.address: member for member in members}
 
     async def ask_peer(
-        self, address: Address, token: int, announced: object = None
+        self,
+        address: Address,
+        token: int,
+        announced: object = None,
+        *,
+        timeout_s: float = 0.1,
     ) -> Look | LookFailure:
         self.count += 1
         member = self._members_by_address[str(address)]
