--- a/src/cassiaturn/platform/tests/test_wide_links.py
+++ b/src/cassiaturn/platform/tests/test_wide_links.py
@@ -83,9 +83,9 @@
         (wide,) = await _with_wide_members(fleet, 1)
     look = wide.member._peers.look
 
-    async def look_late(lost: Leadership | None) -> PeerSurvey:
+    async def look_late(lost: Leadership | None, *, timeout_s: float) -> PeerSurvey:
         await asyncio.sleep(1.5 * LOOK_TIMEOUT_S)
-        return await look(lost)
+        return await look(lost, timeout_s=timeout_s)
 
     monkeypatch.setattr(wide.member._peers, "look", look_late)
     await fleet.kill(fleet.leader())
