Hold the first library in the test of an early port

Cause: holds tornado, which a member imports after its port would be open late as well; with the early opening removed, that test still passed.

Change: the library that is held is logbook, the first that is imported after the port is opened.

Result: passes; with the early opening removed it fails, as no caller can connect.

--- a/src/cassiaturn/platform/tests/test_start.py
+++ b/src/cassiaturn/platform/tests/test_start.py
@@ -149,10 +149,10 @@
 while not (folder / "go_on").exists():
     time.sleep(0.005)
 sys.path.remove(str(folder))
-del sys.modules["tornado"]
-importlib.import_module("tornado")
+del sys.modules["logbook"]
+importlib.import_module("logbook")
 """
-"""Stands in for a library that a member imports until the test lets it go on."""
+"""Stands in for the first library that a member imports; the test lets it go on."""
 
 SETTINGS = """\
 kind: fleet
@@ -177,7 +177,7 @@
     """
     held = tmp_path / "held"
     held.mkdir()
-    (held / "tornado.py").write_text(HELD_LIBRARY)
+    (held / "logbook.py").write_text(HELD_LIBRARY)
     store = StandinStore()
     store.start()
     store.state.put("op", "config", CONFIGURATION)
