Log the starts made, their processor time and the waits of jobs each second

Cause: while members refused jobs on a leader's behalf, no line told whether its callers waited for its processor, nor what its starts cost: requested and possible starts were logged only when the refused priorities changed, and nothing at all by a leader with the other policy of admission.

Change: leader_load has the requested starts, those made, the processor time in cores, the jobs that began, those of them that began too late, and their mean and longest wait.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -451,11 +451,13 @@
     def accept_submission(self, submission: Submission) -> None:
         """Queue or refuse a job of any member."""
         now = time.monotonic()
+        starts = sum(group.count for group in submission.request.groups)
+        self._load.count_submission(starts)
         if self._forecasts and not submission.begun_earlier:
             self._start_demand.note(
                 submission.request.job_id,
                 priority=submission.route.priority,
-                starts=sum(group.count for group in submission.request.groups),
+                starts=starts,
                 now=now,
             )
         outcome = workload.submit(self._tables, self, submission, now)
--- a/src/cassiaturn/fleet/_leader_load.py
+++ b/src/cassiaturn/fleet/_leader_load.py
@@ -5,14 +5,17 @@
 
 Grounds: bytes sent to followers by kind of frame, and frames queued for them, show a
 full link. The delay of the event loop shows a full processor. Requests to targets
-without an answer show the effect of either.
+without an answer show the effect of either. Processor time beside the starts made tells
+what a start costs; the waits of jobs tell whether its callers notice.
 """
 
 import time
 from collections import Counter
 from dataclasses import dataclass, field
 
+from cassiaturn.fleet._cpu_clock import cpu_time_s
 from cassiaturn.observability import Event, FleetMetrics, log_event
+from cassiaturn.workload import StartCounts
 
 LOG_PERIOD_S = 1.0
 """Period of the load log line, in seconds: callers notice an overload that lasts a
@@ -54,6 +57,12 @@
     max_loop_delay_s: float = 0.0
     """Largest delay of the event loop, in seconds."""
 
+    requested_starts: int = 0
+    """Tasks of the new jobs that reached this leader."""
+
+    cpu_s_at_start: float = field(default_factory=cpu_time_s)
+    """Processor time of the process up to the start of the period, in seconds."""
+
 
 class LeaderLoad:
     """Counts what this member sends as the leader; one instance per process."""
@@ -131,9 +140,17 @@
         self._metrics.loop_late(late_s)
         self._period.max_loop_delay_s = max(self._period.max_loop_delay_s, late_s)
 
+    def count_submission(self, starts: int) -> None:
+        """Count a new job that has reached this leader.
+
+        :param starts: number of its tasks, each of which is one start.
+        """
+        self._period.requested_starts += starts
+
     def log_if_due(
         self,
         *,
+        started: StartCounts,
         followers: int,
         waiting: int,
         called_bytes: int,
@@ -141,6 +158,7 @@
     ) -> float | None:
         """Write the load log line and start a new period, if the current one is over.
 
+        :param started: starts since the last line.
         :param followers: number of members that follow.
         :param waiting: frames queued for the follower with the longest queue.
         :param called_bytes: bytes of all calls since the process started.
@@ -171,5 +189,14 @@
             longest_wait_ms=round(period.longest_wait_s * 1000),
             late_ms=round(period.max_loop_delay_s * 1000),
             asks_first=asks_first,
+            requested=period.requested_starts,
+            starts=started.starts,
+            cpu_cores=round(
+                (cpu_time_s() - period.cpu_s_at_start) / (now - period.began_at), 3
+            ),
+            jobs=started.jobs,
+            late_jobs=started.late_jobs,
+            mean_wait_ms=round(started.waited_s / max(1, started.jobs) * 1000),
+            max_wait_ms=round(started.longest_wait_s * 1000),
         )
         return sent_mbps
--- a/src/cassiaturn/fleet/tests/test_leader_load.py
+++ b/src/cassiaturn/fleet/tests/test_leader_load.py
@@ -5,6 +5,7 @@
 
 from cassiaturn.fleet._leader_load import LOG_PERIOD_S, LeaderLoad
 from cassiaturn.observability import FleetMetrics, configure_logging
+from cassiaturn.workload import StartCounts
 
 
 def test_log_line_tells_full_link_from_full_processor() -> None:
@@ -22,8 +23,9 @@
     load.count_request("start", 0.004)
     load.observe_loop_delay(0.002)
     load._period.began_at = time.monotonic() - LOG_PERIOD_S
-    load.log_if_due(followers=1, waiting=31, called_bytes=5_000)
-    load.log_if_due(followers=1, waiting=31, called_bytes=5_000)
+    started = StartCounts()
+    load.log_if_due(started=started, followers=1, waiting=31, called_bytes=5_000)
+    load.log_if_due(started=started, followers=1, waiting=31, called_bytes=5_000)
     log.close()
     (line,) = stream.getvalue().splitlines()
     for pair in (
@@ -40,6 +42,31 @@
         assert pair in line
 
 
+def test_log_line_tells_short_waits_from_late_starts() -> None:
+    """Guards against refusals whose need for relief no log line can confirm."""
+    stream = io.StringIO()
+    log = configure_logging(stream=stream)
+    load = LeaderLoad(metrics=FleetMetrics(member_name="m", failure_domain="a"))
+    load.count_submission(8)
+    load.count_submission(2)
+    started = StartCounts(starts=9)
+    started.note_first_start(0.01, is_late=False)
+    started.note_first_start(0.09, is_late=True)
+    load._period.began_at = time.monotonic() - LOG_PERIOD_S
+    load.log_if_due(started=started, followers=1, waiting=0, called_bytes=0)
+    log.close()
+    for pair in (
+        "requested=10",
+        "starts=9",
+        "cpu_cores=",
+        " jobs=2",
+        "late_jobs=1",
+        "mean_wait_ms=50",
+        "max_wait_ms=90",
+    ):
+        assert pair in stream.getvalue()
+
+
 def test_first_log_line_of_a_term_leaves_out_earlier_terms() -> None:
     """A member leads again, long after its first term.
 
@@ -51,9 +78,10 @@
     load.count_request("start", 0.004)
     load._period.began_at = time.monotonic() - 50.0
     load.begin_term(called_bytes=5_000)
-    load.log_if_due(followers=1, waiting=0, called_bytes=5_100)
+    started = StartCounts()
+    load.log_if_due(started=started, followers=1, waiting=0, called_bytes=5_100)
     load._period.began_at -= LOG_PERIOD_S
-    load.log_if_due(followers=1, waiting=0, called_bytes=5_200)
+    load.log_if_due(started=started, followers=1, waiting=0, called_bytes=5_200)
     log.close()
     (line,) = stream.getvalue().splitlines()
     assert "calls_b=200" in line
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -48,6 +48,7 @@
     Outcome,
     Run,
     RunState,
+    StartCounts,
     Tables,
     Target,
     Task,
@@ -64,6 +65,7 @@
 __all__ = [
     "INHERITED_HOLD_S",
     "Counters",
+    "StartCounts",
     "Job",
     "MAX_STARTS_PER_TURN",
     "Outcome",
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -70,6 +70,7 @@
         if job.least_cpu_millis > free_cpu or not _may_start(tables, job, now):
             continue
         started: list[Run] = []
+        is_new = job.is_new
         for task in list(job.waiting):
             if task.group.resources.cpu_millis > free_cpu:
                 break
@@ -81,12 +82,23 @@
                 free_cpu = index.largest_free_cpu_millis(is_usable)
         if started:
             note_first_start(tables, job, now)
+            _count_starts(tables, job, len(started), now, is_new=is_new)
             started_count += len(started)
             tables.requeue(job)
             _record_starts(ports, job, started, now)
     return None
 
 
+def _count_starts(
+    tables: Tables, job: Job, starts: int, now: float, *, is_new: bool
+) -> None:
+    counts = tables.start_counts
+    counts.starts += starts
+    if is_new:
+        is_late = now + job.expected_run_s > job.deadlines.due_at
+        counts.note_first_start(now - job.arrived_at, is_late=is_late)
+
+
 def _max_starts(tables: Tables) -> int:
     """Return after how many starts the rest of a queue waits for the next turn."""
     if tables.forecast is None or tables.forecast.starts_per_s == float("inf"):
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -404,6 +404,37 @@
     """Those refused while queued since their answer can no longer be useful."""
 
 
+@dataclass(slots=True, kw_only=True)
+class StartCounts:
+    """Starts since these counts were last reported."""
+
+    starts: int = 0
+    """Tasks that were started."""
+
+    jobs: int = 0
+    """Jobs whose first task was started."""
+
+    late_jobs: int = 0
+    """Those among them that were started too late for an answer in time."""
+
+    waited_s: float = 0.0
+    """Sum of their waits from arrival to the first start, in seconds."""
+
+    longest_wait_s: float = 0.0
+    """Longest of these waits, in seconds."""
+
+    def note_first_start(self, waited_s: float, *, is_late: bool) -> None:
+        """Count the first start of a job.
+
+        :param waited_s: time since the job arrived, in seconds.
+        :param is_late: whether its answer cannot be in time any more.
+        """
+        self.jobs += 1
+        self.late_jobs += is_late
+        self.waited_s += waited_s
+        self.longest_wait_s = max(self.longest_wait_s, waited_s)
+
+
 @dataclass(slots=True, kw_only=True)
 class ForecastState:
     """What a leader that admits jobs by a forecast knows for it."""
@@ -519,6 +550,9 @@
     counters: Counters = field(default_factory=Counters)
     """Counters for the metrics."""
 
+    start_counts: StartCounts = field(default_factory=StartCounts)
+    """Starts since the last report of the leader's load."""
+
     forecast: ForecastState | None = None
     """State of admission by forecast; None: jobs are admitted by another policy."""
 
