Separate the demand for starts from what a start costs

Two jobs shared a module of 388 lines: the estimate of the starts a leader can make by their processor time, and the decision which jobs members refuse. Moved without a change of logic; the tests of sharing pass unchanged.

--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -46,13 +46,13 @@
     own_effect,
 )
 from cassiaturn.sharing._speed_model import SpeedModel
-from cassiaturn.sharing._start_forecast import QueuedAhead, RoomForecast
-from cassiaturn.sharing._start_rate import (
+from cassiaturn.sharing._start_demand import (
     StartDemand,
-    StartRate,
     is_in_shed_share,
     shares_by_priority,
 )
+from cassiaturn.sharing._start_forecast import QueuedAhead, RoomForecast
+from cassiaturn.sharing._start_rate import StartRate
 from cassiaturn.sharing._stuck_job import stuck_job_deadline
 from cassiaturn.sharing._target_index import TargetIndex
 from cassiaturn.sharing._target_resources import TargetResources
