Look at fewer targets for the largest free capacity

Cause: a profile of a leader at 900 starts a second shows some 110 checks of usable targets for each start, half of them to find the largest free capacity: the freest target of each of 50 classes is checked, although most classes have no more free than one already seen.

Change: a class is left as soon as its freest target has no more than the largest found. The result is the same.

The index's property test passes unchanged.

--- a/src/cassiaturn/sharing/_target_index.py
+++ b/src/cassiaturn/sharing/_target_index.py
@@ -99,10 +99,10 @@
         :param is_usable: whether a target may take work now.
         """
         self._update()
-        return max(
-            (_largest_free(rows, is_usable) for rows in self._rows_by_class.values()),
-            default=0,
-        )
+        largest = 0
+        for rows in self._rows_by_class.values():
+            largest = _largest_free(rows, is_usable, largest)
+        return largest
 
     def choose(
         self,
@@ -276,12 +276,15 @@
 
 
 def _largest_free(
-    rows: list[_Row[TargetT]], is_usable: Callable[[TargetT], bool]
+    rows: list[_Row[TargetT]], is_usable: Callable[[TargetT], bool], least: int
 ) -> int:
+    """Return the most that a usable target has free, at least what is given."""
     for row in reversed(rows):
+        if row.free_cpu_millis <= least:
+            return least
         if is_usable(row.target):
             return row.free_cpu_millis
-    return 0
+    return least
 
 
 def _left_over(free_cpu_millis: int, target_class: _TargetClass) -> float:
