Refuse jobs for the processor only if jobs are seen to wait for it

What callers saw: on the large site, jobs of the two less urgent priorities were refused for seconds while targets had room and the leader started what it accepted within milliseconds.

Cause: a prediction refused jobs, and nothing that was observed could refute it. The starts that a leader can make were its processor capacity over the processor time of a start, and that time is charged with all other work of the process. Fewer starts cost more each (0.6 to 0.8 ms at 1,160 to 1,670 a second, 1.0 to 1.3 ms at 754 to 1,018, the same hosts), so that refusing lowered the planned rate and kept itself up, with a full processor that never showed time left. A tenth of a second at twice the mean rate was enough to begin.

Ruled out: targets without room (0.9 of two priorities refused with free targets), late jobs (none started late in those seconds), frames to followers (the same number of heartbeats and lists). A profile shows no part of the work that grows with the refusals alone; why a start costs more when fewer are made is not traced further. Nothing depends on it any more.

Change: each pass over the queue tells whether it left jobs that targets have room for, and which part of its time the first of them has waited. Only then are jobs refused, and the starts made meanwhile, or lately over half a second, are what can be made. The processor time of a start is left for the forecast of a leader that was never behind. LoadShedder no longer acts on the same backlog where jobs are admitted by forecast.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -35,6 +35,7 @@
     FitnessRank,
     Lateness,
     LoadShedder,
+    StartBacklog,
     StartDemand,
     StartRate,
 )
@@ -42,6 +43,7 @@
     Job,
     Outcome,
     Run,
+    StartCounts,
     StartOrder,
     Submission,
     Tables,
@@ -194,11 +196,11 @@
         """Processor capacity of the host in cores, at most one."""
 
         self._start_rate = StartRate(cpu_cores=settings.cpu_cores)
+        self._start_backlog = StartBacklog()
         self._start_demand = StartDemand()
         self._forecasts = settings.admission == "forecast"
         self._sampled_at = time.monotonic()
         self._sampled_cpu_s = cpu_time_s()
-        self._sampled_starts = 0
         self._heard_counted_at = float("-inf")
         self._heard_count = 0
         self._logged_at = time.monotonic()
@@ -207,10 +209,6 @@
         self._told_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._is_dispatch_scheduled = False
-        self._behind_since = 0.0
-        """Monotonic time since which every pass over the queue has left jobs unstarted
-        that could still be in time, in seconds; 0 if the last pass left none."""
-
         self._pauses = PauseHold(own_id=leadership.member_id, now=time.monotonic())
         self._tables.unheard_members = self._pauses.unheard
         self._keeper: FollowerPort | None = None
@@ -255,9 +253,9 @@
         return self._start_demand.shares
 
     @property
-    def start_rate(self) -> StartRate:
-        """How many starts a second this process can make, for metrics."""
-        return self._start_rate
+    def starts_per_s(self) -> float:
+        """Starts that this process can make per second; infinite: not known."""
+        return self._start_backlog.possible_per_s(self._start_rate.starts_per_s)
 
     @property
     def asks_first(self) -> bool:
@@ -715,8 +713,10 @@
             self._load.observe_loop_delay(now - due_at)
             cpu_share = (cpu_time_s() - cpu_before_s) / (now - began_at) / self._cores
             self._cpu_headroom.observe(now - due_at, cpu_share)
+            counts, self._tables.start_counts = self._tables.start_counts, StartCounts()
+            self._load.count_starts(counts)
             if self._forecasts:
-                self._update_start_rate(now - due_at, now)
+                self._update_start_rate(counts, now - due_at, now)
             self._shed_load(now - due_at, now)
             self.on_tick()
             self._targets.tick(now)
@@ -744,26 +744,33 @@
                 self._tables, self, before=self._pauses.began_at, now=now
             )
 
-    def _update_start_rate(self, late_s: float, now: float) -> None:
-        """Sample the cost of the last tick's starts, and decide which jobs to shed.
+    def _update_start_rate(
+        self, counts: StartCounts, late_s: float, now: float
+    ) -> None:
+        """Sample the last tick's starts and answers, and decide which jobs to shed.
 
+        :param counts: its starts and answers.
         :param late_s: by how much the tick was late, in seconds.
         """
         cpu_s = cpu_time_s()
-        starts = self._tables.counters.starts
+        elapsed_s = now - self._sampled_at
         self._start_rate.observe(
             cpu_s=cpu_s - self._sampled_cpu_s,
-            starts=starts - self._sampled_starts,
-            elapsed_s=now - self._sampled_at,
+            starts=counts.starts,
+            elapsed_s=elapsed_s,
             late_s=late_s,
         )
+        self._start_backlog.observe(
+            starts=counts.starts,
+            elapsed_s=elapsed_s,
+            now=now,
+        )
         self._sampled_at = now
         self._sampled_cpu_s = cpu_s
-        self._sampled_starts = starts
         priorities_before = self._start_demand.shares.keys()
-        self._start_demand.update(self._start_rate, now)
+        self._start_demand.update(self._start_backlog, now)
         if self._tables.forecast is not None:
-            self._tables.forecast.starts_per_s = self._start_rate.starts_per_s
+            self._tables.forecast.starts_per_s = self.starts_per_s
         shares = self._start_demand.shares
         self._caller_jobs.shed_by_priority = shares
         if shares != self._told_shares and now - self._told_at >= SHARES_INTERVAL_S:
@@ -782,9 +789,11 @@
                     f"{priority}:{share:.2f}" for priority, share in shares.items()
                 ),
                 requested_per_s=round(requested),
-                starts_per_s=round(min(MAX_LOGGED_RATE, self._start_rate.starts_per_s)),
+                starts_per_s=round(min(MAX_LOGGED_RATE, self.starts_per_s)),
                 start_cost_us=round(self._start_rate.start_cost_s * 1e6),
                 capacity_cores=round(self._start_rate.capacity_cores, 3),
+                waited_share=round(self._start_backlog.waited_share, 2),
+                limited_ms=round(self._start_backlog.limited_s(now) * 1000),
                 queued=len(self._tables.jobs_by_id),
             )
 
@@ -801,9 +810,10 @@
             period_s=period_s,
             refused=refused - self._logged_refused,
             margin_ms=round(self.margin_s * 1000),
-            starts_per_s=round(min(MAX_LOGGED_RATE, self._start_rate.starts_per_s)),
+            starts_per_s=round(min(MAX_LOGGED_RATE, self.starts_per_s)),
             start_cost_us=round(self._start_rate.start_cost_s * 1e6),
             capacity_cores=round(self._start_rate.capacity_cores, 3),
+            waited_share=round(self._start_backlog.waited_share, 2),
             queued=len(self._tables.jobs_by_id),
             **{
                 f"share_{priority}": round(share, 2)
@@ -814,11 +824,13 @@
 
     def _shed_load(self, late_s: float, now: float) -> None:
         was_shedding = bool(self._shedder.share)
-        behind_s = now - self._behind_since if self._behind_since else 0.0
-        if self._start_demand.shares:
-            # The shares by priority answer this overload already. The other share
-            # would go on for seconds after its end.
-            late_s = behind_s = 0.0
+        behind_s = self._start_backlog.behind_s(now)
+        if self._forecasts:
+            # The shares by priority answer a backlog. The other share would go on for
+            # seconds after its end.
+            behind_s = 0.0
+            if self._start_demand.shares:
+                late_s = 0.0
         self._shedder.observe(late_s, now, behind_s=behind_s)
         self._caller_jobs.shed_share = self._shedder.share
         if bool(self._shedder.share) is not was_shedding:
@@ -852,10 +864,9 @@
         """
         if deferred is not None:
             self._schedule_dispatch()
-        if deferred is not Lateness.IN_TIME:
-            self._behind_since = 0.0
-        elif not self._behind_since:
-            self._behind_since = now
+        self._start_backlog.note_pass(
+            left=deferred, waited_share=self._tables.left_waited_share, now=now
+        )
 
     def _send_outcome(self, member_id: str, job_id: str, outcome: Outcome) -> None:
         if member_id == self.leadership.member_id:
--- a/src/cassiaturn/fleet/_leader_load.py
+++ b/src/cassiaturn/fleet/_leader_load.py
@@ -57,6 +57,9 @@
     max_loop_delay_s: float = 0.0
     """Largest delay of the event loop, in seconds."""
 
+    started: StartCounts = field(default_factory=StartCounts)
+    """Starts, and answers of jobs that were started in time."""
+
     requested_starts: int = 0
     """Tasks of the new jobs that reached this leader."""
 
@@ -147,10 +150,13 @@
         """
         self._period.requested_starts += starts
 
+    def count_starts(self, counts: StartCounts) -> None:
+        """Add the starts and answers of a tick."""
+        self._period.started.add(counts)
+
     def log_if_due(
         self,
         *,
-        started: StartCounts,
         followers: int,
         waiting: int,
         called_bytes: int,
@@ -158,7 +164,6 @@
     ) -> float | None:
         """Write the load log line and start a new period, if the current one is over.
 
-        :param started: starts since the last line.
         :param followers: number of members that follow.
         :param waiting: frames queued for the follower with the longest queue.
         :param called_bytes: bytes of all calls since the process started.
@@ -174,6 +179,7 @@
         sent = called + sum(period.bytes_by_kind.values())
         sent_mbps = sent * BITS_PER_BYTE / BITS_PER_MEGABIT / (now - period.began_at)
         self._period = _Period(began_at=now, called_bytes_at_start=called_bytes)
+        started = period.started
         log_event(
             Event.LEADER_LOAD,
             period_s=now - period.began_at,
@@ -198,5 +204,7 @@
             late_jobs=started.late_jobs,
             mean_wait_ms=round(started.waited_s / max(1, started.jobs) * 1000),
             max_wait_ms=round(started.longest_wait_s * 1000),
+            answers=started.answers,
+            late_answers=started.late_answers,
         )
         return sent_mbps
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -55,7 +55,7 @@
 from cassiaturn.settings import FleetSettings
 from cassiaturn.sharing import CpuLoad, HostCapacity
 from cassiaturn.v1 import fleet_pb2 as pb
-from cassiaturn.workload import StartCounts, settings_for_lease
+from cassiaturn.workload import settings_for_lease
 
 LOOK_PAUSE_S = 0.12
 """Longest pause before a member without a leader asks its peers again, in seconds."""
@@ -691,17 +691,13 @@
             self._estimates.tick(time.monotonic())
 
     def _report_load(self) -> None:
-        leader = self.leader
         sent_mbps = self.load.log_if_due(
-            started=StartCounts() if leader is None else leader.tables.start_counts,
             followers=len(self.service.followers),
             waiting=self.service.most_waiting,
             called_bytes=self._services.bytes_sent(),
-            asks_first=leader is not None and leader.asks_first,
+            asks_first=self.leader is not None and self.leader.asks_first,
         )
         if sent_mbps is not None:
-            if leader is not None:
-                leader.tables.start_counts = StartCounts()
             self.relief.check_load(sent_mbps)
         self.relief.check_fitness()
 
--- a/src/cassiaturn/fleet/_member_metrics.py
+++ b/src/cassiaturn/fleet/_member_metrics.py
@@ -93,7 +93,7 @@
 
 
 def _start_rate(leader: Leader | None) -> float:
-    rate = leader.start_rate.starts_per_s if leader is not None else float("inf")
+    rate = leader.starts_per_s if leader is not None else float("inf")
     return -1.0 if rate == float("inf") else rate
 
 
--- a/src/cassiaturn/fleet/tests/test_leader_load.py
+++ b/src/cassiaturn/fleet/tests/test_leader_load.py
@@ -23,9 +23,8 @@
     load.count_request("start", 0.004)
     load.observe_loop_delay(0.002)
     load._period.began_at = time.monotonic() - LOG_PERIOD_S
-    started = StartCounts()
-    load.log_if_due(started=started, followers=1, waiting=31, called_bytes=5_000)
-    load.log_if_due(started=started, followers=1, waiting=31, called_bytes=5_000)
+    load.log_if_due(followers=1, waiting=31, called_bytes=5_000)
+    load.log_if_due(followers=1, waiting=31, called_bytes=5_000)
     log.close()
     (line,) = stream.getvalue().splitlines()
     for pair in (
@@ -49,11 +48,14 @@
     load = LeaderLoad(metrics=FleetMetrics(member_name="m", failure_domain="a"))
     load.count_submission(8)
     load.count_submission(2)
-    started = StartCounts(starts=9)
-    started.note_first_start(0.01, is_late=False)
-    started.note_first_start(0.09, is_late=True)
+    first = StartCounts(starts=8, answers=3, late_answers=1)
+    first.note_first_start(0.01, is_late=False)
+    second = StartCounts(starts=1)
+    second.note_first_start(0.09, is_late=True)
+    load.count_starts(first)
+    load.count_starts(second)
     load._period.began_at = time.monotonic() - LOG_PERIOD_S
-    load.log_if_due(started=started, followers=1, waiting=0, called_bytes=0)
+    load.log_if_due(followers=1, waiting=0, called_bytes=0)
     log.close()
     for pair in (
         "requested=10",
@@ -63,6 +65,8 @@
         "late_jobs=1",
         "mean_wait_ms=50",
         "max_wait_ms=90",
+        " answers=3",
+        "late_answers=1",
     ):
         assert pair in stream.getvalue()
 
@@ -78,10 +82,9 @@
     load.count_request("start", 0.004)
     load._period.began_at = time.monotonic() - 50.0
     load.begin_term(called_bytes=5_000)
-    started = StartCounts()
-    load.log_if_due(started=started, followers=1, waiting=0, called_bytes=5_100)
+    load.log_if_due(followers=1, waiting=0, called_bytes=5_100)
     load._period.began_at -= LOG_PERIOD_S
-    load.log_if_due(started=started, followers=1, waiting=0, called_bytes=5_200)
+    load.log_if_due(followers=1, waiting=0, called_bytes=5_200)
     log.close()
     (line,) = stream.getvalue().splitlines()
     assert "calls_b=200" in line
--- a/src/cassiaturn/sharing/__init__.py
+++ b/src/cassiaturn/sharing/__init__.py
@@ -46,6 +46,7 @@
     own_effect,
 )
 from cassiaturn.sharing._speed_model import SpeedModel
+from cassiaturn.sharing._start_backlog import StartBacklog
 from cassiaturn.sharing._start_demand import (
     StartDemand,
     is_in_shed_share,
@@ -85,6 +86,7 @@
     "SpeedEffect",
     "SpeedEstimate",
     "SpeedModel",
+    "StartBacklog",
     "StartDemand",
     "StartRate",
     "TargetIndex",
--- a/src/cassiaturn/sharing/_start_demand.py
+++ b/src/cassiaturn/sharing/_start_demand.py
@@ -5,10 +5,12 @@
 time. If the leader refuses the excess itself, reading and refusing takes the processor
 time of other starts.
 
-Grounds: members refuse the excess, the least urgent priorities first. The hash of a
-job's id decides, so members keep no state. Jobs whose hash exceeds every share in force
-reach the leader whatever members refuse, so their number gives the starts requested
-without the delay of a report.
+Grounds: only waits show that jobs are too many. The starts that the processor makes
+tell how many are; what a start costs does not, since refusing jobs raises it. Members
+refuse the excess, the least urgent priorities first. The hash of a job's id decides, so
+members keep no state. Jobs whose hash exceeds every share in force reach the leader
+whatever members refuse, so their number gives the starts requested without the delay
+of a report.
 """
 
 import math
@@ -18,7 +20,7 @@
 
 import xxhash
 
-from cassiaturn.sharing._start_rate import StartRate
+from cassiaturn.sharing._start_backlog import StartBacklog
 
 MAX_SHARE = 0.9
 """Largest share of a priority that is refused. The remaining jobs show how many starts
@@ -31,35 +33,43 @@
 BUCKET_S = 0.05
 """Width of the time buckets in which requested starts are counted, in seconds."""
 
-FIRST_WINDOW_BUCKETS = 2
-"""Complete buckets that the requested rate spans while no job is refused. With the
-heartbeat of 150 ms, members refuse the excess within two heartbeats."""
+START_WAITED_SHARE = 0.75
+"""Part of their time that jobs must have waited for the processor before any is
+refused: beyond it, the jobs that follow will be late."""
+
+START_TICKS = 3
+"""Consecutive ticks with such a wait after which shedding begins without a clear excess
+of requested starts, which a load just above what is made does not show."""
+
+LATEST_BUCKETS = 3
+"""Complete buckets whose requested starts must fit for the shares to fall quickly."""
+
+FIRST_WINDOW_BUCKETS = 5
+"""Complete buckets that the requested rate spans when shedding begins: a burst of a
+tenth of a second, whose jobs can all be in time, does not count as the load."""
 
 WINDOW_BUCKETS = 10
 """Complete buckets that it spans while jobs are refused: the requested starts follow
 from fewer jobs then, and their number varies the more the fewer they are."""
 
-EXCESS_WINDOWS = (FIRST_WINDOW_BUCKETS, 5, WINDOW_BUCKETS)
-"""Numbers of complete buckets over which an excess of requested starts is looked for:
-three times the load shows in the first one, 1.75 times in the others."""
+EXCESS_WINDOWS = (FIRST_WINDOW_BUCKETS, WINDOW_BUCKETS)
+"""Numbers of complete buckets over which an excess of requested starts is looked for.
+"""
 
 MIN_EXCESS_DEVIATIONS = 2.0
-"""Excess from which shedding begins, in standard deviations of the requested starts. At
-0.75 of what a processor can make, a tenth of a second often requests more than that,
-and all of its jobs can be in time."""
+"""Excess from which shedding begins, in standard deviations of the requested starts:
+below it, the backlog is one of chance, and is made up for."""
 
 RISE_WEIGHT = 0.5
-"""Part of the way to a larger share that one tick goes, for a priority of which a share
-is refused already."""
+"""Part of the way to a larger share that one tick goes."""
 
 MAX_FALL = 0.05
-"""Largest decrease of a share per tick while the processor is full: a short window
+"""Largest decrease of a share per tick while jobs are left unstarted: a short window
 without jobs of the remaining share does not show the end of a burst."""
 
 RELIEF = 0.3
-"""Decrease of each share per tick once the process has processor time left. The largest
-share is gone after three ticks, so members refuse nothing half a second after the end
-of a burst."""
+"""Decrease of each share per tick once an overload is over. The largest share is gone
+after three ticks, so members refuse nothing half a second after the end of a burst."""
 
 SHARES_IN_FORCE_BUCKETS = 13
 """Buckets for which members may still apply a share that the leader has replaced: the
@@ -145,6 +155,9 @@
 
         self._buckets: deque[_Bucket] = deque(maxlen=SHARES_IN_FORCE_BUCKETS)
         self._window_from = 0
+        self._waiting_ticks = 0
+        self._wanted_shares: dict[int, float] = {}
+        """Shares on their way to what is wanted, also by less than members are told."""
 
     def note(self, job_id: str, *, priority: int, starts: int, now: float) -> None:
         """Count a new job that has reached the leader.
@@ -164,11 +177,16 @@
 
         :param now: time in seconds.
         """
-        current = self._bucket(now).number
-        first_number = max(self._window_from, current - WINDOW_BUCKETS)
         if not self.shares:
-            first_number = current - FIRST_WINDOW_BUCKETS
-        window_s = (current - first_number) * BUCKET_S
+            return self._requested_by_priority(now, FIRST_WINDOW_BUCKETS)
+        window = self._bucket(now).number - self._window_from
+        return self._requested_by_priority(now, min(WINDOW_BUCKETS, window))
+
+    def _requested_by_priority(self, now: float, window: int) -> dict[int, float]:
+        """Return the starts requested per second in the latest complete buckets."""
+        current = self._bucket(now).number
+        first_number = current - window
+        window_s = window * BUCKET_S
         highest: dict[int, float] = {}
         for bucket in self._buckets:
             for priority, share in bucket.shares.items():
@@ -186,25 +204,28 @@
                 requested[priority] += starts / window_s
         return requested
 
-    def update(self, rate: StartRate, now: float) -> None:
+    def update(self, backlog: StartBacklog, now: float) -> None:
         """Decide on the shares anew; called once a tick.
 
-        Shedding begins only when the processor is full and clearly more starts are
-        requested than it can make. It ends when they fit or the processor has time
-        left.
+        Shedding begins only when jobs wait for the processor for most of the time that
+        they have, and either clearly more starts are requested than it makes or the
+        wait lasts. It ends when they fit.
 
         :param now: time in seconds.
         """
-        if not self.shares and not (rate.is_full and self._has_excess(rate, now)):
+        if not self.shares and not self._begins(backlog, now):
             return
         requested = self.requested_by_priority(now)
         bucket = self._bucket(now)
         if not self.shares:
             # Buckets from before the burst would hide a part of it.
             self._window_from = bucket.number - FIRST_WINDOW_BUCKETS
+        acceptable_per_s = backlog.acceptable_per_s
         shares = self._next_shares(
-            shares_by_priority(requested, rate.starts_per_s), is_free=rate.is_free
+            shares_by_priority(requested, acceptable_per_s),
+            is_over=backlog.is_clear and self._latest_fit(acceptable_per_s, now),
         )
+        self._wanted_shares = shares
         if shares.keys() != self.shares.keys() or any(
             abs(share - self.shares[priority]) >= MIN_SHARE_CHANGE
             for priority, share in shares.items()
@@ -213,8 +234,23 @@
         for priority, share in self.shares.items():
             bucket.shares[priority] = max(share, bucket.shares.get(priority, 0.0))
 
-    def _has_excess(self, rate: StartRate, now: float) -> bool:
-        """Return whether clearly more starts are requested than can be made."""
+    def _begins(self, backlog: StartBacklog, now: float) -> bool:
+        """Return whether jobs are to be refused from now on."""
+        waits = backlog.waited_share >= START_WAITED_SHARE
+        self._waiting_ticks = self._waiting_ticks + 1 if waits else 0
+        if not backlog.sustained_per_s:
+            return False
+        return self._waiting_ticks >= START_TICKS or (
+            waits and self._has_excess(backlog.sustained_per_s, now)
+        )
+
+    def _latest_fit(self, acceptable_per_s: float, now: float) -> bool:
+        """Return whether the starts requested in the latest buckets can be accepted."""
+        requested = self._requested_by_priority(now, LATEST_BUCKETS)
+        return sum(requested.values()) <= acceptable_per_s
+
+    def _has_excess(self, made_per_s: float, now: float) -> bool:
+        """Return whether clearly more starts are requested than are made."""
         current = self._bucket(now).number
         for window in EXCESS_WINDOWS:
             buckets = [
@@ -222,7 +258,7 @@
                 for bucket in self._buckets
                 if current - window <= bucket.number < current
             ]
-            possible = rate.starts_per_s * window * BUCKET_S
+            possible = made_per_s * window * BUCKET_S
             deviation = math.sqrt(sum(bucket.squared_starts for bucket in buckets))
             excess = sum(bucket.starts for bucket in buckets) - possible
             if excess > MIN_EXCESS_DEVIATIONS * deviation:
@@ -230,18 +266,19 @@
         return False
 
     def _next_shares(
-        self, wanted: Mapping[int, float], *, is_free: bool
+        self, wanted: Mapping[int, float], *, is_over: bool
     ) -> dict[int, float]:
         """Return the shares of this tick on the way to those that are wanted."""
         shares: dict[int, float] = {}
-        for priority in {*self.shares, *wanted}:
+        for priority in {*self._wanted_shares, *wanted}:
             share = wanted.get(priority, 0.0)
-            before = self.shares.get(priority)
-            if before is not None and is_free:
+            before = self._wanted_shares.get(priority)
+            if before is not None and is_over:
                 share = min(share, before) - RELIEF
             elif before is not None and share < before:
                 share = max(share, before - MAX_FALL)
-            elif before is not None:
+            else:
+                before = before or 0.0
                 share = before + RISE_WEIGHT * (share - before)
             if share > 0.0:
                 shares[priority] = share
--- a/src/cassiaturn/sharing/_start_rate.py
+++ b/src/cassiaturn/sharing/_start_rate.py
@@ -3,13 +3,12 @@
 Load pattern: a leader that has not been behind yet, so that no backlog has shown what
 its processor makes.
 
-Grounds: the processor time per start changes little with the load, so the rate of
-starts follows from it before timers are late.
+Grounds: the processor time per start includes all other work of the process, so that
+the rate that follows from it is a lower bound.
 """
 
 DEFAULT_START_COST_S = 0.0005
-"""Processor time per start assumed before any was measured, in seconds of one core:
-0.38 to 0.66 ms were measured."""
+"""Processor time per start assumed before any was measured, in seconds of one core."""
 
 DEFAULT_WEIGHT_STARTS = 50.0
 """Number of starts that the default counts for; a tick at full load makes about 100."""
@@ -27,21 +26,7 @@
 spans about ten of them, half a second."""
 
 USED_WEIGHT = 0.6
-"""Weight of the latest sample in the moving average of the processor share: a process
-at 0.6 of its capacity counts as full two ticks after a burst begins."""
-
-FULL_SHARE = 0.85
-"""Share of the processor capacity in use from which the process counts as full. A
-saturated process was measured to use 0.93 of it."""
-
-FREE_SHARE = 0.6
-"""Share of the processor capacity in use below which the process has time left, so that
-the shares of refused jobs fall at once. While jobs are refused, less than the planned
-share is in use as soon as a burst has ended, also if 0.8 is in use afterwards."""
-
-FREE_WEIGHT = 0.3
-"""Weight of the latest sample in the average that this is compared with. The few jobs
-of one tick vary too much."""
+"""Weight of the latest sample in the moving average of the processor share."""
 
 LATE_S = 0.025
 """Lateness of a timer from which the processor may be the limit, in seconds: half a
@@ -74,7 +59,6 @@
         self._cpu_s = DEFAULT_START_COST_S * DEFAULT_WEIGHT_STARTS
         self._starts = DEFAULT_WEIGHT_STARTS
         self._used_cores = 0.0
-        self._steady_used_cores = 0.0
 
     @property
     def capacity_cores(self) -> float:
@@ -92,22 +76,11 @@
 
     @property
     def starts_per_s(self) -> float:
-        """Starts that may be planned per second; infinite: the capacity is unknown."""
+        """Starts per second that can be made at least; infinite: not known."""
         if not self._capacity_cores:
             return float("inf")
         return MAX_PLANNED_SHARE * self._capacity_cores / self.start_cost_s
 
-    @property
-    def is_full(self) -> bool:
-        """Whether the process uses nearly all of its processor capacity."""
-        full_cores = FULL_SHARE * self._capacity_cores
-        return 0.0 < full_cores <= self._used_cores
-
-    @property
-    def is_free(self) -> bool:
-        """Whether the process has processor time left."""
-        return self._steady_used_cores < FREE_SHARE * self._capacity_cores
-
     def observe(
         self, *, cpu_s: float, starts: int, elapsed_s: float, late_s: float = 0.0
     ) -> None:
@@ -123,7 +96,6 @@
             return
         used_cores = cpu_s / elapsed_s
         self._used_cores += USED_WEIGHT * (used_cores - self._used_cores)
-        self._steady_used_cores += FREE_WEIGHT * (used_cores - self._steady_used_cores)
         self._late_timers = self._late_timers + 1 if late_s >= LATE_S else 0
         self._learn_capacity()
         if starts >= MIN_STARTS_PER_SAMPLE:
--- a/src/cassiaturn/standins/slow_leader.py
+++ b/src/cassiaturn/standins/slow_leader.py
@@ -9,14 +9,22 @@
 
 from cassiaturn.entities import Route
 from cassiaturn.sharing import (
+    Lateness,
     LoadShedder,
+    StartBacklog,
     StartDemand,
     StartRate,
     is_in_shed_share,
     is_shed,
 )
 from cassiaturn.standins.virtual_targets import VirtualLeader
-from cassiaturn.workload import StartOrder, WorkloadSettings, dispatch, tick
+from cassiaturn.workload import (
+    StartCounts,
+    StartOrder,
+    WorkloadSettings,
+    dispatch,
+    tick,
+)
 
 READ_S = 0.0001
 """Processor time for reading a job and answering it, in seconds."""
@@ -59,11 +67,12 @@
         self._timer_is_due = False
         self._forecasts = admission == "forecast"
         self._rate = StartRate(cpu_cores=1.0)
+        self._backlog = StartBacklog()
         self._demand = StartDemand()
         self._shedder = LoadShedder()
         self._known_shares: dict[int, float] = {}
         self._known_share = 0.0
-        self._sampled = (0.0, 0.0, 0)
+        self._sampled = (0.0, 0.0)
         self._timer_at = 0.0
         self.shed: dict[str, float] = {}
         """When members refused jobs on the leader's behalf, by job id, in seconds."""
@@ -144,9 +153,16 @@
                 waited_s=self.now - job.at,
                 cpu=8_000,
             )
-        if dispatch(self.tables, self, self.now) is not None or self._inbox:
+        if self._note_pass(dispatch(self.tables, self, self.now)) or self._inbox:
             self._dispatch()
 
+    def _note_pass(self, left: Lateness | None) -> bool:
+        """Note what a pass over the queue left; return whether it left any job."""
+        self._backlog.note_pass(
+            left=left, waited_share=self.tables.left_waited_share, now=self.now
+        )
+        return left is not None
+
     def _tick(self) -> None:
         if self.now + ROUNDING_S < self._busy_until:
             # The turn that follows runs the timer first.
@@ -155,19 +171,25 @@
             return
         self._timer_is_due = False
         late_s = self.now - self._timer_at if self._timer_at else 0.0
-        at, used_s, starts = self._sampled
-        made = self.tables.counters.starts
+        at, used_s = self._sampled
+        counts, self.tables.start_counts = self.tables.start_counts, StartCounts()
         self._rate.observe(
             cpu_s=self._used_s - used_s,
-            starts=made - starts,
+            starts=counts.starts,
+            elapsed_s=self.now - at,
+        )
+        self._backlog.observe(
+            starts=counts.starts,
             elapsed_s=self.now - at,
+            now=self.now,
         )
-        self._sampled = (self.now, self._used_s, made)
+        self._sampled = (self.now, self._used_s)
         if self.tables.forecast is not None:
-            self._demand.update(self._rate, self.now)
-            self.tables.forecast.starts_per_s = self._rate.starts_per_s
+            self._demand.update(self._backlog, self.now)
+            possible_per_s = self._backlog.possible_per_s(self._rate.starts_per_s)
+            self.tables.forecast.starts_per_s = possible_per_s
         self._shedder.observe(0.0 if self._demand.shares else late_s, self.now)
-        if tick(self.tables, self, self.now) is not None:
+        if self._note_pass(tick(self.tables, self, self.now)):
             self._dispatch()
         for name, row in self.tables.targets_by_id.items():
             if row.runs_by_ref and round(self.now / TICK_S) % 3 == 0:
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -37,6 +37,7 @@
         None: none was left.
     """
     remaining: list[Lateness] = []
+    tables.left_waited_share = 0.0
     for service, queue in tables.queue_by_service.items():
         index = tables.index_by_service.get(service)
         if not queue or index is None:
@@ -47,6 +48,8 @@
             first = _start_in_order(tables, ports, queue, index, is_usable, now)
             if first is not None:
                 remaining.append(queue_key(first, now).lateness)
+                share = _waited_share(first, now)
+                tables.left_waited_share = max(tables.left_waited_share, share)
     return min(remaining, default=None)
 
 
@@ -89,14 +92,22 @@
     return None
 
 
+def _waited_share(job: Job, now: float) -> float:
+    """Return which part of the time until its latest start in time a job has waited."""
+    start_in_s = job.deadlines.due_at - job.expected_run_s - job.arrived_at
+    if start_in_s <= 0.0:
+        return 1.0
+    return min(1.0, (now - job.arrived_at) / start_in_s)
+
+
 def _count_starts(
     tables: Tables, job: Job, starts: int, now: float, *, is_new: bool
 ) -> None:
     counts = tables.start_counts
     counts.starts += starts
     if is_new:
-        is_late = now + job.expected_run_s > job.deadlines.due_at
-        counts.note_first_start(now - job.arrived_at, is_late=is_late)
+        job.is_prompt = now + job.expected_run_s <= job.deadlines.due_at
+        counts.note_first_start(now - job.arrived_at, is_late=not job.is_prompt)
 
 
 def _max_starts(tables: Tables) -> int:
--- a/src/cassiaturn/workload/_settle.py
+++ b/src/cassiaturn/workload/_settle.py
@@ -18,7 +18,7 @@
     tables: Tables, ports: Ports, job: Job, outcome: Outcome, now: float
 ) -> None:
     """Send a job's outcome to its callers and stop its remaining runs."""
-    _count_outcome(tables, outcome)
+    _count_outcome(tables, job, outcome, now)
     ports.finish(job, outcome)
     ports.record(
         Event.JOB_ENDED,
@@ -90,10 +90,13 @@
     ports.stop(run)
 
 
-def _count_outcome(tables: Tables, outcome: Outcome) -> None:
+def _count_outcome(tables: Tables, job: Job, outcome: Outcome, now: float) -> None:
     match outcome.verdict:
         case Verdict.COMPLETED:
             tables.counters.completed += 1
+            is_late = now > job.deadlines.due_at
+            tables.start_counts.answers += job.is_prompt
+            tables.start_counts.late_answers += job.is_prompt and is_late
         case Verdict.REFUSED:
             tables.counters.refused += 1
         case _:
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -238,6 +238,9 @@
     """Whether a start may ever have been ordered. Its caller must then not be told that
     it did not run."""
 
+    is_prompt: bool = False
+    """Whether its first task was started early enough for an answer in time."""
+
     forecast_start_at: float | None = None
     """When its first task was expected to start, in seconds; None: there is no
     forecast."""
@@ -406,7 +409,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class StartCounts:
-    """Starts since these counts were last reported."""
+    """Starts of an interval, and the answers of jobs that were started in time."""
 
     starts: int = 0
     """Tasks that were started."""
@@ -423,6 +426,12 @@
     longest_wait_s: float = 0.0
     """Longest of these waits, in seconds."""
 
+    answers: int = 0
+    """Completed jobs whose first task was started early enough to be in time."""
+
+    late_answers: int = 0
+    """Those among them that were completed late."""
+
     def note_first_start(self, waited_s: float, *, is_late: bool) -> None:
         """Count the first start of a job.
 
@@ -434,6 +443,16 @@
         self.waited_s += waited_s
         self.longest_wait_s = max(self.longest_wait_s, waited_s)
 
+    def add(self, other: "StartCounts") -> None:
+        """Add the counts of a later interval."""
+        self.starts += other.starts
+        self.jobs += other.jobs
+        self.late_jobs += other.late_jobs
+        self.waited_s += other.waited_s
+        self.longest_wait_s = max(self.longest_wait_s, other.longest_wait_s)
+        self.answers += other.answers
+        self.late_answers += other.late_answers
+
 
 @dataclass(slots=True, kw_only=True)
 class ForecastState:
@@ -550,8 +569,12 @@
     counters: Counters = field(default_factory=Counters)
     """Counters for the metrics."""
 
+    left_waited_share: float = 0.0
+    """Part of the time until its latest start in time that the first job has waited
+    which the last pass left although targets have room for it; 0: it left none."""
+
     start_counts: StartCounts = field(default_factory=StartCounts)
-    """Starts since the last report of the leader's load."""
+    """Starts and answers since the last sample of the leader's load."""
 
     forecast: ForecastState | None = None
     """State of admission by forecast; None: jobs are admitted by another policy."""
