Distribute a leader's starts over priorities by weighted fairness

What callers saw: when a leader cannot make all starts, two kinds of jobs of three lost nine tenths each, although one of them asks for a twentieth of the starts.

Cause: the share to refuse was taken from the least urgent priorities first, whatever they ask for.

Change: the starts that can be made are distributed by weighted max-min fairness; a priority weighs half as much as the next more urgent one. One that requests little keeps its jobs. The order of the queue stays.

--- a/src/cassiaturn/sharing/_start_demand.py
+++ b/src/cassiaturn/sharing/_start_demand.py
@@ -6,11 +6,12 @@
 time of other starts.
 
 Grounds: only waits show that jobs are too many. The starts that the processor makes
-tell how many are; what a start costs does not, since refusing jobs raises it. Members
-refuse the excess, the least urgent priorities first. The hash of a job's id decides, so
-members keep no state. Jobs whose hash exceeds every share in force reach the leader
-whatever members refuse, so their number gives the starts requested without the delay
-of a report.
+tell how many are; what a start costs does not, since refusing jobs raises it. The rest
+is distributed by weighted max-min fairness, so that a priority that requests little
+keeps its jobs, and each gets a part. The hash of a job's id decides which jobs members
+refuse, so they keep no state. Jobs whose hash exceeds every share in force reach the
+leader whatever members refuse, so their number gives the starts requested without the
+delay of a report.
 """
 
 import math
@@ -26,6 +27,11 @@
 """Largest share of a priority that is refused. The remaining jobs show how many starts
 are requested."""
 
+PRIORITY_WEIGHT = 0.5
+"""Weight of a priority over that of the next more urgent one in the distribution of
+starts: with equal demand, it gets half as many. By strict priority, the least urgent
+kinds of jobs would get none."""
+
 MIN_SHARE_CHANGE = 0.04
 """Smallest change of a share that members are told, unless shedding begins or ends for
 a priority: the count of requested starts varies by as much."""
@@ -112,19 +118,50 @@
     total = sum(requested_by_priority.values())
     if total <= starts_per_s:
         return {}
-    budget = starts_per_s - (1.0 - MAX_SHARE) * total
+    optional_by_priority = {
+        priority: MAX_SHARE * requested
+        for priority, requested in requested_by_priority.items()
+    }
+    budget = max(0.0, starts_per_s - (1.0 - MAX_SHARE) * total)
+    fair_by_priority = _weighted_fair(optional_by_priority, budget)
     shares: dict[int, float] = {}
-    for priority, requested in sorted(requested_by_priority.items()):
-        optional = MAX_SHARE * requested
-        if budget <= 0.0:
+    for priority, requested in requested_by_priority.items():
+        excess = optional_by_priority[priority] - fair_by_priority[priority]
+        if not budget:
             # Also if none of its few remaining jobs arrived in the window.
             shares[priority] = MAX_SHARE
-        elif budget < optional:
-            shares[priority] = (optional - budget) / requested
-        budget -= optional
+        elif excess > 0.0:
+            shares[priority] = excess / requested
     return shares
 
 
+def _weighted_fair(
+    requested_by_priority: Mapping[int, float], starts_per_s: float
+) -> dict[int, float]:
+    """Return weighted max-min fair shares of starts, by priority.
+
+    :param requested_by_priority: starts requested per second.
+    :param starts_per_s: starts per second to distribute.
+    :returns: in starts per second, at most what is requested.
+    """
+    weight_by_priority = {
+        priority: PRIORITY_WEIGHT**rank
+        for rank, priority in enumerate(sorted(requested_by_priority))
+    }
+    weight_left = sum(weight_by_priority.values())
+    fair_by_priority: dict[int, float] = {}
+    for priority in sorted(
+        requested_by_priority,
+        key=lambda one: requested_by_priority[one] / weight_by_priority[one],
+    ):
+        weight = weight_by_priority[priority]
+        fair = min(requested_by_priority[priority], starts_per_s * weight / weight_left)
+        fair_by_priority[priority] = fair
+        starts_per_s -= fair
+        weight_left -= weight
+    return fair_by_priority
+
+
 @dataclass(slots=True, kw_only=True)
 class _Bucket:
     """Starts requested in one interval of time."""
