Tell changed shares without waking all followers at once

Cause: a change of the shares that members refuse woke the streams of all followers, up to 96 frames in one turn of the leader's event loop each 150 ms, just when its processor is the limit.

Change: a requested heartbeat goes out when the stream sends next or its period ends, whichever comes first; no other frame defers it any further. Members learn of a change within 150 ms, as with a heartbeat.

--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -71,6 +71,9 @@
         self.transit = TransitDelay()
         self._is_cpu_full = False
         self._is_heartbeat_due = False
+        self._heartbeat_by = float("inf")
+        """Monotonic time by which a heartbeat goes out whatever other frames do."""
+
         self._receipts: set[Receipt] = set()
         self._done_by_job: dict[str, set[TaskRef]] = {}
         self._ended_jobs: list[str] = []
@@ -165,6 +168,13 @@
         self._is_heartbeat_due = True
         self._wake.set()
 
+    def request_heartbeat(self) -> None:
+        """Send a heartbeat within a period, also if other frames would defer it.
+
+        It wakes nobody: waking hundreds of streams at once holds up the leader.
+        """
+        self._heartbeat_by = min(self._heartbeat_by, time.monotonic() + HEARTBEAT_S)
+
     def note_routing(self, version: int | None = None) -> None:
         """Record that a configuration came into force, here or at the follower.
 
@@ -236,11 +246,13 @@
         :param beat: returns the heartbeat.
         """
         loop = asyncio.get_running_loop()
-        heartbeat_at = time.monotonic() + HEARTBEAT_S
-        while self._is_heartbeat_due or not self._frames:
+        now = time.monotonic()
+        heartbeat_at = min(now + HEARTBEAT_S, self._heartbeat_by)
+        while self._is_heartbeat_due or heartbeat_at <= now or not self._frames:
             now = time.monotonic()
             if self._is_heartbeat_due or heartbeat_at <= now:
                 self._is_heartbeat_due = False
+                self._heartbeat_by = float("inf")
                 return QueuedFrame(frame=pb.LeaderFrame(beat=beat()), queued_at=now)
             if self._keeps_news:
                 return self._next_done(now)
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -54,10 +54,6 @@
 """Period of the checks of deadlines and leases, in seconds: the run time of the
 shortest tasks, and a twentieth of a lease."""
 
-SHARES_INTERVAL_S = 0.15
-"""Minimum time between two heartbeats that tell changed shares of jobs to refuse, in
-seconds: the period of the heartbeat."""
-
 FORECAST_LOG_PERIOD_S = 1.0
 """Period of the log line of the forecast while jobs are refused, in seconds."""
 
@@ -103,6 +99,9 @@
     def send_heartbeat(self) -> None:
         """Send a heartbeat at once, which asks for an answer after a pause."""
 
+    def request_heartbeat(self) -> None:
+        """Send a heartbeat within a period, also if other frames would defer it."""
+
     def send_accepted(self, job_id: str) -> None:
         """Report that a job was accepted and will start once it is confirmed."""
 
@@ -206,7 +205,6 @@
         self._logged_at = time.monotonic()
         self._logged_refused = 0
         self._told_shares: Mapping[int, float] = {}
-        self._told_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._is_dispatch_scheduled = False
         self._pauses = PauseHold(own_id=leadership.member_id, now=time.monotonic())
@@ -773,12 +771,11 @@
             self._tables.forecast.starts_per_s = self.starts_per_s
         shares = self._start_demand.shares
         self._caller_jobs.shed_by_priority = shares
-        if shares != self._told_shares and now - self._told_at >= SHARES_INTERVAL_S:
+        if shares != self._told_shares:
             # A busy stream sends no heartbeat by itself: any other frame defers it.
             self._told_shares = shares
-            self._told_at = now
             for follower in self.followers_by_id.values():
-                follower.send_heartbeat()
+                follower.request_heartbeat()
         if now - self._logged_at >= FORECAST_LOG_PERIOD_S:
             self._log_forecast(now)
         if shares.keys() != priorities_before:
--- a/src/cassiaturn/fleet/tests/test_follower.py
+++ b/src/cassiaturn/fleet/tests/test_follower.py
@@ -1,9 +1,11 @@
 """Tests of what a leader sends next to a follower."""
 
+import asyncio
+
 import pytest
 
 from cassiaturn.entities import TaskRef
-from cassiaturn.fleet._follower import Follower
+from cassiaturn.fleet._follower import HEARTBEAT_S, Follower
 from cassiaturn.fleet._list_pace import ListPace
 from cassiaturn.fleet._roster_feed import RosterFeed
 from cassiaturn.fleet._routing import CurrentRouting
@@ -12,6 +14,9 @@
 
 LINK_MBPS = 1_000.0
 
+MAX_FRAMES = 200
+"""Frames of a busy stream after which a heartbeat counts as missing."""
+
 
 def _follower() -> Follower:
     feed = RosterFeed(pace=ListPace(link_mbps=LINK_MBPS))
@@ -63,3 +68,28 @@
     follower.close()
     receipts.append(follower.send_progress("job", []))
     assert all(receipt.is_settled for receipt in receipts)
+
+
+async def test_a_busy_stream_sends_a_requested_heartbeat() -> None:
+    """Guards against members that go on refusing jobs after an overload."""
+    follower = _follower()
+    while await _kinds(follower, 1) != ["beat"]:
+        pass
+    follower.request_heartbeat()
+    kinds: list[str | None] = []
+    while "beat" not in kinds and len(kinds) < MAX_FRAMES:
+        follower.send_progress("job", [])
+        kinds += await _kinds(follower, 1)
+        await asyncio.sleep(HEARTBEAT_S / 20)
+    assert kinds[-1] == "beat"
+    assert kinds.count("progress") > 1
+
+
+async def test_a_requested_heartbeat_does_not_go_out_at_once() -> None:
+    """Guards against hundreds of frames in one turn of the leader's event loop."""
+    follower = _follower()
+    while await _kinds(follower, 1) != ["beat"]:
+        pass
+    follower.send_progress("job", [])
+    follower.request_heartbeat()
+    assert await _kinds(follower, 1) == ["progress"]
