Count the ticks of a wait anew for each overload

Cause: the ticks counted before an overload were kept while jobs were refused, so that a single tick of waits brought the refusals back after they had ended.

Change: they are counted from the end of the refusals.

--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -758,11 +758,7 @@
             elapsed_s=elapsed_s,
             late_s=late_s,
         )
-        self._start_backlog.observe(
-            starts=counts.starts,
-            elapsed_s=elapsed_s,
-            now=now,
-        )
+        self._start_backlog.observe(starts=counts.starts, elapsed_s=elapsed_s, now=now)
         self._sampled_at = now
         self._sampled_cpu_s = cpu_s
         priorities_before = self._start_demand.shares.keys()
--- a/src/cassiaturn/sharing/_start_demand.py
+++ b/src/cassiaturn/sharing/_start_demand.py
@@ -257,6 +257,7 @@
         if not self.shares:
             # Buckets from before the burst would hide a part of it.
             self._window_from = bucket.number - FIRST_WINDOW_BUCKETS
+            self._waiting_ticks = 0
         acceptable_per_s = backlog.acceptable_per_s
         shares = self._next_shares(
             shares_by_priority(requested, acceptable_per_s),
