Let two tests of refusals fail where short waits would refuse jobs

Cause: since jobs are refused by waits, two existing tests fed passes that leave nothing, so that no code could refuse a job in them: easier than before.

Change: each tick has a pass that leaves a job which has waited 0.9 of its time, and another that leaves none. The assertions are unchanged.

--- a/src/cassiaturn/sharing/tests/test_start_rate.py
+++ b/src/cassiaturn/sharing/tests/test_start_rate.py
@@ -95,14 +95,15 @@
 
 
 def test_no_job_is_refused_while_there_is_processor_time() -> None:
-    """Guards against refusals although no pass leaves a job that could start."""
+    """Guards against refusals although the leader catches up in every tick."""
     backlog = StartBacklog()
     demand = StartDemand()
     for step in range(100):
         now = step * TICK_S
         for number in range(300):
             demand.note(f"{step}-{number}", priority=0, starts=1, now=now)
-        backlog.note_pass(left=None, waited_share=0.0, now=now + TICK_S)
+        backlog.note_pass(left=None, waited_share=0.0, now=now)
+        backlog.note_pass(left=Lateness.IN_TIME, waited_share=0.9, now=now + 0.01)
         backlog.observe(starts=20, elapsed_s=TICK_S, now=now + TICK_S)
         demand.update(backlog, now + TICK_S)
     assert not demand.shares
@@ -144,6 +145,7 @@
         for number in range(300):
             demand.note(f"{step}-{number}", priority=0, starts=8, now=now)
         rate.observe(cpu_s=0.05, starts=100, elapsed_s=TICK_S)
+        backlog.note_pass(left=Lateness.IN_TIME, waited_share=0.9, now=now - 0.01)
         backlog.note_pass(left=None, waited_share=0.0, now=now)
         backlog.observe(starts=100, elapsed_s=TICK_S, now=now)
         demand.update(backlog, now)
