--- a/review/small_fleet/deployment.py
+++ b/review/small_fleet/deployment.py
@@ -22,8 +22,8 @@
 """The repository; the built copy of this file is told it by ``run.sh``."""
 
 SERVICE = "counter"
-GRACE_S = 6.0
-"""``graceS`` of the small sites."""
+HEARTBEAT_S = 1.5
+"""``heartbeatMs`` of the small sites."""
 
 HOST = "shop.example"
 PREFIX = "/quotes/"
@@ -257,19 +257,15 @@
         self.store.put("op", "config", document)
         self.record.note(f"manifest {document['version']} acknowledged")
 
-    async def restart_ended(self, instance: Instance) -> None:
-        """Start an instance again once its process has ended, as the platform does.
+    async def keep_registered(self, runner: Runner) -> None:
+        """Write a runner's entry again and again, as it does while it lives."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self.register(runner)
 
-        :raises CannotRunError: the process does not end within the grace time.
-        """
-        end_at = time.monotonic() + GRACE_S
-        process = instance.process
-        while process is not None and process.poll() is None:
-            if time.monotonic() >= end_at:
-                raise CannotRunError(f"{instance.name} does not end")
-            await asyncio.sleep(0.02)
-        instance.start()
-        await self.until_ready()
+    def register(self, runner: Runner) -> None:
+        """Write a runner's entry once."""
+        self.store.put("servers", runner.runner_id, runner.entry())
 
     async def add_runner(
         self,
@@ -278,14 +274,16 @@
         cpu: int = 16_000,
         zone: str = "osu",
         service: str = SERVICE,
+        kind: str = "a",
     ) -> Runner:
         """Start a runner and register it."""
         runner = Runner(
             runner_id, service=service, zone=zone, cpu=cpu, history=self.history
         )
+        runner.kind = kind
         await runner.start()
         self.runners.append(runner)
-        self.store.put("servers", runner_id, runner.entry())
+        self.register(runner)
         self.record.note(f"runner {runner_id} registered")
         return runner
 
--- a/review/small_fleet/runner.py
+++ b/review/small_fleet/runner.py
@@ -13,7 +13,8 @@
 
 HOLD_MAX_S = 1.0
 ENDS_AT_ONCE = 500
-RANDOM_CLOCK_START_MS = 480_000
+CLOCK_START_MS = 480_000
+"""A runner's clock at its start, in milliseconds."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -55,7 +56,12 @@
         self.service = service
         self.zone = zone
         self.cpu = cpu
-        self.sequence = itertools.count(1)
+        self.kind = "a"
+        self.state = "ready"
+        self.born_ms: int | None = None
+        """Unix time of its start, where a runner may keep its id; None: not told."""
+
+        self._sequence = itertools.count(1)
         self._history = history
         self._running: dict[str, Run] = {}
         self._ended: list[tuple[int, Run]] = []
@@ -63,6 +69,7 @@
         self._ends = 0
         self._token = 0
         self._lease_until = 0.0
+        self._clock_start_s = time.monotonic()
         self._changed = asyncio.Event()
         self._server = Server(self._handle)
         self._clock: asyncio.Task[None] | None = None
@@ -85,24 +92,49 @@
             self._clock.cancel()
         await self._server.close()
 
-    def entry(self, state: str = "ready") -> dict[str, object]:
-        """Return what it writes into the store."""
+    async def crash(self) -> None:
+        """End its process: everything that runs on it ends, and nothing is told."""
+        await self.close()
+        for run in list(self._running.values()):
+            self._end(run, "lost with its runner", time.monotonic())
+
+    async def start_again(self, *, kind: str) -> None:
+        """Start another life under the same id and address, of another kind."""
+        port = int(self.address.rpartition(":")[2])
+        self.kind = kind
+        self.born_ms = int(time.time() * 1000)
+        self._sequence = itertools.count(1)
+        self._ended, self._ends = [], 0
+        self._highest_by_task = {}
+        self._token = 0
+        self._lease_until = 0.0
+        self._clock_start_s = time.monotonic()
+        self._server = Server(self._handle)
+        await self._server.start(port)
+        self._clock = asyncio.create_task(self._advance_for_ever())
+
+    def entry(self) -> dict[str, object]:
+        """Return what it writes into the store next."""
         return {
+            **self._born(),
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
             "slots": 8,
-            "state": state,
+            "state": self.state,
             "coldRemainingMs": 0,
             "capacity": {"cpu": self.cpu, "memMb": 65_536, "gpu": 0},
-            "labels": ["a", "r1-1"],
+            "labels": [self.kind, "r1-1"],
             "clockMs": self._clock_ms(),
-            "sequence": next(self.sequence),
+            "sequence": next(self._sequence),
         }
 
+    def _born(self) -> dict[str, object]:
+        return {} if self.born_ms is None else {"born": self.born_ms}
+
     def _clock_ms(self) -> int:
-        return int(time.monotonic() * 1000) + RANDOM_CLOCK_START_MS
+        return int((time.monotonic() - self._clock_start_s) * 1000) + CLOCK_START_MS
 
     async def _advance_for_ever(self) -> None:
         while True:
@@ -223,6 +255,7 @@
         now = time.monotonic()
         return self._reply(
             200,
+            **self._born(),
             running=[
                 [run.task, run.number, "", _percent(run, now), float(run.cpu)]
                 for run in self._running.values()
