--- a/review/4/play.py
+++ b/review/4/play.py
@@ -16,9 +16,10 @@
 JOB_PERIOD_S = 0.045
 """Period of the jobs at each of the three machines: 67 a second in all."""
 
-NEW_RUNNERS = 12
+RUNNERS = 24
+NEW_RUNNERS = 6
 ADDING_S = 2.0
-STOP_AFTER_S = (0.5, 0.45, 0.55, 0.4, 0.5)
+STOP_AFTER_S = (0.5, 0.6, 0.7, 0.8, 0.9)
 """When the leader of each round is stopped, after its first runner was added."""
 
 SPEC = "seconds=0.6 cpu=1000"
@@ -63,7 +64,7 @@
     numbers = itertools.count(1)
     sending: list[asyncio.Task[None]] = []
     try:
-        await deployment.start()
+        await deployment.start(runners=RUNNERS)
         sending = [
             asyncio.create_task(send_jobs(deployment, instance, numbers))
             for instance in deployment.instances
