--- a/review/4/play.py
+++ b/review/4/play.py
@@ -19,7 +19,7 @@
 RUNNERS = 24
 NEW_RUNNERS = 6
 ADDING_S = 2.0
-STOP_AFTER_S = (0.5, 0.6, 0.7, 0.8, 0.9)
+STOP_AFTER_S = (0.5, 0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85, 0.9, 0.95)
 """When the leader of each round is stopped, after its first runner was added."""
 
 SPEC = "seconds=0.6 cpu=1000"
