Start nothing on a new target that a successor could miss

Cause: a new leader takes inherited jobs' runs for known once every target of its list has reported. That list is what its predecessor had told it last, not what the predecessor gave orders to: a leader that has asked a member to lead goes on leading until it hears of the new term, and the member reads no list any more; and a change of the list waits up to 50 ms before it is sent. A target learned of in between got tasks that the successor did not find, and started again. Ruled out as the whole cause: the frames that the successor ignores. Reading them would mend the planned stop alone, not a leader that is killed, and not a member that lost the leader in a partition.

Change, in two halves: - A new target gets no start before each follower that was sent the whole lists has confirmed it. Pages with such targets carry a number, which the follower's heartbeat repeats at once; a follower that leaves, or begins its list anew, counts no more. What is awaited is kept for new targets only, so that nothing else costs time. A leader that does not know the directory yet tells nobody that its list is whole: after a restart of all members, no target waits. - A member that joins tells a digest of the targets that it knew. If the new leader lacks one, the member's inherited jobs wait for their leases, until the leader has learned of it. A leader that stepped down in order tells that it used confirmed targets only, so that nothing waits at a planned stop. Members of an earlier version neither confirm nor tell; for them it is as before.

One test waits for the confirmation now: it asks for a start on a target that was added a moment ago, which is the very thing that has to wait. Its assertions are unchanged.

--- a/src/cassiaturn/fleet/_digests.py
+++ b/src/cassiaturn/fleet/_digests.py
@@ -28,6 +28,9 @@
 
     def __init__(self) -> None:
         """Start with an empty list."""
+        self.of_ids = 0
+        """Digest of the targets alone, whatever is known of each of them."""
+
         self._digest_by_id: dict[str, int] = {}
         self._by_bucket = [0] * BUCKETS
 
@@ -43,6 +46,8 @@
         before = self._digest_by_id.get(entry.target_id, 0)
         if digest == before:
             return False
+        if not before:
+            self.of_ids ^= _id_digest(entry.target_id)
         self._digest_by_id[entry.target_id] = digest
         self._by_bucket[bucket_of(entry.target_id)] ^= before ^ digest
         return True
@@ -52,6 +57,7 @@
         digest = self._digest_by_id.pop(target_id, None)
         if digest is None:
             return False
+        self.of_ids ^= _id_digest(target_id)
         self._by_bucket[bucket_of(target_id)] ^= digest
         return True
 
@@ -67,6 +73,10 @@
         return frozenset(bucket for bucket, (own, other) in pairs if own != other)
 
 
+def _id_digest(target_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(target_id.encode())
+
+
 def _without_sequence(entry: pb.TargetEntry) -> pb.TargetEntry:
     """Return an entry without its sequence, which differs in every report."""
     compared = pb.TargetEntry()
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -108,6 +108,15 @@
         """Whether its processor is full, by its last heartbeat."""
         return self._is_cpu_full
 
+    @property
+    def confirms_targets(self) -> bool:
+        """Whether no target gets a start that the member could miss in its list."""
+        return self._roster.confirms_lists
+
+    def note_confirmed_page(self, number: int) -> None:
+        """Record up to which page of the lists the member has confirmed them."""
+        self._roster.confirm(number)
+
     def note_load(self, beat: pb.FollowerBeat) -> None:
         """Record how busy the member is; an earlier version reports nothing."""
         self._is_cpu_full = is_cpu_full(
@@ -192,8 +201,13 @@
         self.enqueue(pb.LeaderFrame(hand_over=from_leadership(leadership)))
 
     def send_unheard(self, target_ids: Iterable[str]) -> None:
-        """Tell the successor which targets have not reported to this leader."""
-        message = pb.UnheardTargets(target_ids=target_ids)
+        """Tell the successor on which targets this leader has no runs.
+
+        :param target_ids: those among the successor's that have not reported.
+        """
+        message = pb.UnheardTargets(
+            target_ids=target_ids, confirmed_targets_only=self.confirms_targets
+        )
         self.enqueue(pb.LeaderFrame(unheard=message))
 
     def send_accepted(self, job_id: str) -> None:
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -172,6 +172,7 @@
             began_at=time.monotonic(),
             knows_targets=knows_all_targets and bool(known_targets),
             covered_tokens=predecessor_tokens | self.own_tokens,
+            predecessor_tokens=predecessor_tokens,
             routing=routing.current,
             drained_domains=drains.failure_domains,
         )
@@ -218,6 +219,7 @@
         self.on_directory_change: Callable[[str, TargetReport | None], None] = (
             lambda target_id, report: None
         )
+        self.on_whole_directory: Callable[[], None] = lambda: None
         self.on_tick: Callable[[], None] = lambda: None
 
     @property
@@ -317,7 +319,7 @@
         watch = Watch(
             name="directory",
             source=self._services.directory,
-            on_snapshot=self._targets.on_directory,
+            on_snapshot=self._read_directory,
             on_change=self._targets.on_directory_change,
             wait_s=DIRECTORY_WAIT_S,
             pause_s=DIRECTORY_PAUSE_S,
@@ -357,20 +359,61 @@
         """
         return frozenset(self._tables.unreported_ids)
 
-    def note_unheard_by_predecessor(self, target_ids: frozenset[str]) -> None:
-        """Record on which targets the leader before this one has no runs.
+    def note_handed_over(
+        self, *, unheard_targets: frozenset[str], has_told_targets: bool
+    ) -> None:
+        """Record what the leader before this one told when it stepped down.
 
-        :param target_ids: as that leader told when it stepped down.
+        :param unheard_targets: targets on which it has no runs.
+        :param has_told_targets: whether it has runs only on targets known here.
         """
-        self._tables.unheard_by_predecessor = target_ids
+        self._tables.unheard_by_predecessor = unheard_targets
+        self._tables.is_handed_over = has_told_targets
         log_event(
             Event.EARLIER_RUNS_KNOWN,
             reason="unheard_targets",
-            targets=len(target_ids),
+            targets=len(unheard_targets),
+            told_targets=has_told_targets,
             unreported=len(self._tables.unreported_ids),
         )
         self._schedule_dispatch()
 
+    def note_list(self, member_id: str, list_digest: int | None) -> None:
+        """Record whether a new follower knows a target that this leader lacks.
+
+        :param list_digest: digest of its targets if they differ; None: they do not.
+        """
+        if list_digest is None:
+            self._tables.other_lists.pop(member_id, None)
+            return
+        self._tables.other_lists[member_id] = list_digest
+        log_event(
+            Event.EARLIER_RUNS_UNKNOWN,
+            member=member_id,
+            unreported=len(self._tables.unreported_ids),
+        )
+
+    def note_own_list(self, list_digest: int) -> None:
+        """Record which targets this leader knows now.
+
+        :param list_digest: their digest.
+        """
+        if list_digest in self._tables.other_lists.values():
+            self._tables.other_lists = {
+                member_id: digest
+                for member_id, digest in self._tables.other_lists.items()
+                if digest != list_digest
+            }
+            self._schedule_dispatch()
+
+    def on_target_confirmed(self) -> None:
+        """Start tasks on a target that every follower knows now."""
+        self._schedule_dispatch()
+
+    def _read_directory(self, entries_by_key: Mapping[str, TargetReport]) -> None:
+        self._targets.on_directory(entries_by_key)
+        self.on_whole_directory()
+
     def note_same_targets(self, tokens: frozenset[int]) -> None:
         """Record that a leader which stepped down knew the same targets as this one.
 
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -158,6 +158,10 @@
         self.unheard_targets: frozenset[str] = frozenset()
         """Targets that had not reported to the leader when it stepped down."""
 
+        self.has_told_targets = False
+        """Whether the leader has told, when it stepped down, that it gave starts only
+        to targets that this member knows."""
+
         self._hello = hello
         self._caller_jobs = caller_jobs
         self._routing = routing
@@ -173,6 +177,7 @@
         self._frames: asyncio.Queue[pb.FollowerFrame] = asyncio.Queue()
         self._sent_routing_version = 0
         self._known_pauses = 0
+        self._confirmed_page = 0
         self._asked = asyncio.Event()
         self._running: asyncio.Task[FollowResult] | None = None
         self._successor: asyncio.Future[Leadership] = (
@@ -286,12 +291,16 @@
         async with asyncio.timeout(self._connect_timeout_s):
             await channel.__connect__()
         async with FleetStub(channel).Follow.open() as stream:
+            # A leader that reads the hello stops waiting for confirmations of the
+            # member's earlier stream, also if its welcome is lost.
+            was_whole, self._roster.is_whole = self._roster.is_whole, False
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await stream.send_message(pb.FollowerFrame(hello=self._hello))
                 first = await stream.recv_message()
             if first is None:
                 return FollowResult(end=FollowEnd.BROKEN)
             if not first.HasField("welcome"):
+                self._roster.is_whole = was_whole
                 named_leadership = to_leadership(first.redirect)
                 return FollowResult(
                     end=FollowEnd.REDIRECTED, named_leadership=named_leadership
@@ -352,6 +361,7 @@
             pauses=self._known_pauses,
             cpu_used=self._cpu_load.busy_share,
             late_ms=round(self._cpu_load.late_s * MILLISECONDS),
+            confirmed_page=self._confirmed_page,
         )
         return pb.FollowerFrame(beat=beat)
 
@@ -380,7 +390,7 @@
                 case "beat":
                     self._on_heartbeat(frame.beat)
                 case "roster":
-                    self._roster.apply(frame.roster)
+                    self._read_roster(frame.roster)
                 case "routing":
                     self._read_routing(frame.routing)
                 case "welcome":
@@ -400,6 +410,7 @@
                     self._done_tasks.read(frame.done)
                 case "unheard":
                     self.unheard_targets = frozenset(frame.unheard.target_ids)
+                    self.has_told_targets = frame.unheard.confirmed_targets_only
                 case "estimates":
                     if self._read_estimates is not None:
                         self._read_estimates(frame.estimates, self.leadership.member_id)
@@ -409,6 +420,12 @@
                     continue
         return None
 
+    def _read_roster(self, page: pb.RosterPage) -> None:
+        self._roster.apply(page)
+        if page.number:
+            self._confirmed_page = page.number
+            self.send_heartbeat()
+
     def _confirm(self, message: pb.JobConfirmation) -> None:
         if self._caller_jobs.confirm(message.job_id):
             self._frames.put_nowait(pb.FollowerFrame(confirm=message))
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -524,6 +524,10 @@
                 answers_pauses=True,
                 drained=from_drains(self.drains.current),
                 led_tokens=sorted(self._roster.led_tokens),
+                confirms_pages=True,
+                list_token=self._roster.list_token,
+                list_is_whole=self._roster.is_whole,
+                list_digest=self._roster.list_digest,
             ),
             caller_jobs=self.caller_jobs,
             routing=self.routing,
@@ -642,7 +646,8 @@
         )
         leader.on_tick = self._on_leader_tick
         leader.on_directory_change = self.service.note_target
-        self.service.begin_term(leader.reports_by_id)
+        leader.on_whole_directory = self.service.note_whole_directory
+        self.service.begin_term(leader)
         self.load.begin_term(called_bytes=self._services.bytes_sent())
         if self._estimates is not None:
             self._estimates.begin_term(leader.tables)
@@ -682,7 +687,10 @@
         if self.leader is not leader:
             return
         if asked_by is not None:
-            leader.note_unheard_by_predecessor(asked_by.unheard_targets)
+            leader.note_handed_over(
+                unheard_targets=asked_by.unheard_targets,
+                has_told_targets=asked_by.has_told_targets,
+            )
         leader.attach_callers()
 
     def _on_leader_tick(self) -> None:
--- a/src/cassiaturn/fleet/_roster.py
+++ b/src/cassiaturn/fleet/_roster.py
@@ -48,6 +48,16 @@
         """Digests of the targets, by bucket; empty if no target is known."""
         return self._digests.by_bucket if self._targets_by_id else ()
 
+    @property
+    def list_token(self) -> int:
+        """Highest token of the leader that told the targets; 0: none has."""
+        return max(self.leader_tokens, default=0)
+
+    @property
+    def list_digest(self) -> int:
+        """Digest of the targets, whatever is known of each of them."""
+        return self._digests.of_ids
+
     def begin(self, leader_token: int) -> None:
         """Start to follow a leader.
 
--- a/src/cassiaturn/fleet/_roster_feed.py
+++ b/src/cassiaturn/fleet/_roster_feed.py
@@ -9,9 +9,11 @@
 """
 
 import time
+from collections import deque
 from collections.abc import Callable, Mapping
 
 from cassiaturn.entities import TargetReport
+from cassiaturn.fleet._announcements import Announcement, Announcements
 from cassiaturn.fleet._codec import from_target
 from cassiaturn.fleet._digests import Digests, bucket_of
 from cassiaturn.fleet._list_pace import ListPace
@@ -47,13 +49,33 @@
         self.fitness_order = FitnessOrder()
         """Order of the members as leaders, by what each has reported of its host."""
 
+        self.announcements = Announcements(on_confirmed=lambda: None)
+        """New targets that some follower does not know yet."""
+
+        self.is_complete = True
+        """Whether the leader knows the directory. Until then no follower is told that
+        its list is whole: it would have to confirm every target of the fleet before
+        that gets a start."""
+
+        self._first_list_digest = 0
         self._cursors_by_id: dict[str, RosterCursor] = {}
 
-    def begin(self, reports_by_id: Mapping[str, TargetReport]) -> None:
+    def begin(
+        self,
+        reports_by_id: Mapping[str, TargetReport],
+        *,
+        is_complete: bool = True,
+        on_confirmed: Callable[[], None] = lambda: None,
+    ) -> None:
         """Start a leadership term without followers.
 
         :param reports_by_id: the known directory of targets.
+        :param is_complete: whether it counts as the whole directory; see
+            :meth:`note_complete`.
+        :param on_confirmed: called when a new target may get its first start.
         """
+        self.announcements = Announcements(on_confirmed=on_confirmed)
+        self.is_complete = is_complete
         self.digests = Digests()
         self.members_by_id = {}
         self.entries_by_id = {}
@@ -61,6 +83,23 @@
         self._cursors_by_id = {}
         for report in reports_by_id.values():
             self.put_target(report)
+        self._first_list_digest = self.digests.of_ids
+
+    def note_complete(self) -> None:
+        """Record that the leader has read the whole directory."""
+        if self.is_complete:
+            return
+        self.is_complete = True
+        for cursor in self._cursors_by_id.values():
+            cursor.note_complete()
+
+    def has_list(self, list_digest: int) -> bool:
+        """Return whether a member knew the targets that this leader knows.
+
+        :param list_digest: digest of the targets that the member knew. It may have
+            learned of one from its leader that this leader lacks.
+        """
+        return list_digest in (self.digests.of_ids, self._first_list_digest)
 
     def join(self, hello: pb.Hello, *, on_change: Callable[[], None]) -> "RosterCursor":
         """Add a follower, and tell the others about it.
@@ -80,13 +119,14 @@
         host = HostCapacity.reported(member)
         self.fitness_order = self.fitness_order.including(host)
         self._note_member(member.member_id)
+        self._drop_cursor(member.member_id)
         cursor = RosterCursor(feed=self, hello=hello, on_change=on_change)
         self._cursors_by_id[member.member_id] = cursor
         return cursor
 
     def leave(self, member_id: str) -> None:
         """Remove a follower, and tell the others."""
-        self._cursors_by_id.pop(member_id, None)
+        self._drop_cursor(member_id)
         if self.members_by_id.pop(member_id, None) is not None:
             self.fitness_order = FitnessOrder.among(
                 map(HostCapacity.reported, self.members_by_id.values())
@@ -98,6 +138,8 @@
         entry = from_target(report)
         if not self.digests.put(entry):
             return
+        if entry.target_id not in self.entries_by_id:
+            self._announce(entry.target_id)
         self.entries_by_id[entry.target_id] = entry
         self._note_target(entry.target_id)
 
@@ -105,8 +147,19 @@
         """Remove a target, and tell the followers."""
         if self.digests.remove(target_id):
             del self.entries_by_id[target_id]
+            self.announcements.withdraw(target_id)
             self._note_target(target_id)
 
+    def _announce(self, target_id: str) -> None:
+        """Have each follower confirm a target whose list would seem whole without."""
+        followers = [row for row in self._cursors_by_id.values() if row.confirms_lists]
+        self.announcements.begin(target_id, followers)
+
+    def _drop_cursor(self, member_id: str) -> None:
+        cursor = self._cursors_by_id.pop(member_id, None)
+        if cursor is not None:
+            self.announcements.release(cursor)
+
     def _note_member(self, member_id: str) -> None:
         for cursor in self._cursors_by_id.values():
             cursor.note_member(member_id)
@@ -150,6 +203,11 @@
         self._members = dict.fromkeys(feed.members_by_id)
         self._sent_buckets = False
         self._sent_whole = False
+        self._confirms_pages = hello.confirms_pages
+        self._numbered_pages = 0
+        self._unconfirmed: deque[tuple[int, tuple[Announcement, ...]]] = deque()
+        """Pages that the follower is to confirm, with the new targets in them."""
+
         self._reserved_bytes = 0
         self._reserve(delay_s=0.0)
 
@@ -163,6 +221,21 @@
         """Whether the follower was sent the whole lists, and nothing waits since."""
         return self._sent_whole and not self.waiting
 
+    @property
+    def confirms_lists(self) -> bool:
+        """Whether the follower was sent the whole lists and confirms what is new."""
+        return self._confirms_pages and self._sent_whole
+
+    def confirm(self, number: int) -> None:
+        """Record that the follower has read all pages up to a number."""
+        while self._unconfirmed and self._unconfirmed[0][0] <= number:
+            _, announcements = self._unconfirmed.popleft()
+            self._feed.announcements.confirm(announcements, self)
+
+    def note_complete(self) -> None:
+        """Send the rest of the lists, or tell that nothing is left."""
+        self._reserve(delay_s=0.0)
+
     def note_member(self, member_id: str) -> None:
         """Queue a member that joined or left."""
         self._members[member_id] = None
@@ -188,15 +261,24 @@
             for target_id in _pop_oldest(waiting, left):
                 self._add_target(page, target_id)
                 left -= 1
-        if not self.waiting and not self._sent_whole:
+        if self._feed.is_complete and not self.waiting and not self._sent_whole:
             page.whole = True
             self._sent_whole = True
+        self._ask_to_confirm(page)
         self._feed.pace.correct(page.ByteSize() - self._reserved_bytes)
         self.due_at = None
         if self.waiting:
             self._reserve(delay_s=0.0)
         return page
 
+    def _ask_to_confirm(self, page: pb.RosterPage) -> None:
+        ids = (entry.target_id for entry in page.targets)
+        announcements = self._feed.announcements.awaited_of(self, ids)
+        if announcements:
+            self._numbered_pages += 1
+            page.number = self._numbered_pages
+            self._unconfirmed.append((page.number, announcements))
+
     def _add_member(self, page: pb.RosterPage, member_id: str) -> None:
         member = self._feed.members_by_id.get(member_id)
         if member is None:
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -7,7 +7,6 @@
     Collection,
     Coroutine,
     Iterable,
-    Mapping,
     Sequence,
 )
 from typing import Any, Protocol
@@ -199,20 +198,31 @@
             key=lambda follower: (order.rank(follower.host), -follower.heard_at),
         )
 
-    def begin_term(self, reports_by_id: Mapping[str, TargetReport]) -> None:
+    def begin_term(self, leader: Leader) -> None:
         """Start a leadership term without followers.
 
-        :param reports_by_id: the directory of targets as this member knows it.
+        :param leader: this member's leader, with the directory as far as it knows it.
         """
-        self._feed.begin(reports_by_id)
+        self._feed.begin(
+            leader.reports_by_id,
+            is_complete=bool(leader.reports_by_id),
+            on_confirmed=leader.on_target_confirmed,
+        )
+        leader.tables.unconfirmed_ids = self._feed.announcements.unconfirmed_ids
         self._counted_at = float("-inf")
 
+    def note_whole_directory(self) -> None:
+        """Record that this member's leader has read the whole directory."""
+        self._feed.note_complete()
+
     def note_target(self, target_id: str, report: TargetReport | None) -> None:
         """Tell every follower about a changed target; None if it was removed."""
         if report is None:
             self._feed.remove_target(target_id)
         else:
             self._feed.put_target(report)
+        if self._member.leader is not None:
+            self._member.leader.note_own_list(self._feed.digests.of_ids)
 
     def note_routing(self) -> None:
         """Record that a configuration came into force here."""
@@ -243,6 +253,7 @@
         )
         self._followers_by_id[hello.member_id] = follower
         leader.followers_by_id[hello.member_id] = follower
+        self._compare_lists(leader, hello)
         if hello.led_tokens and not self._feed.digests.differing(hello.target_digests):
             leader.note_same_targets(frozenset(hello.led_tokens))
         self._member.note_joined(hello.address)
@@ -268,6 +279,17 @@
             # leave a dead member's jobs running.
             self._spawn(self._end_follower(follower, leader))
 
+    def _compare_lists(self, leader: Leader, hello: pb.Hello) -> None:
+        """Tell the leader whether a new follower knows a target that it lacks.
+
+        An earlier version of this program does not tell. A list of this leader's own
+        says nothing about those before it.
+        """
+        if not hello.confirms_pages or hello.list_token in leader.own_tokens:
+            return
+        is_known = hello.list_is_whole and self._feed.has_list(hello.list_digest)
+        leader.note_list(hello.member_id, None if is_known else hello.list_digest)
+
     async def Look(  # noqa: N802
         self, stream: "Stream[pb.LookRequest, pb.LookReply]"
     ) -> None:
@@ -388,6 +410,7 @@
                     follower.note_routing(frame.beat.routing_version)
                     follower.leaving = frame.beat.leaving
                     follower.note_load(frame.beat)
+                    follower.note_confirmed_page(frame.beat.confirmed_page)
                     leader.note_answer(follower.hello.member_id, frame.beat.pauses)
                     self._member.read_drains(frame.beat.drained)
                 case "done":
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -122,6 +122,10 @@
     TARGET_UNANSWERED = _info(
         "target_unanswered", "A target left a request unanswered; it is asked again."
     )
+    TARGET_CONFIRMED = _info(
+        "target_confirmed",
+        "Every follower knows a new target, which may get starts from now on.",
+    )
     TARGET_HEARD = _info("target_heard", "A target answers and told what it runs.")
     LEADER_ELECTED = _info("leader_elected", "This member leads from now on.")
     LEADER_RESIGNED = _info("leader_resigned", "This member no longer leads.")
@@ -129,6 +133,10 @@
         "earlier_runs_known",
         "This leader learned on which targets an earlier one may have runs.",
     )
+    EARLIER_RUNS_UNKNOWN = _info(
+        "earlier_runs_unknown",
+        "A member knew other targets than this leader; its jobs wait for their leases.",
+    )
     HAND_OVER_ASKED = _info(
         "hand_over_asked", "This leader asks another member to lead, for `reason`."
     )
--- a/src/cassiaturn/platform/tests/fleet.py
+++ b/src/cassiaturn/platform/tests/fleet.py
@@ -221,6 +221,11 @@
         """Return how many targets have reported to the leader; 0 without a leader."""
         return max(member.member.leader_hears_targets for member in self.members)
 
+    def count_unconfirmed_targets(self) -> int:
+        """Return how many targets wait until all followers know them."""
+        leader = self.leader().member.leader
+        return len(leader.tables.unconfirmed_ids) if leader is not None else 0
+
     def followers(self) -> list[RunningMember]:
         return [member for member in self.members if member.member.leader is None]
 
--- a/src/cassiaturn/platform/tests/test_end_to_end.py
+++ b/src/cassiaturn/platform/tests/test_end_to_end.py
@@ -50,6 +50,7 @@
     await fleet.until(
         lambda: fleet.count_reporting_targets() == 5 and member.member.is_ready
     )
+    await fleet.until(lambda: fleet.count_unconfirmed_targets() == 0)
     jobs_by_member = {member: "b" * 16, fleet.leader(): "a" * 16}
     for asked, job_id in jobs_by_member.items():
         assert (await fleet.submit(asked, job_id, count=3))[0] == 200
--- a/src/cassiaturn/standins/virtual_targets.py
+++ b/src/cassiaturn/standins/virtual_targets.py
@@ -230,6 +230,7 @@
             term=term,
             began_at=self.now,
             covered_tokens=frozenset({PREDECESSOR_TOKEN}),
+            predecessor_tokens=frozenset({PREDECESSOR_TOKEN}),
         )
         self.targets: dict[str, VirtualTarget] = {}
         self.outcomes: dict[str, Outcome] = {}
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -28,6 +28,7 @@
     def is_usable(target: Target) -> bool:
         return (
             target.has_reported
+            and target.target_id not in tables.unconfirmed_ids
             and not target.leaving
             and tables.may_start_on(target)
             and not target.silent
--- a/src/cassiaturn/workload/_dispatch.py
+++ b/src/cassiaturn/workload/_dispatch.py
@@ -144,9 +144,10 @@
     # term they may not: a target that the predecessor reached may have left this
     # leader's directory during a partition that has healed since. The leader of another
     # side of a partition may have reached targets that are not in this leader's
-    # directory at all.
+    # directory at all. A predecessor that lost this leader as a follower may have
+    # reached new targets since, which the job's members know.
     in_handover = now < tables.began_at + tables.settings.handover_window_s
-    return not (in_handover and tables.knows_runs_of(job.earlier_tokens))
+    return not (in_handover and tables.knows_runs_of(job.earlier_tokens, job.origins))
 
 
 def holds_inherited_jobs(tables: Tables, now: float) -> bool:
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -132,7 +132,12 @@
         # of, also if this leader has started others of them.
         tokens = submission.earlier_tokens
         job.earlier_tokens = _union(job.earlier_tokens, tokens)
-        if not job.begun or tokens is None or not tokens <= tables.covered_tokens:
+        if (
+            not job.begun
+            or tokens is None
+            or not tokens <= tables.covered_tokens
+            or tables.may_lack_targets_of(tokens, {submission.origin})
+        ):
             job.begun = True
             job.hold_until = now + tables.settings.inherited_hold_s
     limit_at = now + submission.limit_s
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -500,6 +500,17 @@
     """Tokens of this leader in its term and of its predecessor: all targets to which
     they gave orders are known."""
 
+    predecessor_tokens: frozenset[int] = frozenset()
+    """Tokens of its predecessor."""
+
+    is_handed_over: bool = False
+    """Whether its predecessor told, when it stepped down, that it gave starts only to
+    targets that this leader knew when it began."""
+
+    other_lists: dict[str, int] = field(default_factory=dict)
+    """Members that knew other targets than this leader when they joined it, each with
+    a digest of these: the predecessor may have started their tasks there."""
+
     same_targets_tokens: frozenset[int] = frozenset()
     """Tokens of other leaders that knew the same targets when they stepped down: two
     members claimed at once, or a partition healed soon."""
@@ -523,6 +534,10 @@
     ended_jobs_by_id: "OrderedDict[str, EndedJob]" = field(default_factory=OrderedDict)
     """Jobs that ended recently, oldest first."""
 
+    unconfirmed_ids: AbstractSet[str] = frozenset()
+    """New targets that some follower does not know yet. They get no start: a follower
+    that leads next would not look for runs there."""
+
     unreported_ids: set[str] = field(default_factory=set)
     """Targets on which this leader has no runs: they have not listed their runs to it,
     or were lost since, so that their leases are over."""
@@ -584,13 +599,20 @@
         if self.settings.admission == "forecast" and self.forecast is None:
             self.forecast = ForecastState()
 
-    def knows_runs_of(self, earlier_tokens: frozenset[int] | None) -> bool:
-        """Return whether the lists of targets contain all runs of some leaders.
+    def knows_runs_of(
+        self,
+        earlier_tokens: frozenset[int] | None,
+        origins: AbstractSet[str] = frozenset(),
+    ) -> bool:
+        """Return whether the lists of targets contain all runs of a job.
 
-        :param earlier_tokens: tokens of those leaders; None: not told.
+        :param earlier_tokens: tokens of the leaders that had it; None: not told.
+        :param origins: members that passed it on.
         """
         if not earlier_tokens or not self.knows_targets:
             return False
+        if self.may_lack_targets_of(earlier_tokens, origins):
+            return False
         if earlier_tokens <= self.covered_tokens:
             return self.unreported_ids <= self.unheard_by_predecessor
         if not earlier_tokens <= self.covered_tokens | self.same_targets_tokens:
@@ -600,6 +622,20 @@
             target.silent for target in self.targets_by_id.values()
         )
 
+    def may_lack_targets_of(
+        self, earlier_tokens: frozenset[int], origins: AbstractSet[str]
+    ) -> bool:
+        """Return whether the predecessor may have runs on targets not known here.
+
+        :param earlier_tokens: tokens of the leaders that had a job.
+        :param origins: members that passed it on.
+        """
+        return (
+            not self.is_handed_over
+            and not self.other_lists.keys().isdisjoint(origins)
+            and not earlier_tokens.isdisjoint(self.predecessor_tokens)
+        )
+
     def note_reported(self, target: Target) -> None:
         """Record that a target has listed its runs."""
         target.has_reported = True
--- a/src/cassiaturn/workload/tests/test_leader_change.py
+++ b/src/cassiaturn/workload/tests/test_leader_change.py
@@ -157,6 +157,35 @@
     assert play.verdict("a") is Verdict.COMPLETED
 
 
+@pytest.mark.parametrize(
+    ("other_member", "is_handed_over", "starts"),
+    [
+        ("m1", False, 0),  # the job's own member knew another target
+        ("m2", False, 1),  # another member did
+        ("m1", True, 1),  # the predecessor told that it gave no start there
+    ],
+)
+def test_a_job_waits_if_its_member_knew_targets_that_its_new_leader_lacks(
+    other_member: str, is_handed_over: bool, starts: int
+) -> None:
+    """Guards against a second run of tasks on targets added during a partition.
+
+    The predecessor lost this leader as a follower and went on with the job's member,
+    which learned of a further target.
+    """
+    play = VirtualLeader(term=1)
+    play.tables.knows_targets = True
+    play.tables.is_handed_over = is_handed_over
+    play.tables.other_lists[other_member] = 17
+    play.add_target("t1")
+    play.run(0.1)
+    play.submit("a", run_s=0.1, begun_earlier=True, limit_s=4.0)
+    play.run(1.7)
+    assert play.tables.counters.starts == starts
+    play.run(0.6)
+    assert play.verdict("a") is Verdict.COMPLETED
+
+
 @pytest.mark.parametrize("tokens", [frozenset({7}), None])
 def test_waiting_tasks_of_a_joined_job_wait_for_another_sides_leader(
     tokens: frozenset[int] | None,
