Model of leases: targets that are added

The model changed the lists of all followers together with their leader's directory, so that it could not show tasks on a target that the next leader lacks. Now a leader learns of a new target by itself, tells its followers at any later time, and a successor begins with what it was told.

Without confirmations the first two break never_two_at_once, for instance: member 0 leads and learns of target 1, orders run 1 there, is killed; member 1 claims, asks target 0 and orders run 16 there while run 1 goes on. Without the comparison of lists the third does: the members are cut off, member 1 claims, member 0 orders run 2 at the new target, the cut heals, member 1 inherits the job and orders run 16 at target 0.

--- a/src/cassiaturn/model/leases/_explore.py
+++ b/src/cassiaturn/model/leases/_explore.py
@@ -42,6 +42,18 @@
     "zone_cut_planned_change": Scenario(
         Budget(claims=0, changes=1, lapses=1, late_stops=1), two_sides=True
     ),
+    "target_added_killed": Scenario(
+        Budget(additions=2, kills=1, submits=1), knows_all=False
+    ),
+    "target_added_planned_change": Scenario(
+        Budget(claims=0, additions=2, changes=1, submits=1), knows_all=False
+    ),
+    "target_added_cut": Scenario(
+        Budget(additions=2, cuts=1, submits=1),
+        caller_at=0,
+        started=False,
+        knows_all=False,
+    ),
 }
 """Explored whole by the tests."""
 
--- a/src/cassiaturn/model/leases/_members.py
+++ b/src/cassiaturn/model/leases/_members.py
@@ -225,7 +225,8 @@
         successor = Tables(
             token=token,
             next_run=term * 8,
-            directory=before.directory,
+            directory=_told_directory(after, number),
+            handed_over=rules.confirm_new_targets,
             predecessor_left=_without_runs(before, rules),
             covered=frozenset({token, before.token}),
         )
@@ -236,6 +237,15 @@
         yield Step(f"the leader {number} is replaced as planned", after)
 
 
+def _told_directory(state: State, leader: int) -> frozenset[int]:
+    """Return the targets that the next leader has been told of."""
+    directory = state.tables[leader].directory
+    for number in MEMBERS:
+        if number != leader and state.members[number].follows == leader:
+            directory &= state.members[number].roster
+    return directory
+
+
 def _without_runs(tables: Tables, rules: Rules) -> frozenset[int]:
     """Return the targets that a leader does not hear, and that have no run of its."""
     unheard = tables.directory - tables.heard
@@ -250,6 +260,7 @@
     """Return a state in which a member of a leader follows its successor."""
     if state.members[member].follows != leader:
         return state
+    state = _compare_lists(state, member, leader)
     return put_member(
         state,
         member,
@@ -302,6 +313,37 @@
             )
 
 
+@action
+def add_target(state: State, rules: Rules) -> Iterator[Step]:
+    """Let a leader learn of a target that is new in the directory."""
+    for leader in MEMBERS:
+        after = spend(state, "additions")
+        if after is None or not leads(state, leader):
+            continue
+        directory = state.tables[leader].directory
+        for target in set(TARGETS) - directory:
+            yield Step(
+                f"member {leader} learns of target {target}",
+                put_tables(after, leader, directory=directory | {target}),
+            )
+
+
+@action
+def tell_targets(state: State, rules: Rules) -> Iterator[Step]:
+    """Tell a follower of the targets that its leader has learned of."""
+    for number in MEMBERS:
+        leader = state.members[number].follows
+        if number == leader or not leads(state, leader):
+            continue
+        directory = state.tables[leader].directory
+        is_lacking = not directory <= state.members[number].roster
+        if is_lacking and hear_each_other(state, number, leader):
+            yield Step(
+                f"member {number} is told of the targets of {leader}",
+                put_member(state, number, roster=directory),
+            )
+
+
 def _update_rosters(state: State, leader: int) -> State:
     for member in MEMBERS:
         follows = state.members[member].follows == leader
@@ -319,7 +361,7 @@
         if leader != NOBODY:
             term = state.members[leader].known_term
             after = put_member(
-                state,
+                _compare_lists(state, number, leader),
                 number,
                 follows=leader,
                 known_term=term,
@@ -337,6 +379,17 @@
             yield Step(label, put_tables(after, number, **_RESIGNED))
 
 
+def _compare_lists(state: State, member: int, leader: int) -> State:
+    """Return a state in which a leader knows whether a member knew other targets."""
+    tables = state.tables[leader]
+    roster = state.members[member].roster
+    if state.tables[member].token:
+        roster = state.tables[member].directory
+    if member == leader or roster <= tables.directory:
+        return state
+    return put_tables(state, leader, other_lists=tables.other_lists | {member})
+
+
 def _compare_targets(state: State, resigned: int, leader: int) -> State:
     """Return a state in which a leader knows whether another had the same targets."""
     own, other = state.tables[leader], state.tables[resigned]
--- a/src/cassiaturn/model/leases/_state.py
+++ b/src/cassiaturn/model/leases/_state.py
@@ -101,6 +101,13 @@
     """The lists of all targets in a leader's directory stand for the runs of its
     predecessor only; a job that another leader had waits for the leases."""
 
+    confirm_new_targets: bool = True
+    """A leader starts nothing on a new target before each member that follows it has
+    the target in its list."""
+
+    compare_lists: bool = True
+    """A job waits for the leases if its member knew a target that its leader lacks."""
+
 
 class Budget(NamedTuple):
     """How often each fault may still happen."""
@@ -138,6 +145,9 @@
     lapses: int = 0
     """Directory entries of unreachable targets that lapse."""
 
+    additions: int = 0
+    """Times that a leader learns of a target that is new in the directory."""
+
     late_stops: int = 0
     """Superseded leaders that do not stop what they left before its lease ends."""
 
@@ -238,6 +248,12 @@
     same_targets: frozenset[int] = frozenset()
     """Tokens of leaders that knew the same targets when they stepped down."""
 
+    other_lists: frozenset[int] = frozenset()
+    """Members that knew a target, when they joined, which this leader lacked."""
+
+    handed_over: bool = False
+    """Whether the predecessor told that it used targets of the directory only."""
+
     earlier: frozenset[int] = frozenset()
     """Tokens of the leaders that had the job before."""
 
@@ -328,6 +344,9 @@
     started: bool = True
     """Whether that job runs already; otherwise it waits in the leader's queue."""
 
+    knows_all: bool = True
+    """Whether target 1 is in the directory; otherwise it may be added."""
+
     two_sides: bool = False
     """Whether the zones are cut off already: member 1 leads its side, and the job of
     its caller runs at target 1."""
@@ -359,6 +378,10 @@
         if scenario.started:
             targets[0] = targets[0]._replace(run=1, lease=LEASE_TICKS)
         budget = budget._replace(submits=budget.submits - 1)
+    if not scenario.knows_all:
+        known = frozenset({0})
+        leading = leading._replace(directory=known, heard=known)
+        members = [member._replace(roster=known) for member in members]
     return State(
         budget=budget,
         members=tuple(members),
--- a/src/cassiaturn/model/leases/_targets.py
+++ b/src/cassiaturn/model/leases/_targets.py
@@ -13,6 +13,7 @@
     spend,
 )
 from cassiaturn.model.leases._state import (
+    FOLLOWER_SILENT_TICKS,
     LEASE_OVER_TICKS,
     LEASE_TICKS,
     MEMBERS,
@@ -28,13 +29,23 @@
 def start(state: State, rules: Rules) -> Iterator[Step]:
     """Order a start wherever a leader may."""
     for leader in MEMBERS:
-        tables = state.tables[leader]
         if not leads(state, leader) or not may_start(state, leader, rules):
             continue
-        for target in sorted(tables.heard):
+        for target in usable_targets(state, leader, rules):
             yield from _order(state, leader, target)
 
 
+def usable_targets(state: State, leader: int, rules: Rules) -> list[int]:
+    """Return the targets on which a leader may start something."""
+    tables = state.tables[leader]
+    other = state.members[1 - leader]
+    is_awaited = other.alive and other.follows == leader
+    if tables.member_silence >= FOLLOWER_SILENT_TICKS or not rules.confirm_new_targets:
+        is_awaited = False
+    usable = tables.heard & other.roster if is_awaited else tables.heard
+    return sorted(usable)
+
+
 def may_start(state: State, leader: int, rules: Rules) -> bool:
     """Return whether a leader may order a start of its job."""
     tables = state.tables[leader]
@@ -53,6 +64,9 @@
     """Return whether the lists that a leader has read contain all runs of its job."""
     if not tables.knows_targets:
         return False
+    has_other_list = not tables.origins.isdisjoint(tables.other_lists)
+    if has_other_list and rules.compare_lists and not tables.handed_over:
+        return False
     needed = tables.directory
     if tables.earlier <= tables.covered or not rules.wait_for_other_leaders:
         needed -= tables.predecessor_left
--- a/src/cassiaturn/model/leases/_time.py
+++ b/src/cassiaturn/model/leases/_time.py
@@ -34,7 +34,12 @@
     State,
     Tables,
 )
-from cassiaturn.model.leases._targets import decide, may_start, take_list
+from cassiaturn.model.leases._targets import (
+    decide,
+    may_start,
+    take_list,
+    usable_targets,
+)
 
 
 @action
@@ -145,7 +150,7 @@
         frozen = put_member(after, number, frozen=True)
         yield Step(f"member {number} freezes", frozen)
         if leads(state, number) and may_start(state, number, rules):
-            for target in sorted(state.tables[number].heard):
+            for target in usable_targets(state, number, rules):
                 order, decided = decide(frozen, number, target)
                 label = f"member {number} freezes before it sends run {order.number}"
                 yield Step(label, put_tables(decided, number, decided=order))
--- a/src/cassiaturn/model/tests/test_leases.py
+++ b/src/cassiaturn/model/tests/test_leases.py
@@ -47,6 +47,8 @@
     "wait_for_silent_targets_off": ("planned_change_target_cut", "never_two_at_once"),
     "wait_for_other_leaders_off": ("cut_planned_change", "never_two_at_once"),
     "cover_earlier_leaders_off": ("zone_cut_planned_change", "never_two_at_once"),
+    "confirm_new_targets_off": ("target_added_planned_change", "never_two_at_once"),
+    "compare_lists_off": ("target_added_cut", "never_two_at_once"),
 }
 
 
