Keep what is known of a target under the process that it was

Cause: no part of the program told two processes with one id apart. The directory entry and the lists of runs name the start of the process; nothing read it. So values of one process were compared with those of the next: - LeaseClock kept the earlier process's higher clock. An order then named a lease end eight minutes ahead, so that it was never late, and a renewal carried out late kept a task running which the leader had counted as ended.

Change: the incarnation of a target is read from its entry and its lists and travels with the leader's list to followers. A link keeps all that compares within one process in one TargetLife, which is replaced as a whole when another incarnation lists its runs; late answers of an earlier one are dropped. Directory entries compare within one incarnation; a lower one is stale unless the target itself answers with it. A target gets starts only while its entry is of the process that lists its runs. Acknowledgements are left out after a request without an answer, until the next list: the target may have restarted. Orders that are still under way: one without an answer that was sent since the new process began stays in time until the new clock passes its lease, so that the leases count as over only then; a run without an answer counts until the new process has confirmed its stop. Platforms that tell no incarnation are served as before.

The stand-in's long polls stay with the process that they were sent to. The message of the first error moved to the models' own module, where it has nothing of a platform.

--- a/src/cassiaturn/_core_models.py
+++ b/src/cassiaturn/_core_models.py
@@ -14,7 +14,7 @@
 from collections.abc import Mapping
 from typing import Annotated, Any, ClassVar, Literal, Self, Union, get_args, get_origin
 
-from pydantic_core import SchemaValidator, core_schema
+from pydantic_core import SchemaValidator, ValidationError, core_schema
 from pydantic_core.core_schema import CoreConfig, CoreSchema
 
 
@@ -180,3 +180,10 @@
 def _to_camel(name: str) -> str:
     first, *others = name.split("_")
     return first + "".join(part.capitalize() for part in others)
+
+
+def describe_error(error: ValidationError) -> str:
+    """Return a readable description of the first error in a message."""
+    first = error.errors(include_url=False, include_input=False)[0]
+    place = ".".join(str(part) for part in first["loc"]) or "the body"
+    return f"{place}: {first['msg']}"
--- a/src/cassiaturn/entities/_workload.py
+++ b/src/cassiaturn/entities/_workload.py
@@ -259,7 +259,7 @@
     """State that a target publishes about itself."""
 
     target_id: str
-    """Id of one incarnation of the target's process."""
+    """Id of the target; a restarted process may have the same one."""
 
     address: str
     """Address that the target listens on, ``host:port``."""
@@ -285,6 +285,10 @@
     slow_start_s: float = 0.0
     """Remaining time after its start in which the target runs slower, in seconds."""
 
+    incarnation: int = 0
+    """Tells processes apart that had the same id; that of a later one is usually
+    higher. 0: not told."""
+
     sequence: int = field(default=0, compare=False)
     """Increases with each report of one incarnation; identifies late, older reports."""
 
@@ -365,6 +369,10 @@
     ended: tuple[EndedRun, ...]
     """Ended runs that are not acknowledged yet, by sequence number."""
 
+    incarnation: int = 0
+    """The process that answered, as in :class:`TargetReport`. Clock and sequence
+    numbers compare within one incarnation only."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Ticket:
--- a/src/cassiaturn/fleet/_codec.py
+++ b/src/cassiaturn/fleet/_codec.py
@@ -215,6 +215,7 @@
         labels=sorted(report.labels),
         leaving=report.leaving,
         sequence=report.sequence,
+        incarnation=report.incarnation,
     )
 
 
@@ -229,6 +230,7 @@
         labels=frozenset(message.labels),
         leaving=message.leaving,
         sequence=message.sequence,
+        incarnation=message.incarnation,
     )
 
 
--- a/src/cassiaturn/fleet/_directory.py
+++ b/src/cassiaturn/fleet/_directory.py
@@ -28,15 +28,18 @@
         self.reports_by_id: dict[str, TargetReport] = dict(reports_by_id)
         self._missing_since: dict[str, float] = {}
 
-    def put(self, report: TargetReport) -> bool:
+    def put(self, report: TargetReport, *, listed_incarnation: int = 0) -> bool:
         """Add or replace an entry; returns whether it differs from the previous one.
 
         An entry older than the known one is ignored: a stale read would restore the old
         capacity of a worker that has shrunk, or end a drain.
+
+        :param listed_incarnation: the incarnation that listed its runs last; 0: not
+            known.
         """
         self._missing_since.pop(report.target_id, None)
         known = self.reports_by_id.get(report.target_id)
-        if known is not None and _is_stale(report, known):
+        if known is not None and _is_stale(report, known, listed_incarnation):
             return False
         self.reports_by_id[report.target_id] = report
         return known != report
@@ -72,5 +75,12 @@
         self.reports_by_id.pop(target_id, None)
 
 
-def _is_stale(report: TargetReport, known: TargetReport) -> bool:
-    return 0 < known.sequence - report.sequence <= MAX_STALE_REPORTS
+def _is_stale(
+    report: TargetReport, known: TargetReport, listed_incarnation: int
+) -> bool:
+    if report.incarnation == known.incarnation:
+        return 0 < known.sequence - report.sequence <= MAX_STALE_REPORTS
+    # A lower incarnation is an earlier one, unless the target itself answers with it:
+    # the time of day may have been set back, or another writer has set the higher one.
+    is_listed = listed_incarnation and report.incarnation == listed_incarnation
+    return report.incarnation < known.incarnation and not is_listed
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -705,6 +705,14 @@
         self._targets.remove_if_missing(target_id, reason)
         self._schedule_dispatch()
 
+    def on_restarted(self, target_id: str, incarnation: int) -> None:
+        """Forget what holds for the earlier process of a target only.
+
+        :param incarnation: the one that has answered.
+        """
+        log_event(Event.TARGET_RESTARTED, target=target_id, incarnation=incarnation)
+        workload.on_target_restarted(self._tables, target_id, incarnation)
+
     def on_superseded(self, target_id: str) -> None:
         """Record that a target obeys a later leader."""
         self.superseded_ids.add(target_id)
--- a/src/cassiaturn/fleet/_leader_targets.py
+++ b/src/cassiaturn/fleet/_leader_targets.py
@@ -12,7 +12,7 @@
 from cassiaturn.fleet._ports import Authority, TargetCalls
 from cassiaturn.fleet._routing import CurrentRouting
 from cassiaturn.fleet._target_link import TargetEvents, TargetLink
-from cassiaturn.fleet._told_ends import Receipt, ToldEnds
+from cassiaturn.fleet._told_ends import Receipt
 from cassiaturn.observability import Event, SeldomLog, log_event
 from cassiaturn.workload import Ports, Run, StartOrder, Tables, WorkloadSettings
 
@@ -62,7 +62,6 @@
         self._on_capacity_change = on_capacity_change
         self._directory = Directory(reports_by_id=reports_by_id)
         self._links_by_id: dict[str, TargetLink] = {}
-        self._told_ends_by_id: dict[str, ToldEnds] = {}
         self._answer_loss = AnswerLossMonitor()
         self._ignored_log = SeldomLog()
 
@@ -109,9 +108,9 @@
         :param sequence: sequence number of the last of them.
         :param receipts: receipts of the frames that tell of them.
         """
-        told_ends = self._told_ends_by_id.get(target_id)
-        if told_ends is not None:
-            told_ends.add(sequence, receipts)
+        link = self._links_by_id.get(target_id)
+        if link is not None:
+            link.note_ends(sequence, receipts)
 
     def tick(self, now: float) -> None:
         """Renew leases that are due, and remove targets that are missing for too long.
@@ -162,12 +161,17 @@
 
     def _apply_report(self, report: TargetReport) -> None:
         target_id = report.target_id
-        changed = self._directory.put(report)
+        link = self._links_by_id.get(target_id)
+        changed = self._directory.put(
+            report, listed_incarnation=link.incarnation if link is not None else 0
+        )
         report = self.reports_by_id[target_id]
         if self._is_configured(report):
             workload.on_target_report(self._tables, self._leader_ports, report)
-            if target_id not in self._links_by_id:
+            if link is None:
                 self._open_link(report)
+            elif link.authority.address != report.address:
+                link.use_address(report.address)
         elif changed:
             self._ignored_log.log(
                 Event.TARGET_IGNORED,
@@ -191,8 +195,6 @@
 
     def _open_link(self, report: TargetReport) -> None:
         target = self._tables.targets_by_id[report.target_id]
-        told_ends = ToldEnds()
-        self._told_ends_by_id[report.target_id] = told_ends
         link = TargetLink(
             authority=Authority(
                 target_id=report.target_id,
@@ -203,7 +205,6 @@
             events=self._leader_ports,
             has_runs=lambda: bool(target.runs_by_ref),
             has_tight_runs=lambda: workload.has_tight_runs(self._tables, target),
-            told_ends=told_ends,
             may_start=lambda: self._tables.may_start_on(target),
             targets=lambda: len(self._links_by_id),
             answer_loss=self._answer_loss,
@@ -240,7 +241,6 @@
             self._close_link(target_id, "service_gone")
 
     def _close_link(self, target_id: str, reason: str) -> None:
-        self._told_ends_by_id.pop(target_id, None)
         link = self._links_by_id.pop(target_id, None)
         if link is not None:
             link.close()
--- a/src/cassiaturn/fleet/_target_link.py
+++ b/src/cassiaturn/fleet/_target_link.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any, Protocol
 
@@ -31,6 +31,7 @@
     Superseded,
     TargetCalls,
 )
+from cassiaturn.fleet._target_life import TargetLife
 from cassiaturn.fleet._target_timing import (
     BUSY_LONG_POLL_S,
     FIRST_LIST_SEND_TIMES_S,
@@ -47,7 +48,7 @@
     TIGHT_RENEW_PERIOD_S,
     list_period_s,
 )
-from cassiaturn.fleet._told_ends import RETRY_PERIOD_S, ToldEnds
+from cassiaturn.fleet._told_ends import RETRY_PERIOD_S, Receipt
 from cassiaturn.observability import Event, log_event
 from cassiaturn.transport import answer_timeout
 from cassiaturn.workload import Run, StartOrder, WorkloadSettings
@@ -91,6 +92,12 @@
     def on_lost(self, target_id: str, reason: str) -> None:
         """Handle that no run is left on the target."""
 
+    def on_restarted(self, target_id: str, incarnation: int) -> None:
+        """Handle that another process of the target answers, before its first list.
+
+        :param incarnation: tells it apart from the earlier one.
+        """
+
     def on_superseded(self, target_id: str) -> None:
         """Handle that the target obeys a later leader."""
 
@@ -103,7 +110,7 @@
 
 
 class TargetLink:
-    """The leader's only connection to one incarnation of a target."""
+    """The leader's only connection to a target."""
 
     def __init__(
         self,
@@ -113,7 +120,6 @@
         events: TargetEvents,
         has_runs: Callable[[], bool],
         has_tight_runs: Callable[[], bool],
-        told_ends: ToldEnds,
         may_start: Callable[[], bool],
         targets: Callable[[], int],
         answer_loss: AnswerLossMonitor,
@@ -127,7 +133,6 @@
         :param has_runs: returns whether the target has runs that are to continue.
         :param has_tight_runs: returns whether some of them may end too late for their
             callers.
-        :param told_ends: the ended runs that may be acknowledged.
         :param may_start: returns whether operators allow starts on the target.
         :param targets: returns the number of targets that the leader has links to.
         :param answer_loss: lost answers of all links of the leader.
@@ -138,7 +143,6 @@
         self._events = events
         self._has_runs = has_runs
         self._has_tight_runs = has_tight_runs
-        self._told_ends = told_ends
         self._may_start = may_start
         self._targets = targets
         self._answer_loss = answer_loss
@@ -146,7 +150,12 @@
         self._answer_time = AnswerTimeEstimate()
         self._long_poll: asyncio.Task[None] | None = None
         self._long_poll_sent_at = 0.0
-        self._clock = LeaseClock(settings=settings)
+        self._settings = settings
+        self._life = TargetLife(clock=LeaseClock(settings=settings))
+        self._has_unanswered = False
+        """Whether a request was left unanswered since the last list, so that the target
+        may have restarted."""
+
         self._renewed_at = 0.0
         self._answered_at = 0.0
         self._is_silent = False
@@ -161,6 +170,23 @@
         """
         self.authority = replace(self.authority, token=token)
 
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that listed its runs last; 0: not told."""
+        return self._life.incarnation
+
+    def use_address(self, address: str) -> None:
+        """Send all further orders to another address, ``host:port``."""
+        self.authority = replace(self.authority, address=address)
+
+    def note_ends(self, sequence: int, receipts: Sequence[Receipt]) -> None:
+        """Acknowledge ended runs once the members that wait for them were told.
+
+        :param sequence: sequence number of the last of them.
+        :param receipts: receipts of the frames that tell of them.
+        """
+        self._life.told_ends.add(sequence, receipts)
+
     def open(self) -> None:
         """Start to poll the target for what it runs."""
         self._spawn(self._poll_reports())
@@ -186,7 +212,7 @@
         :param now: monotonic time in seconds.
         """
         if self._is_silent:
-            if now >= self._clock.leases_over_at:
+            if now >= self._life.clock.leases_over_at:
                 self._events.on_lost(self.authority.target_id, "lease_over")
             return
         if self._is_renewing or not self._has_runs():
@@ -227,7 +253,7 @@
             await _wait_for_end(self._long_poll)
             self._long_poll = None
             # A target answers a long poll at once while an end is not acknowledged.
-            await self._told_ends.wait(
+            await self._life.told_ends.wait(
                 list_period_s(RETRY_PERIOD_S, targets=self._targets())
             )
 
@@ -347,16 +373,20 @@
             was closed.
         """
         asked_at = time.monotonic()
-        lease_until_ms = self._clock.lease_end(asked_at) if renew else None
-        if lease_until_ms is not None:
+        life = self._life
+        grant = life.grant(asked_at) if renew else None
+        if grant is not None:
             self._renewed_at = asked_at
         result = await self._calls.renew(
             self.authority,
-            ended_seen=self._told_ends.acknowledged,
-            lease_until_ms=lease_until_ms,
+            # The number of an end is no acknowledgement for another process.
+            ended_seen=0 if self._has_unanswered else life.told_ends.acknowledged,
+            lease_until_ms=grant.until_ms if grant is not None else None,
             wait_s=wait_s,
             timeout_s=timeout_s,
         )
+        if grant is not None:
+            grant.is_answered = _is_answered(result)
         self._count_request(
             "wait" if wait_s else "list", asked_at, _is_answered(result)
         )
@@ -364,7 +394,12 @@
             return None
         match result:
             case Success(report):
-                self._record_clock(report.clock_ms)
+                if report.incarnation in self._life.earlier:
+                    return NoAnswer(detail="an earlier process answered")
+                self._note_incarnation(report)
+                self._life.note_list(asked_at)
+                self._has_unanswered = False
+                self._record_clock(report.clock_ms, self._life)
                 if not wait_s:
                     self._answer_time.observe(time.monotonic() - asked_at)
                 self._is_silent = False
@@ -375,10 +410,22 @@
                 )
                 return None
             case Failure(problem):
+                self._has_unanswered = True
                 unanswered: CallProblem = problem
                 return unanswered
         raise AssertionError("a result is a success or a failure")
 
+    def _note_incarnation(self, report: LeaseReport) -> None:
+        """Forget all that holds for an earlier process, if another one answers."""
+        life = self._life
+        if not report.incarnation or report.incarnation == life.incarnation:
+            return
+        if not life.incarnation:
+            life.incarnation = report.incarnation
+            return
+        self._life = life.successor(report.incarnation, report.clock_ms, self._settings)
+        self._events.on_restarted(self.authority.target_id, report.incarnation)
+
     def _restart_long_poll_if_lost(self, asked_at: float) -> None:
         """Restart the long poll if it should have reported a run that has ended.
 
@@ -398,11 +445,12 @@
             await asyncio.sleep(SILENT_RETRY_PERIOD_S)
 
     async def _start(self, order: StartOrder) -> None:
+        life = self._life
         reply = await self._send_start(order)
         if self._closed:
             return
         if reply.clock_ms is not None:
-            self._record_clock(reply.clock_ms)
+            self._record_clock(reply.clock_ms, life)
         self._events.on_start_answer(
             self.authority.target_id,
             order.ref,
@@ -443,12 +491,15 @@
 
     async def _attempt_start(self, order: StartOrder, timeout_s: float) -> StartReply:
         sent_at = time.monotonic()
+        grant = self._life.grant(order.decided_at)
         reply = await self._calls.start(
             self.authority,
             order,
-            lease_until_ms=self._clock.lease_end(order.decided_at),
+            lease_until_ms=grant.until_ms if grant is not None else None,
             timeout_s=timeout_s,
         )
+        if grant is not None:
+            grant.is_answered = reply.answer is not StartAnswer.UNKNOWN
         self._count_request("start", sent_at, reply.answer is not StartAnswer.UNKNOWN)
         if reply.answer is StartAnswer.SUPERSEDED and not self._closed:
             self._events.on_superseded(self.authority.target_id)
@@ -456,6 +507,7 @@
 
     async def _stop(self, ref: TaskRef, number: int, is_uncertain: bool) -> None:
         sent_at = time.monotonic()
+        life = self._life
         stopped = await self._calls.stop(
             self.authority, ref, number, timeout_s=ORDER_TIMEOUT_S
         )
@@ -463,7 +515,7 @@
         match stopped:
             case Success(clock_ms):
                 if not self._closed:
-                    self._record_clock(clock_ms)
+                    self._record_clock(clock_ms, life)
                     self._events.on_stop_answer(self.authority.target_id, ref, number)
                     if is_uncertain:
                         # A list requested now tells whether the run ever began. Waiting
@@ -493,10 +545,16 @@
                 self._is_silent = True
                 self._events.on_silent(target_id)
 
-    def _record_clock(self, clock_ms: int) -> None:
+    def _record_clock(self, clock_ms: int, life: TargetLife) -> None:
+        """Record the target's clock from an answer.
+
+        :param life: the process that was known when the request was sent.
+        """
         now = time.monotonic()
         answered_before, self._answered_at = self._answered_at, now
-        ahead_s = self._clock.observe(clock_ms, now)
+        if life is not self._life:
+            return
+        ahead_s = life.clock.observe(clock_ms, now)
         if ahead_s >= PAUSE_S:
             self._events.on_clock_ahead(
                 self.authority.target_id, ahead_s, since=answered_before
--- a/src/cassiaturn/fleet/tests/test_target_link.py
+++ b/src/cassiaturn/fleet/tests/test_target_link.py
@@ -23,7 +23,6 @@
     TIGHT_RENEW_PERIOD_S,
     list_period_s,
 )
-from cassiaturn.fleet._told_ends import ToldEnds
 from cassiaturn.observability import FleetMetrics
 from cassiaturn.workload import StartOrder, WorkloadSettings
 
@@ -48,10 +47,13 @@
         self.start_leases_ms: list[int | None] = []
         self.answer_s = 0.0
         self.ended: tuple[EndedRun, ...] = ()
+        self.incarnation = 0
+        self.ended_seen: list[int] = []
 
     async def renew(
-        self, *args: object, timeout_s: float, **options: object
+        self, *args: object, ended_seen: int, timeout_s: float, **options: object
     ) -> Result[LeaseReport, CallProblem]:
+        self.ended_seen.append(ended_seen)
         arrives = self._answers[min(self.asked, len(self._answers) - 1)]
         self.asked += 1
         if not arrives or self.answer_s > timeout_s:
@@ -59,7 +61,12 @@
             return Failure(NoAnswer(detail="lost"))
         await asyncio.sleep(self.answer_s)
         return Success(
-            LeaseReport(clock_ms=1_000 + self.asked, running=(), ended=self.ended)
+            LeaseReport(
+                clock_ms=1_000 + self.asked,
+                running=(),
+                ended=self.ended,
+                incarnation=self.incarnation,
+            )
         )
 
     async def start(
@@ -87,6 +94,7 @@
         self.silent = 0
         self.unanswered = 0
         self.superseded = 0
+        self.restarted: list[int] = []
         self.start_answers: list[StartAnswer] = []
 
     def on_report(self, *args: object, **options: object) -> None:
@@ -101,6 +109,9 @@
     def on_superseded(self, target_id: str) -> None:
         self.superseded += 1
 
+    def on_restarted(self, target_id: str, incarnation: int) -> None:
+        self.restarted.append(incarnation)
+
     def on_clock_ahead(self, target_id: str, ahead_s: float, *, since: float) -> None:
         """Ignore the event."""
 
@@ -182,7 +193,7 @@
     link = _link(calls, events)
     renewing = asyncio.ensure_future(link._renew())
     await asyncio.sleep(0.02)
-    link._record_clock(7_000)
+    link._record_clock(7_000, link._life)
     await renewing
     assert events.silent == 0
     assert calls.asked == 1
@@ -421,7 +432,6 @@
         events=events,  # type: ignore[arg-type]
         has_runs=lambda: True,
         has_tight_runs=lambda: False,
-        told_ends=ToldEnds(),
         may_start=lambda: may_start,
         targets=lambda: 1,
         answer_loss=AnswerLossMonitor(),
@@ -469,3 +479,41 @@
     clock_ms = 1_000 + calls.asked
     assert calls.started == [65, 65]
     assert all(end is not None and end < clock_ms for end in calls.start_leases_ms)
+
+
+@pytest.mark.parametrize(
+    ("incarnations", "restarts", "reports"),
+    [
+        ([0, 0], [], 2),  # the platform does not tell
+        ([7, 7], [], 2),
+        ([0, 7, 7], [], 3),
+        ([7, 8], [8], 2),
+        ([8, 7], [7], 2),  # the time of day was set back
+        ([7, 8, 7, 8], [8], 3),  # an answer of the earlier process is read late
+    ],
+)
+async def test_a_restarted_target_is_told_by_its_lists(
+    incarnations: list[int], restarts: list[int], reports: int
+) -> None:
+    """Guards against values of one process that are compared with those of the next."""
+    calls = FakeTargetCalls([True])
+    events = RecordedEvents()
+    link = _link(calls, events)
+    for calls.incarnation in incarnations:
+        await link._fetch_list(wait_s=0.0, renew=True, timeout_s=0.1)
+    assert events.restarted == restarts
+    assert events.reports == reports
+
+
+async def test_no_end_is_acknowledged_to_a_target_that_may_have_restarted() -> None:
+    """Guards against ends of a new process that it forgets before they are read."""
+    calls = FakeTargetCalls([True, False, True])
+    link = _link(calls, RecordedEvents())
+    calls.incarnation = 7
+    for _ in range(4):
+        await link._fetch_list(wait_s=0.0, renew=True, timeout_s=0.01)
+        link.note_ends(57, ())
+    calls.incarnation = 8
+    for _ in range(2):
+        await link._fetch_list(wait_s=0.0, renew=True, timeout_s=0.01)
+    assert calls.ended_seen == [0, 57, 0, 57, 57, 0]
--- a/src/cassiaturn/observability/_event.py
+++ b/src/cassiaturn/observability/_event.py
@@ -122,6 +122,10 @@
     TARGET_UNANSWERED = _info(
         "target_unanswered", "A target left a request unanswered; it is asked again."
     )
+    TARGET_RESTARTED = _info(
+        "target_restarted",
+        "A target has started again under its id; it knows nothing of before.",
+    )
     TARGET_CONFIRMED = _info(
         "target_confirmed",
         "Every follower knows a new target, which may get starts from now on.",
--- a/src/cassiaturn/platform/_decode.py
+++ b/src/cassiaturn/platform/_decode.py
@@ -3,6 +3,7 @@
 from pydantic_core import ValidationError
 from returns.result import Failure, Result, Success
 
+from cassiaturn._core_models import describe_error
 from cassiaturn.entities import (
     AdvicePolicy,
     DrainRequest,
@@ -53,13 +54,6 @@
 }
 
 
-def describe_error(error: ValidationError) -> str:
-    """Return a readable description of the first error in a message."""
-    first = error.errors(include_url=False, include_input=False)[0]
-    place = ".".join(str(part) for part in first["loc"]) or "the body"
-    return f"{place}: {first['msg']}"
-
-
 def decode_job(job_id: str, body: bytes) -> Result[JobRequest, str]:
     """Decode a job.
 
@@ -159,6 +153,7 @@
         leaving=parsed.state == "draining",
         remaining_s=parsed.remaining_ms / MS_PER_S,
         slow_start_s=parsed.cold_remaining_ms / MS_PER_S,
+        incarnation=parsed.born,
         sequence=max(0, min(parsed.sequence, MAX_WIRE_INT)),
     )
 
@@ -189,7 +184,9 @@
         )
     except (ValidationError, ValueError, KeyError, OverflowError):
         return None
-    return LeaseReport(clock_ms=parsed.clock_ms, running=running, ended=ended)
+    return LeaseReport(
+        clock_ms=parsed.clock_ms, running=running, ended=ended, incarnation=parsed.born
+    )
 
 
 def encode_ref(ref: TaskRef) -> str:
--- a/src/cassiaturn/platform/_documents.py
+++ b/src/cassiaturn/platform/_documents.py
@@ -140,6 +140,7 @@
     capacity: CapacityDocument
     labels: list[str] = EMPTY
     sequence: int
+    born: WireCount = 0  # Start of the process, in Unix milliseconds.
     # Sent only while the target drains.
     remaining_ms: FiniteNumber = 0
 
@@ -182,6 +183,7 @@
     """Running and ended runs of a target."""
 
     clock_ms: int
+    born: WireCount = 0  # As in the target's directory entry.
     # Rows of task, run, checkpoint, share done in percent and recent load.
     running: list[tuple[str, int, str, float] | tuple[str, int, str, float, float]] = (
         EMPTY
--- a/src/cassiaturn/platform/_table.py
+++ b/src/cassiaturn/platform/_table.py
@@ -28,9 +28,7 @@
     Write,
     WriteError,
 )
-from cassiaturn.transport.http_client import (
-    Reply,
-)
+from cassiaturn.transport.http_client import Reply
 
 TRANSACT_PATH = "/api/rows-tx"
 
--- a/src/cassiaturn/platform/tests/standin_runner.py
+++ b/src/cassiaturn/platform/tests/standin_runner.py
@@ -33,7 +33,7 @@
 
 
 class StandinRunner:
-    """One incarnation of a runner on one port."""
+    """A runner on one port, which may restart under its id."""
 
     def __init__(self, target_id: str, *, run_s: float = 0.05, zone: str = "a") -> None:
         self.target = VirtualTarget(
@@ -41,6 +41,11 @@
         )
         self.run_s = run_s
         self.zone = zone
+        self.labels = ["a", "r1-1"]
+        self.born_ms = 0
+        """Start of its process in Unix milliseconds; 0: it does not tell."""
+        self.sequence = 1
+        self.started_at = time.monotonic() - 5_000.0
         self.token = 0
         self.silent = False
         self.block_loop_s = 0.0
@@ -51,10 +56,15 @@
         self.orders: list[tuple[TaskRef, int]] = []
         """Task and run number of each start order, answered or not."""
         self.overlaps = 0
+        self.longest_lease_ms = 0
+        """Longest time from an order until the end of the lease that it names."""
         self.lease_requests = 0
         self.address = ""
+        self._server = self._make_server()
+
+    def _make_server(self) -> HTTPServer:
         shared = {"runner": self}
-        self._server = HTTPServer(
+        return HTTPServer(
             Application(
                 [
                     ("/api/run-start", _Start, shared),
@@ -70,6 +80,21 @@
         self._server.add_sockets(sockets)
         self.address = f"{LOOPBACK}:{sockets[0].getsockname()[1]}"
 
+    async def restart(self, *, after_s: float = 0.1) -> None:
+        """End the process, and start another one under the same id and address."""
+        port = int(self.address.rpartition(":")[2])
+        await self.close()
+        await asyncio.sleep(after_s)
+        self.target = VirtualTarget(
+            target_id=self.target.target_id, capacity=self.target.capacity
+        )
+        self.token = 0
+        self.sequence = 1
+        self.started_at = time.monotonic()
+        self.born_ms += round(self.started_at * 1000)
+        self._server = self._make_server()
+        self._server.add_sockets(bind_sockets(port, LOOPBACK))
+
     async def close(self) -> None:
         self._server.stop()
         await self._server.close_all_connections()
@@ -82,12 +107,16 @@
             "zone": self.zone,
             "state": state,
             "capacity": {"cpu": 16_000, "memMb": 64_000, "gpu": 0},
-            "labels": ["a", "r1-1"],
-            "sequence": 1,
+            "labels": self.labels,
+            "sequence": self.sequence,
+            **self.told_birth(),
         }
 
+    def told_birth(self) -> dict[str, object]:
+        return {"born": self.born_ms} if self.born_ms else {}
+
     def clock_ms(self) -> int:
-        return int(time.monotonic() * 1000) + 5_000_000
+        return int((time.monotonic() - self.started_at) * 1000)
 
 
 class _Handler(RequestHandler):
@@ -116,7 +145,9 @@
 
     def renew(self) -> None:
         until_ms = self.body.get("deadlineMs", 0)
-        left_s = min(1.0, (until_ms - self.runner.clock_ms()) / 1000)
+        left_ms = until_ms - self.runner.clock_ms()
+        self.runner.longest_lease_ms = max(self.runner.longest_lease_ms, left_ms)
+        left_s = min(1.0, left_ms / 1000)
         target = self.runner.target
         target.lease_until = max(target.lease_until, time.monotonic() + left_s)
 
@@ -169,20 +200,21 @@
 
 class _Hold(_Handler):
     async def post(self) -> None:
-        runner = self.runner
+        runner, target = self.runner, self.runner.target
         runner.lease_requests += 1
         self.renew()
         seen = self.body.get("lastSeen", 0)
         end_at = time.monotonic() + self.body.get("waitMs", 0) / 1000
         while True:
             now = time.monotonic()
-            runner.target.advance(now)
-            report = runner.target.report(seen, now)
+            target.advance(now)
+            report = target.report(seen, now)
             if report.ended or now >= end_at:
                 break
             await asyncio.sleep(0.005)
         self.reply(
             200,
+            **runner.told_birth(),
             running=[
                 [encode_ref(row.ref), row.run, row.checkpoint, row.percent]
                 for row in report.running
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -12,6 +12,7 @@
     on_target_gone,
     on_target_lost,
     on_target_report,
+    on_target_restarted,
     on_target_silent,
     on_target_unanswered,
 )
@@ -38,6 +39,7 @@
     on_stop_answer,
 )
 from cassiaturn.workload._settings import (
+    CLOCK_DRIFT_RATIO,
     INHERITED_HOLD_S,
     WorkloadSettings,
     settings_for_lease,
@@ -63,6 +65,7 @@
 from cassiaturn.workload._unsupported_features import unsupported_feature
 
 __all__ = [
+    "CLOCK_DRIFT_RATIO",
     "INHERITED_HOLD_S",
     "Counters",
     "StartCounts",
@@ -96,6 +99,7 @@
     "on_start_answer",
     "on_stop_answer",
     "on_target_report",
+    "on_target_restarted",
     "on_target_gone",
     "on_target_lost",
     "on_target_silent",
--- a/src/cassiaturn/workload/_backlog.py
+++ b/src/cassiaturn/workload/_backlog.py
@@ -30,6 +30,7 @@
             target.has_reported
             and target.target_id not in tables.unconfirmed_ids
             and not target.leaving
+            and target.is_described
             and tables.may_start_on(target)
             and not target.silent
             and target.paused_until <= now
--- a/src/cassiaturn/workload/_directory.py
+++ b/src/cassiaturn/workload/_directory.py
@@ -28,6 +28,7 @@
                 labels=report.labels,
                 service=report.service,
                 leaving=report.leaving,
+                incarnation=report.incarnation,
             )
         )
         ports.record(
@@ -40,6 +41,8 @@
         return
     if target.capacity != report.capacity:
         _resize(ports, target, report.capacity)
+    if target.incarnation != report.incarnation:
+        _describe_restarted(tables, target, report)
     target.labels = report.labels
     target.note_change()
     if report.leaving and not target.leaving:
@@ -48,6 +51,36 @@
         ports.record(Event.TARGET_LEAVING, target=report.target_id)
 
 
+def _describe_restarted(tables: Tables, target: Target, report: TargetReport) -> None:
+    """Apply what an entry tells of a process that has replaced the known one."""
+    target.incarnation = report.incarnation
+    target.leaving = report.leaving
+    if target.labels != report.labels:
+        # What was learned belongs to a worker of another kind, or in another rack.
+        speed_model = tables.speeds_by_service[target.service]
+        target.speed = speed_model.new_estimate(report.labels)
+
+
+def on_target_restarted(tables: Tables, target_id: str, incarnation: int) -> None:
+    """Forget what holds for the earlier process of a target only.
+
+    Its acknowledged runs have ended, which the next list shows. An order without an
+    answer may still be carried out by the new process, so its run counts until the
+    target has confirmed an order to stop it.
+
+    :param incarnation: the one that has answered.
+    """
+    target = tables.targets_by_id.get(target_id)
+    if target is None:
+        return
+    target.listed_incarnation = incarnation
+    target.ended_seen = 0
+    target.failures_in_row = 0
+    target.paused_until = 0.0
+    target.slowness = 1.0
+    target.note_change()
+
+
 def _resize(ports: Ports, target: Target, capacity: Resources) -> None:
     """Change a target's capacity; runs that exceed a smaller one continue."""
     ports.record(
--- a/src/cassiaturn/workload/_reports.py
+++ b/src/cassiaturn/workload/_reports.py
@@ -110,6 +110,7 @@
         ports.record(Event.TARGET_HEARD, target=target_id, runs=len(report.running))
     tables.note_reported(target)
     target.silent = False
+    target.listed_incarnation = report.incarnation
     for ended in report.ended:
         if ended.sequence > target.ended_seen:
             target.ended_seen = ended.sequence
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -315,8 +315,14 @@
     failures_in_row: int = 0
     """Number of runs that failed there since the last success."""
 
+    incarnation: int = 0
+    """The incarnation that its directory entry describes; 0: not told."""
+
+    listed_incarnation: int = 0
+    """The incarnation that has listed its runs; 0: not told."""
+
     ended_seen: int = 0
-    """Sequence number of the last end that was processed."""
+    """Sequence number of the last end of this incarnation that was processed."""
 
     stray_refs: set[TaskRef] = field(default_factory=set)
     """Tasks of which the last list has a run that is not theirs; all are ordered to
@@ -325,6 +331,18 @@
     list_requested_at: float = 0.0
     """When the last list that was processed was requested, in seconds."""
 
+    @property
+    def is_described(self) -> bool:
+        """Whether its directory entry is of the process that listed its runs.
+
+        Else the target has restarted, and may be of another kind or draining.
+        """
+        return (
+            self.incarnation == self.listed_incarnation
+            or not self.incarnation
+            or not self.listed_incarnation
+        )
+
     @property
     def usage_is_known(self) -> bool:
         """Whether the resources of all runs there, certain or possible, are known."""
--- a/src/cassiaturn/workload/tests/test_target_failures.py
+++ b/src/cassiaturn/workload/tests/test_target_failures.py
@@ -297,3 +297,48 @@
     play.run(1.0)
     assert play.targets["t0"].last_run_by_ref
     assert play.verdict("a") is Verdict.COMPLETED
+
+
+def test_a_run_without_an_answer_outlasts_a_restart_of_its_target() -> None:
+    """Guards against a second run while the new process may still begin the first.
+
+    The order to start got no answer. The target restarts, and its list shows no run;
+    the task waits until the new process has confirmed the order to stop it.
+    """
+    play = VirtualLeader()
+    play.add_target("t0")
+    play.run(0.01)
+    play.lose_start = lambda _: True
+    play.submit("a", run_s=0.3, limit_s=4.0)
+    play.run(0.3)
+    target = play.tables.targets_by_id["t0"]
+    run = target.runs_by_ref[TaskRef("a", 0, 0, 0)]
+    run.is_acknowledged = False
+    workload.on_target_restarted(play.tables, "t0", 2)
+    report = LeaseReport(clock_ms=0, running=(), ended=(), incarnation=2)
+    workload.on_lease_report(
+        play.tables, play, "t0", report, asked_at=play.now, now=play.now
+    )
+    assert run.ref in target.runs_by_ref
+    workload.on_stop_answer(play.tables, "t0", run.ref, run.number, play.now)
+    workload.on_lease_report(
+        play.tables, play, "t0", report, asked_at=play.now + 0.01, now=play.now + 0.02
+    )
+    assert run.ref not in target.runs_by_ref
+
+
+@pytest.mark.parametrize(
+    ("described", "listed", "starts"),
+    [(0, 0, 1), (1, 0, 1), (0, 1, 1), (1, 1, 1), (1, 2, 0), (2, 1, 0)],
+)
+def test_a_target_gets_starts_by_an_entry_of_the_process_that_answers(
+    described: int, listed: int, starts: int
+) -> None:
+    """Guards against starts by the kind, capacity or state of an earlier process."""
+    play = VirtualLeader()
+    play.add_target("t0")
+    play.run(0.01)
+    target = play.tables.targets_by_id["t0"]
+    target.incarnation, target.listed_incarnation = described, listed
+    play.submit("a", run_s=0.3)
+    assert play.tables.counters.starts == starts
