Let no text from outside end a process

Cause: two faults that met. An entry with fields missing and a key outside Latin-1 was taken for a target's; and the head of a request was built outside of the part of HttpClient.call that makes values of errors, so that the UnicodeEncodeError ended the task of the first list, and with it the process. A key with the end of a line did the same by an assertion.

Change: an entry names a target only if it has all fields that each target writes, and if its key can be a header's value. A request that HTTP cannot carry is an outcome of the call, InvalidRequest, and nothing is sent. Other places where text from outside goes were read: log lines are quoted and escaped, metric labels are routes of the configuration and member names, paths of the table service are constants, queries are encoded within the same part now, bodies are JSON in ASCII, addresses are checked by the decoder.

test_a_header_with_the_end_of_a_line_is_refused_each_time asserted that the process fails; it asserts the outcome instead, both times, and that nothing was sent or connected.

Evidence: test_text_that_http_cannot_carry_fails_the_call_alone (20 cases), test_an_id_that_no_header_can_carry_names_no_target, and two more entries in test_foreign_entries_do_not_affect_callers, which ended the leader before.

--- a/src/cassiaturn/platform/_decode.py
+++ b/src/cassiaturn/platform/_decode.py
@@ -136,7 +136,10 @@
 
 
 def decode_target(target_id: str, document: bytes) -> TargetReport | None:
-    """Decode a target's directory entry; None if it is malformed."""
+    """Decode a target's directory entry; None if it names no target."""
+    # Orders name the id in a header.
+    if not (target_id.isascii() and target_id.isprintable()):
+        return None
     try:
         parsed = RunnerDocument.model_validate_json(document)
     except ValidationError:
--- a/src/cassiaturn/platform/_documents.py
+++ b/src/cassiaturn/platform/_documents.py
@@ -125,20 +125,20 @@
 class RunnerDocument(Document, strict=True):
     """A target's own directory entry, stored under the target's id.
 
-    The directory may have other writers. Fields that orders depend on are required, and
-    types are not coerced: an entry with one wrong field may have a wrong address too,
-    and a start order would be sent to a process that is not a target.
+    The directory may have other writers. All fields that each target writes are
+    required, and types are not coerced: an entry with one wrong field may have a wrong
+    address too, and a start order would be sent to a process that is not a target.
     """
 
     service: Annotated[str, Checked(schema=str_schema(min_length=1))]
     address: AddressField
     zone: str
-    version: str = ""
-    slots: Count = 0
+    version: str
+    slots: Count
     state: Literal["ready", "draining"]
-    cold_remaining_ms: FiniteNumber = 0
+    cold_remaining_ms: FiniteNumber
     capacity: CapacityDocument
-    labels: list[str] = EMPTY
+    labels: list[str]
     sequence: int
     born: WireCount = 0  # Start of the process, in Unix milliseconds.
     # Sent only while the target drains.
--- a/src/cassiaturn/platform/tests/test_foreign_entries.py
+++ b/src/cassiaturn/platform/tests/test_foreign_entries.py
@@ -46,9 +46,7 @@
     assert _read({**GOOD, "somethingNew": [1]}) is not None
 
 
-@pytest.mark.parametrize(
-    "field", ["service", "address", "zone", "state", "capacity", "sequence"]
-)
+@pytest.mark.parametrize("field", sorted(GOOD.keys() - {"clockMs"}))
 def test_an_entry_with_a_missing_field_is_rejected(field: str) -> None:
     assert _read({key: value for key, value in GOOD.items() if key != field}) is None
 
@@ -89,6 +87,12 @@
     assert _read({**GOOD, **change}) is None
 
 
+@pytest.mark.parametrize("target_id", ["maszyna-łódź-1", "i-1\r\nHost: a", "i\x00"])
+def test_an_id_that_no_header_can_carry_names_no_target(target_id: str) -> None:
+    """Guards against orders that cannot be written."""
+    assert decode_target(target_id, json.dumps(GOOD).encode()) is None
+
+
 @settings(max_examples=300)
 @given(st.sampled_from(sorted(GOOD)), JSON)
 def test_any_field_value_is_decoded_or_rejected(field: str, value: Any) -> None:
@@ -144,6 +148,8 @@
         "f-missing": {"service": "svc", "address": "127.0.0.1:9"},
         "f-bytes": "\x00\ufffd{",
         "f-list": [1, 2],
+        "maszyna-łódź-1": stranger,
+        "f-line\r\nend": stranger,
     }
     for key, entry in foreign.items():
         fleet.store.state.put("servers", key, entry)
--- a/src/cassiaturn/transport/http_client.py
+++ b/src/cassiaturn/transport/http_client.py
@@ -42,7 +42,15 @@
     """One sentence for people."""
 
 
-CallFailure = ConnectionRefused | NoReply
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InvalidRequest:
+    """HTTP cannot carry a part of the request, so nothing was sent."""
+
+    detail: str
+    """One sentence for people."""
+
+
+CallFailure = ConnectionRefused | NoReply | InvalidRequest
 """Why a call has no response."""
 
 
@@ -90,11 +98,17 @@
         if body is not None:
             content = _encode_json(body).encode()
         headers = headers or {}
-        if query:
-            target = f"{path}?{urlencode(query, quote_via=quote)}"
-            head = _build_head(method, address, target, headers, body is not None)
-        else:
-            head = self._heads.head(method, address, path, headers, body is not None)
+        try:
+            if query:
+                target = f"{path}?{urlencode(query, quote_via=quote)}"
+                head = _build_head(method, address, target, headers, body is not None)
+            else:
+                head = self._heads.head(
+                    method, address, path, headers, body is not None
+                )
+        except ValueError as error:
+            # Ids and addresses come from outside, and may hold any text.
+            return Failure(InvalidRequest(detail=str(error)))
         request = _to_bytes(method, head, content)
         self.bytes_sent += len(request)
         connection = self._take_idle(address)
@@ -201,6 +215,7 @@
 
     :param target: path and query.
     :param is_json: whether the body is a JSON document.
+    :raises ValueError: a part holds the end of a line, or text outside of Latin-1.
     """
     sent = {"Host": address, **headers}
     if is_json:
@@ -208,8 +223,8 @@
     lines = [f"{method} {target} HTTP/1.1"]
     lines.extend(f"{name}: {value}" for name, value in sent.items())
     text = "\r\n".join(lines)
-    if "\n" in text.replace("\r\n", ""):
-        raise AssertionError("a header or path holds the end of a line")
+    if text.count("\n") != len(sent) or text.count("\r") != len(sent):
+        raise ValueError("a header or path holds the end of a line")
     return text.encode("latin-1")
 
 
@@ -225,6 +240,7 @@
     "CallFailure",
     "ConnectionRefused",
     "HttpClient",
+    "InvalidRequest",
     "NoReply",
     "Reply",
 ]
--- a/src/cassiaturn/transport/tests/test_http_client.py
+++ b/src/cassiaturn/transport/tests/test_http_client.py
@@ -11,6 +11,7 @@
 from cassiaturn.transport.http_client import (
     ConnectionRefused,
     HttpClient,
+    InvalidRequest,
     NoReply,
     Reply,
 )
@@ -142,11 +143,13 @@
 ) -> None:
     """Guards against a kept head that skips the check of what it holds."""
     for _ in range(2):
-        with pytest.raises(AssertionError):
-            await client.call(
-                "GET", server.address, "/x", headers={"X": "a\nb"}, timeout_s=0.5
-            )
+        result = await client.call(
+            "GET", server.address, "/x", headers={"X": "a\nb"}, timeout_s=0.5
+        )
+        assert isinstance(result, Failure)
+        assert isinstance(result.failure(), InvalidRequest)
     assert not server.requests
+    assert server.connections == 0
 
 
 async def test_an_idle_connection_that_falls_silent_times_out(
@@ -277,3 +280,19 @@
     await _get(client, server)
     await asyncio.sleep(0.15)
     assert server.ended == 1
+
+
+@pytest.mark.parametrize(
+    "text", ["maszyna-łódź-1", "a\r\nb: c", "a\nb", "a\rb", "\ud800"]
+)
+@pytest.mark.parametrize("place", ["headers", "path", "query", "address"])
+async def test_text_that_http_cannot_carry_fails_the_call_alone(
+    place: str, text: str
+) -> None:
+    """Guards against a process that ends by an id or address from outside."""
+    parts: dict[str, object] = {"address": "127.0.0.1:1", "path": "/"}
+    parts[place] = {"name": text} if place in ("headers", "query") else f"/{text}"
+    client = HttpClient()
+    result = await client.call("GET", timeout_s=0.2, **parts)  # type: ignore[arg-type]
+    assert isinstance(result, Failure)
+    await client.close()
