Refuse jobs after the last answers of a stopping member

Cause: at the end of its time a member answers all open jobs, then waits 0.1 s for the answers to be written. Meanwhile it accepted jobs and passed them on. The same held between the last look at the open jobs and the closing of the connections when none was open.

Change: once the last answers are given, further jobs are refused as not run, with a time to come back; a member that stops early does so, too. The wait for the answers to be written follows in both cases.

The other waits of a stop were read: the hand-over passes on nothing of its own; the project's own deployment refuses from the beginning of its drain on.

--- a/src/cassiaturn/fleet/_caller_jobs.py
+++ b/src/cassiaturn/fleet/_caller_jobs.py
@@ -136,6 +136,9 @@
         self._leader: LeaderPort | None = None
         self._left_leaders = LeaderHistory()
         self._leaderless_since = time.monotonic()
+        self._end_reason = ""
+        """Why this member accepts no job any more; empty: it does."""
+
         self._cancelled_at_by_id: OrderedDict[str, float] = OrderedDict()
         """When each job was cancelled that a leader may still hold, oldest first."""
 
@@ -198,6 +201,8 @@
         :param limit_s: how long the caller waits, in seconds; None if not stated.
         :param waited_s: how long the caller has waited already, in seconds.
         """
+        if self._end_reason:
+            return self._refuse(request, route, self._end_reason, RETRY_AFTER_S)
         unserved = unsupported_feature(request, route)
         if unserved is not None:
             return self._refuse(request, route, unserved, 0.0)
@@ -372,7 +377,14 @@
             cancelled_at.popitem(last=False)
 
     def end_all(self, reason: str) -> None:
-        """Answer every open job because this member's process is about to end."""
+        """Answer every open job, and refuse all that come after.
+
+        The process is about to end, and would close the connections of jobs that are
+        passed on from now on before their answers arrive.
+
+        :param reason: the rule that decided, as logged.
+        """
+        self._end_reason = reason
         for job in list(self._jobs_by_id.values()):
             self._cancel_at_leader(job)
             self.settle(job.request.job_id, _unserved_outcome(job, reason))
--- a/src/cassiaturn/fleet/_process.py
+++ b/src/cassiaturn/fleet/_process.py
@@ -191,9 +191,10 @@
         while time.monotonic() < end_at:
             listened = time.monotonic() - began_at >= DRAIN_LISTEN_S
             if listened and not member.caller_jobs.open_jobs:
-                return
+                break
             await asyncio.sleep(0.05)
-        log_event(Event.DRAIN_TIMED_OUT, open=member.caller_jobs.open_jobs)
+        else:
+            log_event(Event.DRAIN_TIMED_OUT, open=member.caller_jobs.open_jobs)
         member.caller_jobs.end_all("stopping")
         await asyncio.sleep(FLUSH_WAIT_S)
 
--- a/src/cassiaturn/fleet/tests/test_caller_jobs.py
+++ b/src/cassiaturn/fleet/tests/test_caller_jobs.py
@@ -242,3 +242,16 @@
     waiting = await _submit(caller_jobs)
     assert not waiting.done()
     waiting.cancel()
+
+
+async def test_a_job_that_comes_after_the_last_answers_is_refused_as_not_run() -> None:
+    """Guards against jobs that are passed on and lose their connection unanswered."""
+    leader = _RecordingLeader(waits_for_confirmation=False)
+    caller_jobs = _caller_jobs_of(leader)
+    waiting = await _submit(caller_jobs)
+    caller_jobs.end_all("stopping")
+    assert (await waiting).verdict is Verdict.ABANDONED
+    outcome = await caller_jobs.submit(REQUEST, ROUTE, 1.5)
+    assert outcome.verdict is Verdict.REFUSED
+    assert outcome.retry_after_s > 0.0
+    assert len(leader.jobs) == 1
