Remember that a caller has cancelled a job

Cause: a member told the leader that nobody waits for the job any more, which is what it tells when a caller's connection ends, too. The leader keeps such a job without an outcome, so that a resubmission runs it.

Change: a cancel by the caller is an outcome of the job. The message says which of both it is; the leader settles the job with it, keeps it for as long as other outcomes, and answers copies with it. The member that took the cancel remembers it, too, answers copies itself, and tells each leader that it joins, so that a successor knows it.

--- a/src/cassiaturn/fleet/_caller_jobs.py
+++ b/src/cassiaturn/fleet/_caller_jobs.py
@@ -17,7 +17,7 @@
     spread_retry_after,
     stuck_job_deadline,
 )
-from cassiaturn.workload import Outcome, Verdict, unsupported_feature
+from cassiaturn.workload import CANCELLED, Outcome, Verdict, unsupported_feature
 
 RECONNECT_WAIT_S = 0.6
 """Minimum time that jobs are kept after the leader is lost, in seconds: enough to
@@ -38,8 +38,12 @@
 """Longest time that a job is kept for its caller, in seconds."""
 
 CANCELLED_KEEP_S = 5.0
-"""How long a member remembers which jobs it cancelled, in seconds: another leader is
-found within that time."""
+"""How long a member remembers which jobs no caller waits for any more, in seconds:
+another leader is found within that time."""
+
+CALLER_CANCEL_KEEP_S = 20.0
+"""How long a member remembers which jobs their callers cancelled, in seconds: copies of
+their requests arrive within seconds."""
 
 MILLISECONDS = 1000
 
@@ -61,8 +65,12 @@
         :param begun_earlier: whether an earlier leader may have started it.
         """
 
-    def cancel(self, job_id: str) -> None:
-        """Tell the leader that no caller of this member waits for a job any more."""
+    def cancel(self, job_id: str, *, by_caller: bool) -> None:
+        """Tell the leader that a job is cancelled.
+
+        :param by_caller: whether its caller cancelled it; else no caller of this member
+            waits for it any more.
+        """
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -140,7 +148,11 @@
         """Why this member accepts no job any more; empty: it does."""
 
         self._cancelled_at_by_id: OrderedDict[str, float] = OrderedDict()
-        """When each job was cancelled that a leader may still hold, oldest first."""
+        """When each job lost its last caller that a leader may still hold, oldest
+        first."""
+
+        self._caller_cancels_at_by_id: OrderedDict[str, float] = OrderedDict()
+        """When each job was cancelled by its caller, oldest first."""
 
     @property
     def open_jobs(self) -> int:
@@ -164,9 +176,11 @@
             self._forward(job, leader)
         # Jobs cancelled without a stream, or on one that broke, would keep running: the
         # leader may not have received their cancellation.
-        self._forget_cancelled(time.monotonic() - CANCELLED_KEEP_S)
+        self._forget_cancelled()
         for job_id in self._cancelled_at_by_id:
-            leader.cancel(job_id)
+            leader.cancel(job_id, by_caller=False)
+        for job_id in self._caller_cancels_at_by_id:
+            leader.cancel(job_id, by_caller=True)
 
     def detach(self, leader: LeaderPort, *, heard_at: float | None = None) -> None:
         """Keep open jobs here until there is another leader.
@@ -206,6 +220,9 @@
         unserved = unsupported_feature(request, route)
         if unserved is not None:
             return self._refuse(request, route, unserved, 0.0)
+        self._forget_cancelled()
+        if request.job_id in self._caller_cancels_at_by_id:
+            return CANCELLED
         job = self._jobs_by_id.get(request.job_id)
         if job is not None:
             self._extend(job, time.monotonic() - waited_s + _keep_time_s(limit_s))
@@ -278,11 +295,13 @@
 
         :returns: whether it was open here.
         """
-        job = self._jobs_by_id.get(job_id)
-        if job is None:
+        if job_id not in self._jobs_by_id:
             return False
-        self._cancel_at_leader(job)
-        self.settle(job_id, Outcome(verdict=Verdict.FAILED, reason="cancelled"))
+        self._forget_cancelled()
+        self._caller_cancels_at_by_id[job_id] = time.monotonic()
+        if self._leader is not None:
+            self._leader.cancel(job_id, by_caller=True)
+        self.settle(job_id, CANCELLED)
         return True
 
     def confirm(self, job_id: str) -> bool:
@@ -365,16 +384,15 @@
         if job.forwarded_at is None:
             return
         job_id = job.request.job_id
-        now = time.monotonic()
-        self._forget_cancelled(now - CANCELLED_KEEP_S)
-        self._cancelled_at_by_id[job_id] = now
+        self._forget_cancelled()
+        self._cancelled_at_by_id[job_id] = time.monotonic()
         if self._leader is not None:
-            self._leader.cancel(job_id)
+            self._leader.cancel(job_id, by_caller=False)
 
-    def _forget_cancelled(self, before: float) -> None:
-        cancelled_at = self._cancelled_at_by_id
-        while cancelled_at and next(iter(cancelled_at.values())) < before:
-            cancelled_at.popitem(last=False)
+    def _forget_cancelled(self) -> None:
+        now = time.monotonic()
+        _drop_older(self._cancelled_at_by_id, now - CANCELLED_KEEP_S)
+        _drop_older(self._caller_cancels_at_by_id, now - CALLER_CANCEL_KEEP_S)
 
     def end_all(self, reason: str) -> None:
         """Answer every open job, and refuse all that come after.
@@ -451,6 +469,12 @@
         self.settle(job.request.job_id, _unserved_outcome(job, "limit_passed"))
 
 
+def _drop_older(times_by_id: OrderedDict[str, float], before: float) -> None:
+    """Remove all ids with a time before a given one; the oldest come first."""
+    while times_by_id and next(iter(times_by_id.values())) < before:
+        times_by_id.popitem(last=False)
+
+
 def _keep_time_s(limit_s: float | None) -> float:
     """Return how long a job is kept for its caller, in seconds.
 
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -483,9 +483,15 @@
         )
         self.accept_submission(submission)
 
-    def cancel(self, job_id: str) -> None:
-        """Cancel a job on behalf of this member's own callers."""
-        self.cancel_for_member(job_id, self.leadership.member_id)
+    def cancel(self, job_id: str, *, by_caller: bool) -> None:
+        """Cancel a job on behalf of this member's own callers.
+
+        :param by_caller: whether its caller cancelled it; else none waits any more.
+        """
+        if by_caller:
+            self.cancel_by_caller(job_id)
+        else:
+            self.cancel_for_member(job_id, self.leadership.member_id)
 
     def accept_submission(self, submission: Submission) -> None:
         """Queue or refuse a job of any member."""
@@ -536,6 +542,11 @@
         workload.cancel(self._tables, self, job_id, member_id, time.monotonic())
         self._schedule_dispatch()
 
+    def cancel_by_caller(self, job_id: str) -> None:
+        """End a job because its caller cancelled it, wherever it was submitted."""
+        workload.cancel_by_caller(self._tables, self, job_id, time.monotonic())
+        self._schedule_dispatch()
+
     def note_answer(self, member_id: str, pauses: int) -> None:
         """Record that a follower still follows.
 
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -225,9 +225,13 @@
         )
         self._frames.put_nowait(pb.FollowerFrame(submit=message))
 
-    def cancel(self, job_id: str) -> None:
-        """Tell the leader that no caller of this member waits for a job any more."""
-        message = pb.JobCancellation(job_id=job_id)
+    def cancel(self, job_id: str, *, by_caller: bool) -> None:
+        """Tell the leader that a job is cancelled.
+
+        :param by_caller: whether its caller cancelled it; else no caller of this member
+            waits for it any more.
+        """
+        message = pb.JobCancellation(job_id=job_id, by_caller=by_caller)
         self._frames.put_nowait(pb.FollowerFrame(cancel=message))
 
     async def run(self) -> FollowResult:
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -402,6 +402,8 @@
                     leader.accept_submission(submission)
                 case "confirm":
                     leader.confirm(frame.confirm.job_id)
+                case "cancel" if frame.cancel.by_caller:
+                    leader.cancel_by_caller(frame.cancel.job_id)
                 case "cancel":
                     leader.cancel_for_member(
                         frame.cancel.job_id, follower.hello.member_id
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -28,6 +28,7 @@
 from cassiaturn.workload._intake import (
     Submission,
     cancel,
+    cancel_by_caller,
     confirm,
     on_member_gone,
     submit,
@@ -45,6 +46,7 @@
     settings_for_lease,
 )
 from cassiaturn.workload._tables import (
+    CANCELLED,
     Counters,
     Job,
     Outcome,
@@ -65,6 +67,7 @@
 from cassiaturn.workload._unsupported_features import unsupported_feature
 
 __all__ = [
+    "CANCELLED",
     "CLOCK_DRIFT_RATIO",
     "INHERITED_HOLD_S",
     "Counters",
@@ -84,6 +87,7 @@
     "WorkloadSettings",
     "backlog_s",
     "cancel",
+    "cancel_by_caller",
     "confirm",
     "dispatch",
     "end_unstarted",
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -14,8 +14,10 @@
 from cassiaturn.workload._forecast import note_admitted, note_run, note_target
 from cassiaturn.workload._hopeless import note_queued
 from cassiaturn.workload._ports import Ports
-from cassiaturn.workload._settle import remove_ended_job
+from cassiaturn.workload._settle import remove_ended_job, settle
 from cassiaturn.workload._tables import (
+    CANCELLED,
+    EndedJob,
     Job,
     Outcome,
     RunState,
@@ -191,6 +193,35 @@
     return True
 
 
+def cancel_by_caller(tables: Tables, ports: Ports, job_id: str, now: float) -> bool:
+    """End a job because its caller cancelled it, and remember that.
+
+    A copy of its request may still arrive, or its first one.
+
+    :param now: time in seconds.
+    :returns: whether the job was active, or cancelled before.
+    """
+    job = tables.jobs_by_id.get(job_id)
+    if job is not None:
+        ports.record(
+            Event.JOB_CANCELLED,
+            id=job_id,
+            by_caller=True,
+            age_ms=round((now - job.arrived_at) * 1000),
+        )
+        settle(tables, ports, job, CANCELLED, now)
+        return True
+    ended_job = tables.ended_jobs_by_id.pop(job_id, None)
+    known_outcome = ended_job.outcome if ended_job is not None else None
+    if ended_job is not None and known_outcome is not None and _is_final(known_outcome):
+        tables.ended_jobs_by_id[job_id] = ended_job
+        return known_outcome == CANCELLED
+    tables.ended_jobs_by_id[job_id] = EndedJob(
+        outcome=CANCELLED, next_run=ended_job.next_run if ended_job else 0, at=now
+    )
+    return False
+
+
 def on_member_gone(tables: Tables, ports: Ports, member: str, now: float) -> None:
     """End the jobs of a member that is gone or partitioned.
 
--- a/src/cassiaturn/workload/_tables.py
+++ b/src/cassiaturn/workload/_tables.py
@@ -60,6 +60,10 @@
     """When to retry, in seconds from now; 0: a retry does not help."""
 
 
+CANCELLED = Outcome(verdict=Verdict.FAILED, reason="cancelled")
+"""Outcome of a job that its caller has cancelled."""
+
+
 class RunState(Enum):
     """State of a run as far as the leader knows."""
 
--- a/src/cassiaturn/workload/tests/test_jobs.py
+++ b/src/cassiaturn/workload/tests/test_jobs.py
@@ -239,3 +239,33 @@
     assert play.answered_at["relaxed"] < play.answered_at["urgent"]
     assert play.answered_at["relaxed"] <= due_at
     assert play.verdict("urgent") is Verdict.COMPLETED
+
+
+@pytest.mark.parametrize("is_active", [True, False])
+def test_a_job_that_its_caller_cancelled_does_not_run_again(
+    play: VirtualLeader, is_active: bool
+) -> None:
+    """Guards against copies of a request, or a first one, after the cancel."""
+    if is_active:
+        play.submit("a", run_s=0.5)
+        play.run(0.1)
+    starts = play.tables.counters.starts
+    assert workload.cancel_by_caller(play.tables, play, "a", play.now) is is_active
+    assert workload.cancel_by_caller(play.tables, play, "a", play.now)
+    play.run(4.0)
+    play.submit("a", run_s=0.5, origin="m2")
+    play.run(0.1)
+    assert play.outcomes["a"] == workload.CANCELLED
+    assert play.tables.counters.starts == starts
+    assert not play.running("a")
+
+
+def test_a_cancel_does_not_change_an_answer_that_was_given(
+    play: VirtualLeader,
+) -> None:
+    """Guards against a complete job that is told as failed afterwards."""
+    play.submit("a", run_s=0.1)
+    play.run(0.5)
+    assert not workload.cancel_by_caller(play.tables, play, "a", play.now)
+    play.submit("a", run_s=0.1)
+    assert play.verdict("a") is Verdict.COMPLETED
