Cancel a job wherever its caller's cancel arrives

Cause: a member looked at the jobs of its own callers alone, and remembered nothing.

Change: a member asks the leader, which ends the job for all members that wait for it, and answers whether there was one; "no such job" is the leader's word. A cancel of a job that nobody knows is remembered like any other, so that a request that it has overtaken is answered with it. Without an answer of a leader within 2 s, the caller is told to come back (503), and the cancel is told to the next leader all the same.

--- a/src/cassiaturn/fleet/_caller_jobs.py
+++ b/src/cassiaturn/fleet/_caller_jobs.py
@@ -45,6 +45,10 @@
 """How long a member remembers which jobs their callers cancelled, in seconds: copies of
 their requests arrive within seconds."""
 
+CANCEL_ANSWER_S = 2.0
+"""Longest wait for a leader's answer to a caller's cancel, in seconds: several times
+what a change of leader takes."""
+
 MILLISECONDS = 1000
 
 
@@ -154,6 +158,9 @@
         self._caller_cancels_at_by_id: OrderedDict[str, float] = OrderedDict()
         """When each job was cancelled by its caller, oldest first."""
 
+        self._cancel_answers_by_id: dict[str, asyncio.Future[bool]] = {}
+        """Answers to cancels of jobs that are not open here."""
+
     @property
     def open_jobs(self) -> int:
         """Number of jobs without an answer."""
@@ -290,19 +297,40 @@
             else round(job.stated_limit_s * MILLISECONDS),
         )
 
-    def cancel(self, job_id: str) -> bool:
-        """Cancel an open job on its caller's request.
+    async def cancel(self, job_id: str) -> bool | None:
+        """Cancel a job on its caller's request, wherever it was submitted.
 
-        :returns: whether it was open here.
+        :returns: whether there was such a job; None: no leader has told in time.
         """
-        if job_id not in self._jobs_by_id:
-            return False
+        is_open = job_id in self._jobs_by_id
+        answer = self._cancel_answers_by_id.get(job_id)
+        if answer is None and not is_open:
+            answer = asyncio.get_running_loop().create_future()
+            self._cancel_answers_by_id[job_id] = answer
         self._forget_cancelled()
         self._caller_cancels_at_by_id[job_id] = time.monotonic()
+        self._caller_cancels_at_by_id.move_to_end(job_id)
         if self._leader is not None:
             self._leader.cancel(job_id, by_caller=True)
-        self.settle(job_id, CANCELLED)
-        return True
+        if is_open or answer is None:
+            self.settle(job_id, CANCELLED)
+            return True
+        try:
+            async with asyncio.timeout(CANCEL_ANSWER_S):
+                return await asyncio.shield(answer)
+        except TimeoutError:
+            return None
+        finally:
+            self._cancel_answers_by_id.pop(job_id, None)
+
+    def note_cancelled(self, job_id: str, *, known: bool) -> None:
+        """Record the leader's answer to a cancel.
+
+        :param known: whether there was such a job.
+        """
+        answer = self._cancel_answers_by_id.get(job_id)
+        if answer is not None and not answer.done():
+            answer.set_result(known)
 
     def confirm(self, job_id: str) -> bool:
         """Record that the leader holds a job and starts it once it is confirmed.
--- a/src/cassiaturn/fleet/_callers.py
+++ b/src/cassiaturn/fleet/_callers.py
@@ -47,10 +47,10 @@
     def status(self, job_id: str) -> JobStatus | None:
         """Return the status of a job; None if there is no such job."""
 
-    def cancel(self, job_id: str) -> bool:
+    def cancel(self, job_id: str) -> Awaitable[bool | None]:
         """Cancel a job on its caller's request.
 
-        :returns: whether there was such a job.
+        :returns: whether there was such a job; None if that is not known.
         """
 
     def waiting(self, route: Route) -> int:
@@ -105,7 +105,7 @@
         """
         return JobStatus.RUNNING if self._member.caller_jobs.is_open(job_id) else None
 
-    def cancel(self, job_id: str) -> bool:
+    def cancel(self, job_id: str) -> Awaitable[bool | None]:
         """Cancel a job on its caller's request."""
         return self._member.caller_jobs.cancel(job_id)
 
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -221,6 +221,14 @@
             pb.LeaderFrame(outcome=from_outcome(job_id, outcome))
         )
 
+    def send_cancelled(self, job_id: str, *, known: bool) -> None:
+        """Answer a cancel by a caller of the member.
+
+        :param known: whether there was such a job.
+        """
+        message = pb.CancelAnswer(job_id=job_id, known=known)
+        self.enqueue(pb.LeaderFrame(cancelled=message))
+
     def send_progress(self, job_id: str, completed: Iterable[TaskRef]) -> Receipt:
         """Tell the follower which tasks of a job are done."""
         message = pb.JobProgress(job_id=job_id, completed=from_completed(completed))
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -489,7 +489,8 @@
         :param by_caller: whether its caller cancelled it; else none waits any more.
         """
         if by_caller:
-            self.cancel_by_caller(job_id)
+            known = self.cancel_by_caller(job_id)
+            self._caller_jobs.note_cancelled(job_id, known=known)
         else:
             self.cancel_for_member(job_id, self.leadership.member_id)
 
@@ -542,10 +543,14 @@
         workload.cancel(self._tables, self, job_id, member_id, time.monotonic())
         self._schedule_dispatch()
 
-    def cancel_by_caller(self, job_id: str) -> None:
-        """End a job because its caller cancelled it, wherever it was submitted."""
-        workload.cancel_by_caller(self._tables, self, job_id, time.monotonic())
+    def cancel_by_caller(self, job_id: str) -> bool:
+        """End a job because its caller cancelled it, wherever it was submitted.
+
+        :returns: whether there was such a job.
+        """
+        known = workload.cancel_by_caller(self._tables, self, job_id, time.monotonic())
         self._schedule_dispatch()
+        return known
 
     def note_answer(self, member_id: str, pauses: int) -> None:
         """Record that a follower still follows.
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -56,7 +56,7 @@
 outcomes of jobs whose ends it has acknowledged, which their targets list no more."""
 
 HAND_OVER_FRAMES = frozenset(
-    {"outcome", "progress", "redirect", "welcome", "done", "unheard"}
+    {"outcome", "progress", "redirect", "welcome", "done", "unheard", "cancelled"}
 )
 """Frames that a member still reads from a leader that asked it to lead; what else that
 leader tells is older than what the member learns as the leader."""
@@ -412,6 +412,10 @@
                     self._caller_jobs.note_completed(job_id, completed)
                 case "done":
                     self._done_tasks.read(frame.done)
+                case "cancelled":
+                    self._caller_jobs.note_cancelled(
+                        frame.cancelled.job_id, known=frame.cancelled.known
+                    )
                 case "unheard":
                     self.unheard_targets = frozenset(frame.unheard.target_ids)
                     self.has_told_targets = frame.unheard.confirmed_targets_only
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -403,7 +403,9 @@
                 case "confirm":
                     leader.confirm(frame.confirm.job_id)
                 case "cancel" if frame.cancel.by_caller:
-                    leader.cancel_by_caller(frame.cancel.job_id)
+                    job_id = frame.cancel.job_id
+                    known = leader.cancel_by_caller(job_id)
+                    follower.send_cancelled(job_id, known=known)
                 case "cancel":
                     leader.cancel_for_member(
                         frame.cancel.job_id, follower.hello.member_id
--- a/src/cassiaturn/fleet/tests/test_caller_jobs.py
+++ b/src/cassiaturn/fleet/tests/test_caller_jobs.py
@@ -198,7 +198,7 @@
     caller_jobs = _caller_jobs_of(leader)
     waiting = await _submit(caller_jobs)
     caller_jobs.detach(leader)
-    assert caller_jobs.cancel(JOB_ID)
+    assert await caller_jobs.cancel(JOB_ID)
     assert await waiting == CANCELLED
     caller_jobs.attach(leader)
     assert leader.cancelled_by_caller == [JOB_ID]
@@ -278,3 +278,31 @@
     assert outcome.verdict is Verdict.REFUSED
     assert outcome.retry_after_s > 0.0
     assert len(leader.jobs) == 1
+
+
+@pytest.mark.parametrize("known", [True, False])
+@pytest.mark.parametrize("has_leader", [True, False])
+async def test_a_cancel_at_another_member_is_answered_by_the_leader(
+    has_leader: bool, known: bool
+) -> None:
+    """Guards against "no such job" from a member that cannot know."""
+    leader = _RecordingLeader()
+    caller_jobs = _caller_jobs_of(leader)
+    if not has_leader:
+        caller_jobs.detach(leader)
+    cancelling = asyncio.create_task(caller_jobs.cancel(JOB_ID))
+    await asyncio.sleep(0.01)
+    assert not cancelling.done()
+    if not has_leader:
+        caller_jobs.attach(leader)
+    assert leader.cancelled_by_caller == [JOB_ID]
+    caller_jobs.note_cancelled(JOB_ID, known=known)
+    assert await cancelling is known
+
+
+async def test_a_cancel_that_no_leader_answers_is_not_acknowledged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against callers that take a job for cancelled which runs on."""
+    monkeypatch.setattr(_caller_jobs, "CANCEL_ANSWER_S", 0.01)
+    assert await _caller_jobs_of(_RecordingLeader()).cancel(JOB_ID) is None
--- a/src/cassiaturn/platform/_caller_server.py
+++ b/src/cassiaturn/platform/_caller_server.py
@@ -191,12 +191,15 @@
             return
         self.answer(HTTPStatus.OK, f'{{"state":"{_STATE_BY_STATUS[status]}"}}')
 
-    def delete(self) -> None:
+    async def delete(self) -> None:
         route = self._route()
         if route is None:
             return
-        known = self.jobs.cancel(self._job_id(route))
-        self.answer(HTTPStatus.OK if known else HTTPStatus.GONE)
+        known = await self.jobs.cancel(self._job_id(route))
+        if known is None:
+            self._set_retry_after(self.jobs.unconfigured_retry_s)
+        told = HTTPStatus.OK if known else HTTPStatus.GONE
+        self.answer(HTTPStatus.SERVICE_UNAVAILABLE if known is None else told)
 
     def on_connection_close(self) -> None:
         if self._submission is not None:
--- a/src/cassiaturn/platform/tests/test_cancelled_jobs.py
+++ b/src/cassiaturn/platform/tests/test_cancelled_jobs.py
@@ -52,3 +52,26 @@
     answer = await fleet.submit([member, others[0]][copy_at], JOB)
     assert answer[:2] == FAILED
     assert _starts(fleet) == 2
+
+
+@pytest.mark.parametrize("submitted_at", [0, 1, 2])
+@pytest.mark.parametrize("distance", [1, 2])
+async def test_a_cancel_reaches_a_job_of_another_member(
+    fleet: Fleet, submitted_at: int, distance: int
+) -> None:
+    """Guards against a job that runs on since its cancel came to another member."""
+    member = fleet.members[submitted_at]
+    other = fleet.members[(submitted_at + distance) % 3]
+    assert (await _submit_and_cancel(fleet, member, other))[:2] == FAILED
+    again, _, _ = await fleet.request(other, "DELETE", PREFIX + JOB)
+    assert again == 200
+
+
+async def test_a_cancel_that_is_read_before_its_job_holds(fleet: Fleet) -> None:
+    """Guards against a job that starts after its cancel, which overtook its request."""
+    first, second, third = fleet.members
+    status, _, _ = await fleet.request(first, "DELETE", PREFIX + JOB)
+    assert status == 410
+    for member in (first, second, third):
+        assert (await fleet.submit(member, JOB))[:2] == FAILED
+    assert _starts(fleet) == 0
