Have the keeper of finished tasks keep cancelled jobs, too

What callers could see: a copy of a cancelled job's request that reaches a new leader before the member that took the cancel has joined it starts the job; it is stopped when that member joins, some 40 ms later.

Cause: only the member that took the cancel told a new leader.

Change: the leader tells the follower that keeps finished tasks, which is the likeliest successor, in the same frames; a new keeper is told of all that is remembered. A successor that was the keeper knows them when it begins, another one once the keeper joins. Members tell cancels before they pass jobs on. A cancel is lost only if the leader, the keeper and the member that took it all end.

--- a/src/cassiaturn/fleet/_caller_jobs.py
+++ b/src/cassiaturn/fleet/_caller_jobs.py
@@ -17,7 +17,13 @@
     spread_retry_after,
     stuck_job_deadline,
 )
-from cassiaturn.workload import CANCELLED, Outcome, Verdict, unsupported_feature
+from cassiaturn.workload import (
+    CANCEL_RETENTION_S,
+    CANCELLED,
+    Outcome,
+    Verdict,
+    unsupported_feature,
+)
 
 RECONNECT_WAIT_S = 0.6
 """Minimum time that jobs are kept after the leader is lost, in seconds: enough to
@@ -41,10 +47,6 @@
 """How long a member remembers which jobs no caller waits for any more, in seconds:
 another leader is found within that time."""
 
-CALLER_CANCEL_KEEP_S = 20.0
-"""How long a member remembers which jobs their callers cancelled, in seconds: copies of
-their requests arrive within seconds."""
-
 CANCEL_ANSWER_S = 2.0
 """Longest wait for a leader's answer to a caller's cancel, in seconds: several times
 what a change of leader takes."""
@@ -179,15 +181,15 @@
     def attach(self, leader: LeaderPort) -> None:
         """Forward every open job to a new leader."""
         self._leader = leader
+        self._forget_cancelled()
+        for job_id in self._caller_cancels_at_by_id:
+            leader.cancel(job_id, by_caller=True)
         for job in list(self._jobs_by_id.values()):
             self._forward(job, leader)
         # Jobs cancelled without a stream, or on one that broke, would keep running: the
         # leader may not have received their cancellation.
-        self._forget_cancelled()
         for job_id in self._cancelled_at_by_id:
             leader.cancel(job_id, by_caller=False)
-        for job_id in self._caller_cancels_at_by_id:
-            leader.cancel(job_id, by_caller=True)
 
     def detach(self, leader: LeaderPort, *, heard_at: float | None = None) -> None:
         """Keep open jobs here until there is another leader.
@@ -420,7 +422,7 @@
     def _forget_cancelled(self) -> None:
         now = time.monotonic()
         _drop_older(self._cancelled_at_by_id, now - CANCELLED_KEEP_S)
-        _drop_older(self._caller_cancels_at_by_id, now - CALLER_CANCEL_KEEP_S)
+        _drop_older(self._caller_cancels_at_by_id, now - CANCEL_RETENTION_S)
 
     def end_all(self, reason: str) -> None:
         """Answer every open job, and refuse all that come after.
--- a/src/cassiaturn/fleet/_done_tasks.py
+++ b/src/cassiaturn/fleet/_done_tasks.py
@@ -1,4 +1,4 @@
-"""Keeps the finished tasks of unfinished jobs with a second member.
+"""Keeps finished tasks of unfinished jobs, and cancelled jobs, with a second member.
 
 A leader tells one of its followers, the keeper, which tasks are done; all that ended
 meanwhile goes into one frame, so the cost hardly grows with the load. The keeper passes
@@ -12,6 +12,7 @@
 from cassiaturn.entities import TaskRef
 from cassiaturn.fleet._codec import from_completed, to_completed
 from cassiaturn.v1 import fleet_pb2 as pb
+from cassiaturn.workload import CANCEL_RETENTION_S
 
 KEEP_S = 30.0
 """How long a keeper remembers a job of which it hears nothing more, in seconds."""
@@ -27,6 +28,7 @@
         """Start without any."""
         self._refs_by_job: OrderedDict[str, set[TaskRef]] = OrderedDict()
         self._noted_at_by_job: dict[str, float] = {}
+        self._cancelled_at_by_job: OrderedDict[str, float] = OrderedDict()
 
     def read(self, message: pb.DoneTasks) -> None:
         """Apply what the leader tells."""
@@ -38,8 +40,18 @@
             self._noted_at_by_job[progress.job_id] = now
         for job_id in message.ended:
             self._remove(job_id)
+        for job_id in message.cancelled:
+            self._cancelled_at_by_job[job_id] = now
+            self._cancelled_at_by_job.move_to_end(job_id)
         self._expire(now)
 
+    def take_cancelled(self) -> Sequence[str]:
+        """Return all jobs that their callers cancelled, and forget them."""
+        self._expire(time.monotonic())
+        taken = tuple(self._cancelled_at_by_job)
+        self._cancelled_at_by_job.clear()
+        return taken
+
     def take(self) -> Mapping[str, Iterable[TaskRef]]:
         """Return all tasks by job, and forget them."""
         taken = dict(self._refs_by_job)
@@ -52,6 +64,12 @@
         self._noted_at_by_job.pop(job_id, None)
 
     def _expire(self, now: float) -> None:
+        cancelled = self._cancelled_at_by_job
+        while cancelled and (
+            now - next(iter(cancelled.values())) >= CANCEL_RETENTION_S
+            or len(cancelled) > MAX_KEPT_JOBS
+        ):
+            cancelled.popitem(last=False)
         while self._refs_by_job:
             oldest = next(iter(self._refs_by_job))
             is_old = now - self._noted_at_by_job[oldest] >= KEEP_S
@@ -61,12 +79,15 @@
 
 
 def to_message(
-    refs_by_job: Mapping[str, Iterable[TaskRef]], ended: Sequence[str] = ()
+    refs_by_job: Mapping[str, Iterable[TaskRef]],
+    ended: Sequence[str] = (),
+    cancelled: Sequence[str] = (),
 ) -> pb.DoneTasks:
-    """Return the message that tells of finished tasks.
+    """Return the message that tells of finished tasks and cancelled jobs.
 
     :param refs_by_job: the tasks, by job.
     :param ended: jobs of which no task needs to be remembered any more.
+    :param cancelled: jobs that their callers cancelled.
     """
     return pb.DoneTasks(
         jobs=[
@@ -74,6 +95,7 @@
             for job_id, refs in refs_by_job.items()
         ],
         ended=ended,
+        cancelled=cancelled,
     )
 
 
--- a/src/cassiaturn/fleet/_follower.py
+++ b/src/cassiaturn/fleet/_follower.py
@@ -77,6 +77,7 @@
         self._receipts: set[Receipt] = set()
         self._done_by_job: dict[str, set[TaskRef]] = {}
         self._ended_jobs: list[str] = []
+        self._cancelled_jobs: list[str] = []
         self._done_receipt: Receipt | None = None
         self._frames: deque[QueuedFrame] = deque()
         self._wake = asyncio.Event()
@@ -250,15 +251,21 @@
         self._ended_jobs.extend(job_ids)
         self._wake.set()
 
+    def keep_cancelled(self, job_ids: Iterable[str]) -> None:
+        """Have the member keep jobs that callers cancelled for the next leader."""
+        self._cancelled_jobs.extend(job_ids)
+        self._wake.set()
+
     @property
     def _keeps_news(self) -> bool:
-        return bool(self._done_by_job or self._ended_jobs)
+        return bool(self._done_by_job or self._ended_jobs or self._cancelled_jobs)
 
     def _next_done(self, now: float) -> QueuedFrame:
-        message = to_message(self._done_by_job, self._ended_jobs)
+        message = to_message(self._done_by_job, self._ended_jobs, self._cancelled_jobs)
         receipt, self._done_receipt = self._done_receipt, None
         self._done_by_job = {}
         self._ended_jobs = []
+        self._cancelled_jobs = []
         frame = pb.LeaderFrame(done=message)
         return QueuedFrame(frame=frame, queued_at=now, receipt=receipt)
 
--- a/src/cassiaturn/fleet/_leader.py
+++ b/src/cassiaturn/fleet/_leader.py
@@ -114,6 +114,9 @@
     def keep_done(self, job_id: str, done: Iterable[TaskRef]) -> Receipt:
         """Have the member keep finished tasks of a job for the next leader."""
 
+    def keep_cancelled(self, job_ids: Iterable[str]) -> None:
+        """Have the member keep jobs that callers cancelled for the next leader."""
+
     def drop_done(self, job_ids: Iterable[str]) -> None:
         """Tell the member that jobs have ended of which it keeps tasks."""
 
@@ -549,6 +552,9 @@
         :returns: whether there was such a job.
         """
         known = workload.cancel_by_caller(self._tables, self, job_id, time.monotonic())
+        keeper = self._choose_keeper()
+        if keeper is not None:
+            keeper.keep_cancelled([job_id])
         self._schedule_dispatch()
         return known
 
@@ -649,6 +655,7 @@
                 if done:
                     self._kept_jobs.add(job.job_id)
                     keeper.keep_done(job.job_id, done)
+            keeper.keep_cancelled(workload.cancelled_jobs(self._tables))
         self._keeper = keeper
         return keeper
 
--- a/src/cassiaturn/fleet/_leader_stream.py
+++ b/src/cassiaturn/fleet/_leader_stream.py
@@ -327,8 +327,10 @@
             token=self.leadership.token,
         )
         kept = self._done_tasks.take()
-        if kept:
-            self._frames.put_nowait(pb.FollowerFrame(done=to_message(kept)))
+        cancelled = self._done_tasks.take_cancelled()
+        if kept or cancelled:
+            message = to_message(kept, cancelled=cancelled)
+            self._frames.put_nowait(pb.FollowerFrame(done=message))
         self._caller_jobs.attach(self)
 
     async def _serve(self, stream) -> FollowResult:  # type: ignore[no-untyped-def]
--- a/src/cassiaturn/fleet/_member.py
+++ b/src/cassiaturn/fleet/_member.py
@@ -662,6 +662,8 @@
             cpu_cores=self.settings.cpu_cores,
         )
         leader.open()
+        for job_id in self._done_tasks.take_cancelled():
+            leader.cancel_by_caller(job_id)
         for refs in self._done_tasks.take().values():
             leader.note_done(refs)
         attaching = asyncio.ensure_future(self._attach_callers(leader))
--- a/src/cassiaturn/fleet/_service.py
+++ b/src/cassiaturn/fleet/_service.py
@@ -419,6 +419,8 @@
                     self._member.read_drains(frame.beat.drained)
                 case "done":
                     leader.note_done(to_refs(frame.done))
+                    for job_id in frame.done.cancelled:
+                        leader.cancel_by_caller(job_id)
                 case "routing":
                     self._member.read_routing(frame.routing)
                 case _:
--- a/src/cassiaturn/platform/tests/test_cancelled_jobs.py
+++ b/src/cassiaturn/platform/tests/test_cancelled_jobs.py
@@ -33,7 +33,7 @@
     return await waiting
 
 
-@pytest.mark.parametrize("change", ["none", "stop"])
+@pytest.mark.parametrize("change", ["none", "kill", "stop"])
 @pytest.mark.parametrize("copy_at", [0, 1])
 async def test_a_copy_of_a_cancelled_jobs_request_starts_nothing(
     fleet: Fleet, copy_at: int, change: str
@@ -44,7 +44,9 @@
     """
     member = fleet.followers()[0]
     assert (await _submit_and_cancel(fleet, member, member))[:2] == FAILED
-    if change == "stop":
+    if change == "kill":
+        await fleet.kill(fleet.leader())
+    elif change == "stop":
         await fleet.leader().member.stop()
     ready = [row for row in fleet.members if not row.member.is_stopping]
     await fleet.until(lambda: all(row.member.is_ready for row in ready))
--- a/src/cassiaturn/workload/__init__.py
+++ b/src/cassiaturn/workload/__init__.py
@@ -29,6 +29,7 @@
     Submission,
     cancel,
     cancel_by_caller,
+    cancelled_jobs,
     confirm,
     on_member_gone,
     submit,
@@ -40,6 +41,7 @@
     on_stop_answer,
 )
 from cassiaturn.workload._settings import (
+    CANCEL_RETENTION_S,
     CLOCK_DRIFT_RATIO,
     INHERITED_HOLD_S,
     WorkloadSettings,
@@ -68,6 +70,7 @@
 
 __all__ = [
     "CANCELLED",
+    "CANCEL_RETENTION_S",
     "CLOCK_DRIFT_RATIO",
     "INHERITED_HOLD_S",
     "Counters",
@@ -88,6 +91,7 @@
     "backlog_s",
     "cancel",
     "cancel_by_caller",
+    "cancelled_jobs",
     "confirm",
     "dispatch",
     "end_unstarted",
--- a/src/cassiaturn/workload/_intake.py
+++ b/src/cassiaturn/workload/_intake.py
@@ -222,6 +222,15 @@
     return False
 
 
+def cancelled_jobs(tables: Tables) -> list[str]:
+    """Return the ids of the jobs that callers cancelled lately."""
+    return [
+        job_id
+        for job_id, ended_job in tables.ended_jobs_by_id.items()
+        if ended_job.outcome == CANCELLED
+    ]
+
+
 def on_member_gone(tables: Tables, ports: Ports, member: str, now: float) -> None:
     """End the jobs of a member that is gone or partitioned.
 
--- a/src/cassiaturn/workload/_settings.py
+++ b/src/cassiaturn/workload/_settings.py
@@ -12,6 +12,10 @@
 job, and a lease that it renews just then lasts 1.1 s longer. Waiting for the lease
 alone would allow two concurrent runs of a task if the partition heals in between."""
 
+CANCEL_RETENTION_S = 20.0
+"""How long a job stays cancelled, in seconds: copies of its request arrive within
+seconds of the answer."""
+
 CLOCK_DRIFT_RATIO = 0.02
 """Share by which a target's clock may run slow."""
 
