--- a/src/cassiaturn/platform/tests/test_restarted_targets.py
+++ b/src/cassiaturn/platform/tests/test_restarted_targets.py
@@ -31,8 +31,8 @@
     await fleet.until(lambda: fleet.count_reporting_targets() == len(fleet.runners))
 
 
-def _only_runner(fleet: Fleet) -> StandinRunner:
-    """Return the runner to restart; the others are slow, so that their room is used."""
+def _restartable_runner(fleet: Fleet) -> StandinRunner:
+    """Return the runner to restart, which tells when its process began."""
     runner = fleet.runners[0]
     runner.born_ms = 1_000
     return runner
@@ -45,7 +45,7 @@
 
 async def test_leases_after_a_restart_count_by_the_new_clock(fleet: Fleet) -> None:
     """Guards against orders that stay in time for as long as a target was up before."""
-    runner = _only_runner(fleet)
+    runner = _restartable_runner(fleet)
     await _restart_with_entries(fleet, runner)
     fleet.publish(runner)
     await asyncio.sleep(0.5)
@@ -62,7 +62,7 @@
 
     Their tasks would run again.
     """
-    runner = _only_runner(fleet)
+    runner = _restartable_runner(fleet)
     await _restart_with_entries(fleet, runner)
     fleet.publish(runner)
     await asyncio.sleep(0.5)
@@ -81,7 +81,7 @@
     The entry of the new one comes later than its first list, with a sequence that
     begins anew.
     """
-    runner = _only_runner(fleet)
+    runner = _restartable_runner(fleet)
     runner.sequence = 4
     for other in fleet.runners[1:]:
         other.run_s = 0.3
